--- /dev/null
+++ b/crates/eelgrassdeal_node/src/main.rs
@@ -0,0 +1,2 @@
+//! Binary
+fn main() {}
--- /dev/null
+++ b/crates/eelgrassdeal_peers/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder
