--- /dev/null
+++ b/crates/eelgrassdeal_control/src/check.rs
@@ -0,0 +1,175 @@
+//! Checks of a configuration before it is accepted.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use crate::fleet::{EntryKind, FleetConfig};
+
+/// Something that is wrong with an entry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FleetProblem {
+    /// Kind of the entry.
+    pub kind: EntryKind,
+    /// Id of the entry.
+    pub id: String,
+    /// Field at fault, or empty.
+    pub field: &'static str,
+    /// What is wrong.
+    pub message: String,
+}
+
+impl fmt::Display for FleetProblem {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{} {:?}", self.kind.name(), self.id)?;
+        match self.field {
+            "" => {}
+            field => write!(formatter, ", {field}")?,
+        }
+        write!(formatter, ": {}", self.message)
+    }
+}
+
+struct ProblemList {
+    problems: Vec<FleetProblem>,
+}
+
+impl ProblemList {
+    fn check(&mut self, holds: bool, kind: EntryKind, id: &str, field: &'static str, text: &str) {
+        if !holds {
+            let message = text.to_owned();
+            self.problems.push(FleetProblem { kind, id: id.to_owned(), field, message });
+        }
+    }
+
+    fn check_one_of(
+        &mut self,
+        kind: EntryKind,
+        id: &str,
+        field: &'static str,
+        value: &str,
+        allowed: &[&str],
+    ) {
+        let text = format!("{value:?} is not one of {}", allowed.join(", "));
+        self.check(allowed.contains(&value), kind, id, field, &text);
+    }
+}
+
+/// Finds everything that is wrong with `fleet`: dangling references, values out of range, and
+/// groups that break an invariant.
+pub fn check_fleet(fleet: &FleetConfig) -> Vec<FleetProblem> {
+    let mut list = ProblemList { problems: Vec::new() };
+    check_machines(fleet, &mut list);
+    check_models(fleet, &mut list);
+    check_accounts(fleet, &mut list);
+    check_groups(fleet, &mut list);
+    list.problems
+}
+
+fn check_machines(fleet: &FleetConfig, list: &mut ProblemList) {
+    for centre in fleet.data_centres() {
+        let kind = EntryKind::DataCentre;
+        list.check_one_of(kind, &centre.id, "state", &centre.state, &["in", "out"]);
+    }
+    for vm in fleet.vms() {
+        let kind = EntryKind::Vm;
+        let has_centre = fleet.data_centre(&vm.data_centre).is_some();
+        list.check(has_centre, kind, &vm.id, "data_centre", "no such data centre");
+        list.check(is_address(&vm.address), kind, &vm.id, "address", "not IP:PORT");
+        list.check_one_of(kind, &vm.id, "role", &vm.role, &["entry", "worker"]);
+        list.check_one_of(kind, &vm.id, "state", &vm.state, &["in_service", "leaving"]);
+        match vm.role.as_str() {
+            "worker" => {
+                let has_domain = !vm.fabric_domain.is_empty();
+                list.check(has_domain, kind, &vm.id, "fabric_domain", "a worker needs one");
+                list.check_one_of(kind, &vm.id, "fencing", &vm.fencing, &["honoured", "ignored"]);
+            }
+            _ => {
+                let is_valid = is_address(&vm.peer_address);
+                list.check(is_valid, kind, &vm.id, "peer_address", "not IP:PORT");
+            }
+        }
+    }
+    for upstream in fleet.upstreams() {
+        let kind = EntryKind::Upstream;
+        let id = &upstream.id;
+        let has_service = fleet.service(&upstream.service).is_some();
+        list.check(has_service, kind, id, "service", "no such service");
+        let has_centre = fleet.data_centre(&upstream.data_centre).is_some();
+        list.check(has_centre, kind, id, "data_centre", "no such data centre");
+        list.check(is_address(&upstream.address), kind, id, "address", "not IP:PORT");
+        list.check_one_of(kind, id, "state", &upstream.state, &["in_service", "leaving"]);
+        check_slots(list, kind, id, upstream.slots, upstream.cold_slots);
+    }
+}
+
+fn check_models(fleet: &FleetConfig, list: &mut ProblemList) {
+    for model in fleet.models() {
+        let kind = EntryKind::Model;
+        let id = &model.id;
+        list.check(model.vms_per_replica > 0, kind, id, "vms_per_replica", "must be at least 1");
+        list.check(model.kv_tokens > 0, kind, id, "kv_tokens", "must be at least 1");
+        check_slots(list, kind, id, model.slots, model.cold_slots);
+    }
+    for rule in fleet.serve_rules() {
+        let kind = EntryKind::Serve;
+        list.check(fleet.model(&rule.model).is_some(), kind, &rule.id, "model", "no such model");
+        for centre in &rule.data_centres {
+            let text = format!("no data centre {centre:?}");
+            let is_known = fleet.data_centre(centre).is_some();
+            list.check(is_known, kind, &rule.id, "data_centres", &text);
+        }
+    }
+}
+
+fn check_slots(list: &mut ProblemList, kind: EntryKind, id: &str, slots: u32, cold_slots: u32) {
+    list.check(slots > 0, kind, id, "slots", "must be at least 1");
+    let is_valid = cold_slots > 0 && cold_slots <= slots;
+    list.check(is_valid, kind, id, "cold_slots", "must be from 1 to slots");
+}
+
+fn check_accounts(fleet: &FleetConfig, list: &mut ProblemList) {
+    let mut owners: BTreeMap<&str, &str> = BTreeMap::new();
+    for account in fleet.client_accounts() {
+        let kind = EntryKind::ClientAccount;
+        let id = &account.id;
+        let is_digest = account.key_sha256.len() == 64
+            && account.key_sha256.bytes().all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'));
+        let text = "not a SHA-256 digest in lower-case hexadecimal";
+        list.check(is_digest, kind, id, "key_sha256", text);
+        list.check(account.weight > 0, kind, id, "weight", "must be at least 1");
+        if let Some(other) = owners.insert(&account.key_sha256, id) {
+            let text = format!("account {other:?} has the same key");
+            list.check(false, kind, id, "key_sha256", &text);
+        }
+        for model in &account.models {
+            let text = format!("no model {model:?}");
+            list.check(fleet.model(model).is_some(), kind, id, "models", &text);
+        }
+        for service in &account.services {
+            let text = format!("no service {service:?}");
+            list.check(fleet.service(service).is_some(), kind, id, "services", &text);
+        }
+    }
+}
+
+/// No VM belongs to two groups, and the members of a group share a fabric domain.
+fn check_groups(fleet: &FleetConfig, list: &mut ProblemList) {
+    let mut owners: BTreeMap<&str, &str> = BTreeMap::new();
+    for group in fleet.groups() {
+        let kind = EntryKind::Group;
+        for member in &group.members {
+            if let Some(other) = owners.insert(member, &group.id) {
+                let text = format!("VM {member:?} already belongs to group {other:?}");
+                list.check(false, kind, &group.id, "members", &text);
+            }
+            let is_in_domain =
+                fleet.vm(member).is_none_or(|vm| vm.fabric_domain == group.fabric_domain);
+            let text = format!("VM {member:?} is outside the fabric domain");
+            list.check(is_in_domain, kind, &group.id, "members", &text);
+        }
+    }
+}
+
+fn is_address(text: &str) -> bool {
+    text.parse::<std::net::SocketAddr>().is_ok()
+}
--- a/crates/eelgrassdeal_control/src/lib.rs
+++ b/crates/eelgrassdeal_control/src/lib.rs
@@ -1,1 +1,17 @@
-//! Placeholder
+//! Register, rules and the group planner.
+//!
+//! [`FleetConfig`] is the configuration at one revision. [`load_fleet_files`] reads the operators'
+//! files, [`check_fleet`] finds what is wrong in them, [`diff_fleet`] computes the change that turns
+//! one configuration into another, and [`plan_groups`] decides which VMs form which groups.
+
+mod check;
+mod diff;
+mod file;
+mod fleet;
+mod planner;
+
+pub use check::{FleetProblem, check_fleet};
+pub use diff::{EntryDiff, diff_fleet};
+pub use file::{FileError, load_fleet_files};
+pub use fleet::{EntryKind, FleetConfig, entry_key};
+pub use planner::{GroupPlan, plan_groups};
--- a/crates/eelgrassdeal_standins/src/main.rs
+++ b/crates/eelgrassdeal_standins/src/main.rs
@@ -1,2 +1,134 @@
-//! Binary
-fn main() {}
+//! `eelgrassdeal-standin`: runs one stand-in, or a whole platform, as a process.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use eelgrassdeal_standins::{
+    EngineFake, EngineOptions, ObjectFake, ServiceFake, TableFake, VmListFake, WeightsFake,
+};
+use gumdrop::Options;
+
+/// Runs one stand-in.
+#[derive(Debug, Options)]
+struct StandinOptions {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(command)]
+    command: Option<StandinCommand>,
+}
+
+#[derive(Debug, Options)]
+enum StandinCommand {
+    #[options(help = "table service, object store, VM list and weight store")]
+    Platform(PlatformOptions),
+    #[options(help = "one member of a model engine")]
+    Engine(EngineCommand),
+    #[options(help = "a plain service")]
+    Service(ServiceCommand),
+}
+
+#[derive(Debug, Options)]
+struct PlatformOptions {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "address of the table service", required)]
+    table: Option<SocketAddr>,
+    #[options(help = "address of the object store", required)]
+    object: Option<SocketAddr>,
+    #[options(help = "address of the list of VMs", required)]
+    vm_list: Option<SocketAddr>,
+    #[options(help = "address of the weight store", required)]
+    weights: Option<SocketAddr>,
+    #[options(help = "rate of the weight store in bytes/s", default = "1000000000")]
+    weights_rate: u64,
+    #[options(help = "lag of the list of VMs in ms", default = "2000")]
+    vm_list_lag_ms: u64,
+}
+
+#[derive(Debug, Options)]
+struct EngineCommand {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "id of the VM in the register", required)]
+    vm: String,
+    #[options(help = "address to listen on", required)]
+    listen: Option<SocketAddr>,
+    #[options(help = "base URL of the weight store")]
+    weights_url: Option<String>,
+    #[options(help = "accept orders with an old fencing number")]
+    ignore_fencing: bool,
+    #[options(help = "time to the first token in ms", default = "50")]
+    first_token_ms: u64,
+    #[options(help = "time between tokens in ms", default = "20")]
+    token_ms: u64,
+    #[options(help = "requests that a cold engine bears", default = "4")]
+    cold_limit: u32,
+    #[options(help = "requests that a warm engine bears", default = "64")]
+    warm_limit: u32,
+    #[options(help = "time under load until warm in ms", default = "3000")]
+    warm_after_ms: u64,
+}
+
+#[derive(Debug, Options)]
+struct ServiceCommand {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "address to listen on", required)]
+    listen: Option<SocketAddr>,
+    #[options(help = "time that a call takes in ms", default = "10")]
+    work_ms: u64,
+}
+
+#[compio::main]
+async fn main() -> std::io::Result<()> {
+    let options = StandinOptions::parse_args_default_or_exit();
+    let mut handles = Vec::new();
+    match options.command {
+        Some(StandinCommand::Platform(command)) => {
+            if let Some(address) = command.table {
+                handles.push(TableFake::new().serve(address).await?);
+            }
+            if let Some(address) = command.object {
+                handles.push(ObjectFake::new().serve(address).await?);
+            }
+            if let Some(address) = command.vm_list {
+                let lag = Duration::from_millis(command.vm_list_lag_ms);
+                handles.push(VmListFake::new().with_lag(lag).serve(address).await?);
+            }
+            if let Some(address) = command.weights {
+                handles.push(WeightsFake::new(command.weights_rate).serve(address).await?);
+            }
+        }
+        Some(StandinCommand::Engine(command)) => {
+            let engine = EngineFake::new(EngineOptions {
+                honours_fencing: !command.ignore_fencing,
+                weights_url: command.weights_url,
+                first_token: Duration::from_millis(command.first_token_ms),
+                token_interval: Duration::from_millis(command.token_ms),
+                cold_limit: command.cold_limit,
+                warm_limit: command.warm_limit,
+                warm_after: Duration::from_millis(command.warm_after_ms),
+                ..EngineOptions::new(command.vm)
+            });
+            if let Some(address) = command.listen {
+                handles.push(engine.serve(address).await?);
+            }
+        }
+        Some(StandinCommand::Service(command)) => {
+            let work_time = Duration::from_millis(command.work_ms);
+            if let Some(address) = command.listen {
+                handles.push(ServiceFake::new().with_work_time(work_time).serve(address).await?);
+            }
+        }
+        None => {
+            eprintln!("{}", StandinOptions::usage());
+            std::process::exit(2);
+        }
+    }
+    for handle in &handles {
+        println!("listening on {}", handle.address());
+    }
+    std::future::pending::<()>().await;
+    drop(handles);
+    Ok(())
+}
--- /dev/null
+++ b/crates/eelgrassdeal_standins/src/object.rs
@@ -0,0 +1,73 @@
+//! Stand-in for the object store: `PUT` with `If-None-Match: *`, and `GET`.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response};
+
+use crate::fault::FaultSwitch;
+use crate::server::{Reply, ServerHandle, empty_reply, serve_http};
+
+/// An object store in memory.
+#[derive(Clone, Default)]
+pub struct ObjectFake {
+    objects: Rc<RefCell<BTreeMap<String, Bytes>>>,
+    faults: FaultSwitch,
+}
+
+impl ObjectFake {
+    /// An empty object store.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Switches faults.
+    pub fn faults(&self) -> &FaultSwitch {
+        &self.faults
+    }
+
+    /// Serves the protocol on `listen`.
+    ///
+    /// # Errors
+    ///
+    /// When the address cannot be bound.
+    pub async fn serve(&self, listen: SocketAddr) -> io::Result<ServerHandle> {
+        let fake = self.clone();
+        serve_http(listen, move |request| {
+            let fake = fake.clone();
+            async move { fake.answer(request).await }
+        })
+        .await
+    }
+
+    pub(crate) async fn answer(&self, request: Request<Incoming>) -> Reply {
+        let method = request.method().clone();
+        let name = request.uri().path().to_owned();
+        let body = request.into_body().collect().await.ok()?.to_bytes();
+        let plan = self.faults.plan();
+        match (plan.is_down, method) {
+            (true, _) => None,
+            (false, Method::PUT) => {
+                let mut objects = self.objects.borrow_mut();
+                let status = if objects.contains_key(&name) { 412 } else { 201 };
+                objects.entry(name).or_insert(body);
+                match self.faults.take_lost_answer() {
+                    true => None,
+                    false => empty_reply(status),
+                }
+            }
+            (false, _) => match self.objects.borrow().get(&name) {
+                Some(object) => Response::builder()
+                    .body(http_body_util::Either::Left(Full::new(object.clone())))
+                    .ok(),
+                None => empty_reply(404),
+            },
+        }
+    }
+}
