Serve a request from end to end

Ruled out: reusing upstream connections (an abandoned answer could be read as the next one, and an idle connection may close under a call that must not be repeated); a connection for each request proves by a failed connect that no byte left. Conclusion: the path is whole; policies and failure tests follow.

--- a/crates/eelgrassdeal_codegen/src/main.rs
+++ b/crates/eelgrassdeal_codegen/src/main.rs
@@ -9,8 +9,14 @@
 
 const SCHEMA_DIR: &str = "schema";
 const DEFAULT_OUT_DIR: &str = "crates/eelgrassdeal_schema/src/generated";
-const FILES: [&str; 5] =
-    ["config.proto", "records.proto", "peer.proto", "engine.proto", "settings.proto"];
+const FILES: [&str; 6] = [
+    "admin.proto",
+    "config.proto",
+    "engine.proto",
+    "peer.proto",
+    "records.proto",
+    "settings.proto",
+];
 
 /// The generator failed.
 #[derive(Debug)]
@@ -31,7 +37,7 @@
     let mut config = prost_build::Config::new();
     config.out_dir(&out_dir);
     config.bytes(["."]);
-    for package in ["config", "engine", "settings"] {
+    for package in ["admin", "config", "engine", "settings"] {
         let path = format!(".eelgrassdeal.{package}");
         config.type_attribute(&path, "#[derive(serde::Serialize, serde::Deserialize)]");
     }
@@ -39,6 +45,8 @@
     for path in [".eelgrassdeal.config", ".eelgrassdeal.settings"] {
         config.message_attribute(path, "#[serde(default, deny_unknown_fields)]");
     }
-    config.message_attribute(".eelgrassdeal.engine", "#[serde(default)]");
+    for path in [".eelgrassdeal.admin", ".eelgrassdeal.engine"] {
+        config.message_attribute(path, "#[serde(default)]");
+    }
     config.compile_fds(descriptors).change_context(GenerateError)
 }
--- /dev/null
+++ b/crates/eelgrassdeal_node/src/admin.rs
@@ -0,0 +1,95 @@
+//! The operators' interface of a node, health checks and metrics.
+
+use std::cell::OnceCell;
+use std::rc::Rc;
+
+use eelgrassdeal_schema::admin::NodeStatus;
+use eelgrassdeal_schema::config::ConfigChange;
+use eelgrassdeal_schema::decode_message;
+use eelgrassdeal_types::{CallError, ErrorKind};
+use hyper::body::Incoming;
+use hyper::{Method, Request};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+
+use crate::call::header_text;
+use crate::fleet_sync;
+use crate::http::{AnswerReply, json_reply, read_body, text_reply};
+use crate::state::{NodePhase, NodeState};
+
+thread_local! {
+    static METRICS: OnceCell<PrometheusHandle> = const { OnceCell::new() };
+}
+
+/// Installs the recorder of metrics for this process.
+pub(crate) fn install_metrics() {
+    let recorder = PrometheusBuilder::new().build_recorder();
+    let handle = recorder.handle();
+    // A second node in the same process shares the recorder of the first.
+    if metrics::set_global_recorder(recorder).is_ok() {
+        METRICS.with(|cell| {
+            let _ = cell.set(handle);
+        });
+    }
+}
+
+/// Answers `GET /metrics` in the text exposition format.
+pub(crate) fn metrics_text(state: &Rc<NodeState>) -> AnswerReply {
+    metrics::gauge!("eelgrassdeal_in_flight").set(f64::from(state.in_flight.get()));
+    metrics::gauge!("eelgrassdeal_connections").set(f64::from(state.connections.get()));
+    let text = METRICS.with(|cell| cell.get().map(PrometheusHandle::render));
+    text_reply(200, text.unwrap_or_default())
+}
+
+/// Answers `GET /readyz`.
+pub(crate) fn readiness(state: &Rc<NodeState>) -> AnswerReply {
+    match state.phase.get() {
+        NodePhase::Serving => text_reply(200, "ready"),
+        phase => text_reply(503, phase.name()),
+    }
+}
+
+/// Answers the paths below `/admin/`, for operators only.
+pub(crate) async fn answer(
+    state: &Rc<NodeState>,
+    request: Request<Incoming>,
+) -> Result<AnswerReply, CallError> {
+    check_admin(state, &request)?;
+    match (request.method().clone(), request.uri().path()) {
+        (Method::GET, "/admin/status") => Ok(json_reply(200, &node_status(state))),
+        (Method::POST, "/admin/config") => {
+            let bytes = read_body(request.into_body(), &state.limits).await?;
+            let change: ConfigChange = decode_message(&bytes)
+                .map_err(|_| CallError::new(ErrorKind::BadRequest, "not a ConfigChange"))?;
+            fleet_sync::apply_changes(state, &[change]);
+            Ok(json_reply(200, &node_status(state)))
+        }
+        _ => Ok(text_reply(404, "no such path")),
+    }
+}
+
+fn check_admin(state: &NodeState, request: &Request<Incoming>) -> Result<(), CallError> {
+    let presented = header_text(request.headers(), "authorization")
+        .and_then(|value| value.strip_prefix("Bearer "));
+    match (&state.secrets.admin, presented) {
+        (Some(expected), Some(presented)) if expected == presented => Ok(()),
+        (_, None) => Err(CallError::new(ErrorKind::Unauthorized, "no admin token")),
+        _ => Err(CallError::new(ErrorKind::Forbidden, "not the admin token of this node")),
+    }
+}
+
+fn node_status(state: &NodeState) -> NodeStatus {
+    let fleet = state.fleet();
+    let confirmed_age_ms = state
+        .confirmed_age()
+        .map_or(u64::MAX, |age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX));
+    NodeStatus {
+        node: state.node.to_string(),
+        start_id: state.start_id.to_string(),
+        revision: fleet.revision(),
+        confirmed_age_ms,
+        state: state.phase.get().name().to_owned(),
+        replicas: state.replicas.borrow().statuses(&fleet),
+        buffered_bytes: state.memory.held(),
+        in_flight: state.in_flight.get(),
+    }
+}
--- /dev/null
+++ b/crates/eelgrassdeal_node/src/chat/mod.rs
@@ -0,0 +1,82 @@
+//! Chat completions: whole answers, streamed from whichever replica runs them.
+
+mod event;
+mod relay;
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use eelgrassdeal_schema::engine::{ChatRequest, ResumePoint};
+use eelgrassdeal_types::{CallError, ErrorKind};
+use hyper::Request;
+use hyper::body::Incoming;
+use serde::Deserialize;
+use serde_json::Value;
+
+use crate::answer_queue::answer_queue;
+use crate::call::{CallContext, header_number, open_call};
+use crate::http::{AnswerReply, raw_reply, read_body, stream_reply};
+use crate::state::NodeState;
+use relay::AnswerRelay;
+
+/// Tokens that an answer may have when the caller names no number.
+const DEFAULT_MAX_TOKENS: u32 = 512;
+
+/// A chat completion as it is passed on: the caller's body with the system's fields set.
+pub(crate) struct ChatCall {
+    pub(crate) call: CallContext,
+    pub(crate) chat: ChatRequest,
+    pub(crate) body: Value,
+}
+
+/// Answers `POST /v1/chat/completions`.
+pub(crate) async fn complete_chat(
+    state: &Rc<NodeState>,
+    request: Request<Incoming>,
+    request_id: Arc<str>,
+) -> Result<AnswerReply, CallError> {
+    let (parts, body) = request.into_parts();
+    let call = open_call(state, &parts.headers, request_id)?;
+    let last_event = header_number(&parts.headers, "last-event-id")?;
+    let bytes = read_body(body, &state.limits).await?;
+    let (chat, body) = parse_chat(&bytes, last_event)?;
+    let fleet = state.fleet();
+    let may_use = call.account.models.contains(&chat.model);
+    if !may_use || fleet.model(&chat.model).is_none() {
+        let text = format!("no model {:?} for this account", chat.model);
+        return Err(CallError::new(ErrorKind::UnknownModel, text));
+    }
+    let is_streamed = chat.stream;
+    let chat_call = ChatCall { call, chat, body };
+    let mut relay = AnswerRelay::new(state.clone(), chat_call);
+    // The first attempt starts before the head of the answer, so that a refusal has its status.
+    relay.start_first().await?;
+    if is_streamed {
+        let limit = state.limits.stream_buffer_bytes as usize;
+        let (queue, body) = answer_queue(limit, &state.memory);
+        compio::runtime::spawn(async move { relay.stream_into(queue).await }).detach();
+        return Ok(stream_reply(body));
+    }
+    let text = relay.collect().await?;
+    Ok(raw_reply(200, "application/json", text))
+}
+
+fn parse_chat(bytes: &[u8], last_event: Option<u64>) -> Result<(ChatRequest, Value), CallError> {
+    let bad = |error: serde_json::Error| {
+        CallError::new(ErrorKind::BadRequest, format!("the body is not a chat request: {error}"))
+    };
+    let mut body: Value = serde_json::from_slice(bytes).map_err(bad)?;
+    let mut chat = ChatRequest::deserialize(&body).map_err(bad)?;
+    if chat.messages.is_empty() {
+        return Err(CallError::new(ErrorKind::BadRequest, "messages: at least one is needed"));
+    }
+    if chat.max_tokens == 0 {
+        chat.max_tokens = DEFAULT_MAX_TOKENS;
+        body["max_tokens"] = DEFAULT_MAX_TOKENS.into();
+    }
+    if let Some(last) = last_event {
+        let text = chat.resume.take().map(|resume| resume.text).unwrap_or_default();
+        chat.resume = Some(ResumePoint { offset: last.saturating_add(1), text });
+    }
+    Ok((chat, body))
+}
--- /dev/null
+++ b/crates/eelgrassdeal_node/src/http/mod.rs
@@ -0,0 +1,98 @@
+//! The HTTP front end: one task for each connection.
+
+mod body;
+mod reply;
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::net::{TcpListener, TcpStream};
+use cyper_core::{CompioTimer, HyperStream};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request};
+
+use crate::state::{NodePhase, NodeState};
+use crate::{admin, call, chat, locate, service_call};
+
+pub(crate) use body::read_body;
+pub(crate) use reply::{
+    AnswerReply, error_body, error_reply, json_reply, raw_reply, stream_reply, text_reply,
+};
+
+const SERVICE_PREFIX: &str = "/v1/services/";
+
+/// Accepts connections until the task is dropped.
+pub(crate) async fn accept_connections(state: Rc<NodeState>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) if state.connections.get() < state.limits.max_connections => {
+                let state = state.clone();
+                compio::runtime::spawn(serve_connection(state, stream)).detach();
+            }
+            Ok((_, address)) => log::warn!("too many connections; closing {address}"),
+            Err(error) => {
+                log::warn!("cannot accept a connection: {error}");
+                // Out of file descriptors: waiting lets connections end.
+                compio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(state: Rc<NodeState>, stream: TcpStream) {
+    state.connections.set(state.connections.get() + 1);
+    // A token must not wait for the acknowledgement of the one before.
+    let _ = stream.set_nodelay(true);
+    let limits = state.limits;
+    let handler_state = state.clone();
+    let service = service_fn(move |request| {
+        let state = handler_state.clone();
+        async move { Ok::<_, Infallible>(route_request(state, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(CompioTimer)
+        .header_read_timeout(Duration::from_millis(u64::from(limits.header_timeout_ms)))
+        .max_buf_size(limits.max_header_bytes as usize)
+        .serve_connection(HyperStream::new_plain(stream), service);
+    if let Err(error) = connection.await {
+        log::debug!("connection ended: {error}");
+    }
+    state.connections.set(state.connections.get() - 1);
+}
+
+async fn route_request(state: Rc<NodeState>, request: Request<Incoming>) -> AnswerReply {
+    let request_id = call::request_id(request.headers());
+    let path = request.uri().path().to_owned();
+    let method = request.method().clone();
+    let result = match (method, path.as_str()) {
+        (Method::GET, "/healthz") => Ok(text_reply(200, "ok")),
+        (Method::GET, "/readyz") => Ok(admin::readiness(&state)),
+        (Method::GET, "/metrics") => Ok(admin::metrics_text(&state)),
+        (Method::GET, "/v1/locate") => locate::locate(&state, request.uri().query()),
+        (Method::POST, "/v1/chat/completions") => {
+            chat::complete_chat(&state, request, request_id.clone()).await
+        }
+        (Method::POST, path) if path.starts_with(SERVICE_PREFIX) => {
+            let name = path[SERVICE_PREFIX.len()..].to_owned();
+            service_call::call_service(&state, request, &name, request_id.clone()).await
+        }
+        (_, path) if path.starts_with("/admin/") => admin::answer(&state, request).await,
+        _ => Ok(text_reply(404, "no such path")),
+    };
+    let mut reply = result.unwrap_or_else(|error| {
+        metrics::counter!("eelgrassdeal_errors_total", "kind" => error.kind.name()).increment(1);
+        log::info!("request_id={request_id} error={error}");
+        error_reply(&error, &request_id)
+    });
+    if let Ok(value) = hyper::header::HeaderValue::from_str(&request_id) {
+        reply.headers_mut().insert("x-request-id", value);
+    }
+    if state.phase.get() == NodePhase::Draining {
+        let close = hyper::header::HeaderValue::from_static("close");
+        reply.headers_mut().insert("connection", close);
+    }
+    reply
+}
--- /dev/null
+++ b/crates/eelgrassdeal_node/src/locate.rs
@@ -0,0 +1,34 @@
+//! The locator: which nodes a caller may send its requests to.
+
+use std::rc::Rc;
+
+use eelgrassdeal_schema::engine::LocateReply;
+use eelgrassdeal_types::{CallError, ErrorKind};
+
+use crate::http::{AnswerReply, json_reply};
+use crate::state::{NodePhase, NodeState};
+
+/// Answers `GET /v1/locate?model=`.
+pub(crate) fn locate(state: &Rc<NodeState>, query: Option<&str>) -> Result<AnswerReply, CallError> {
+    if state.phase.get() == NodePhase::Starting {
+        let text = "the node has not read the configuration yet";
+        return Err(CallError::new(ErrorKind::NotReady, text));
+    }
+    let fleet = state.fleet();
+    let model = query
+        .and_then(|query| query.split('&').find_map(|pair| pair.strip_prefix("model=")))
+        .unwrap_or_default();
+    if !model.is_empty() && fleet.model(model).is_none() {
+        return Err(CallError::new(ErrorKind::UnknownModel, format!("no model {model:?}")));
+    }
+    let is_usable = |vm: &str| *vm != *state.node || state.phase.get() == NodePhase::Serving;
+    let mut addresses: Vec<String> = fleet
+        .member_nodes()
+        .filter(|vm| fleet.is_vm_in_service(&vm.id) && is_usable(&vm.id))
+        .map(|vm| vm.address.clone())
+        .collect();
+    // Callers take the first address; a random order spreads them over the nodes.
+    rand::seq::SliceRandom::shuffle(addresses.as_mut_slice(), &mut rand::rng());
+    let reply = LocateReply { addresses, ttl_ms: u64::from(state.limits.locate_ttl_ms) };
+    Ok(json_reply(200, &reply))
+}
--- /dev/null
+++ b/crates/eelgrassdeal_node/src/trace.rs
@@ -0,0 +1,1 @@
+//! Spans of a request, one for each hop.
--- /dev/null
+++ b/crates/eelgrassdeal_node/src/upstream_client.rs
@@ -0,0 +1,59 @@
+//! Connections to engines and plain services for callers' requests.
+//!
+//! Each request has a connection of its own. So an abandoned answer can never be read as the
+//! answer to a later request, a call that may not be repeated never meets an idle connection that
+//! the upstream is closing, and a failed connect proves that no byte of the request left. The price
+//! is one round trip in the data centre for each request.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use compio::net::TcpStream;
+use cyper_core::HyperStream;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::{Request, Response};
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Why there is no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum SendFailure {
+    /// No byte of the request left for the upstream.
+    NotSent,
+    /// The upstream may have received the request.
+    MaybeSent,
+}
+
+/// Sends a request to `address` and returns the head of the answer.
+///
+/// Dropping the answer closes the connection, which cancels the request at the upstream.
+pub(crate) async fn send_request(
+    address: &str,
+    request: Request<Full<Bytes>>,
+) -> Result<Response<Incoming>, SendFailure> {
+    let connect = TcpStream::connect(address);
+    let stream = match compio::time::timeout(CONNECT_TIMEOUT, connect).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(error)) => {
+            log::debug!("connect to {address}: {error}");
+            return Err(SendFailure::NotSent);
+        }
+        Err(_) => return Err(SendFailure::NotSent),
+    };
+    // Requests are small; waiting to fill a segment only delays them.
+    let _ = stream.set_nodelay(true);
+    let (mut sender, connection) =
+        http1::handshake(HyperStream::new_plain(stream)).await.map_err(|_| SendFailure::NotSent)?;
+    compio::runtime::spawn(async move {
+        if let Err(error) = connection.await {
+            log::debug!("upstream connection ended: {error}");
+        }
+    })
+    .detach();
+    sender.send_request(request).await.map_err(|error| {
+        log::debug!("request to {address}: {error}");
+        SendFailure::MaybeSent
+    })
+}
--- /dev/null
+++ b/crates/eelgrassdeal_node/tests/whole_path.rs
@@ -0,0 +1,52 @@
+//! The whole path: a caller, a node, a group of engines, a plain service.
+
+use std::time::Duration;
+
+use eelgrassdeal_standins::answer_text;
+use eelgrassdeal_testkit::{FleetSpec, TestCaller, TestFleet, chat_request};
+
+/// Guards against an answer that is not the engine's whole answer.
+#[compio::test]
+async fn a_streamed_answer_is_whole() {
+    let fleet = TestFleet::start_serving(FleetSpec::default()).await;
+    let caller = TestCaller::new(&fleet.node_addresses);
+    let request = chat_request("appraise lot 7", 40);
+    let outcome = caller.chat(&request).await;
+    assert!(outcome.is_whole, "{outcome:?}");
+    assert_eq!(outcome.text, answer_text(&request));
+    assert_eq!(outcome.streams, 1);
+}
+
+/// Guards against an answer that is cut when a member of the group dies in mid-stream.
+#[compio::test]
+async fn an_answer_survives_the_death_of_an_engine_member() {
+    let fleet = TestFleet::start_serving(FleetSpec::default()).await;
+    let caller = TestCaller::new(&fleet.node_addresses);
+    let request = chat_request("appraise lot 8", 200);
+    let (outcome, ()) = futures_util::join!(caller.chat(&request), async {
+        compio::time::sleep(Duration::from_millis(300)).await;
+        let config = fleet.config().await;
+        let busy = config.groups().find(|group| {
+            let leader = fleet.engine(&group.members[0]);
+            leader.status().running > 0
+        });
+        let group = busy.expect("a group runs the request");
+        fleet.engine(&group.members[1]).kill();
+    });
+    assert!(outcome.is_whole, "{outcome:?}");
+    assert_eq!(outcome.text, answer_text(&request));
+}
+
+/// Guards against a booking that runs twice when its caller repeats the key.
+#[compio::test]
+async fn a_repeated_key_runs_once() {
+    let fleet = TestFleet::start_serving(FleetSpec::default()).await;
+    let caller = TestCaller::new(&fleet.node_addresses);
+    let key = TestCaller::new_key();
+    let first = caller.call_service(fleet.node_addresses[0], "book", Some(&key), "{}").await;
+    let second = caller.call_service(fleet.node_addresses[1], "book", Some(&key), "{}").await;
+    assert_eq!(first.status, 200, "{first:?}");
+    assert_eq!(first, second);
+    let runs: usize = fleet.services.iter().map(|service| service.runs().len()).sum();
+    assert_eq!(runs, 1);
+}
--- a/crates/eelgrassdeal_schema/src/lib.rs
+++ b/crates/eelgrassdeal_schema/src/lib.rs
@@ -17,6 +17,11 @@
 use bytes::Bytes;
 use prost::Message;
 
+/// JSON bodies of the operators' interface.
+pub mod admin {
+    include!("generated/eelgrassdeal.admin.rs");
+}
+
 /// Register, rules and configuration revisions.
 pub mod config {
     include!("generated/eelgrassdeal.config.rs");
