--- a/crates/eelgrassdeal_node/src/lifecycle.rs
+++ b/crates/eelgrassdeal_node/src/lifecycle.rs
@@ -16,7 +16,9 @@
 use error_stack::{Report, ResultExt};
 
 use crate::admin::install_metrics;
-use crate::fleet_sync::{follow_config, probe_replicas, run_planner};
+use crate::fleet_sync::{
+    follow_config, follow_vm_list, probe_replicas, run_planner, write_heartbeats,
+};
 use crate::http::accept_connections;
 use crate::state::{NodePhase, NodeState, PlatformAccess, SecretTokens};
 
@@ -101,6 +103,8 @@
         compio::runtime::spawn(follow_config(state.clone())),
         compio::runtime::spawn(probe_replicas(state.clone())),
         compio::runtime::spawn(run_planner(state.clone())),
+        compio::runtime::spawn(follow_vm_list(state.clone())),
+        compio::runtime::spawn(write_heartbeats(state.clone())),
     ];
     log::info!("node {} listens on {address}", state.node);
     Ok(NodeHandle { state, address, tasks })
--- a/crates/eelgrassdeal_node/src/state.rs
+++ b/crates/eelgrassdeal_node/src/state.rs
@@ -1,14 +1,15 @@
 //! State that all tasks of a node share.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use cyper::Client;
 use eelgrassdeal_control::FleetConfig;
-use eelgrassdeal_platform::{CallLedger, ConfigLog, ObjectStore, TableStore, VmList};
+use eelgrassdeal_platform::{CallLedger, ConfigLog, ObjectStore, TableStore, VmList, VmState};
 use eelgrassdeal_schema::settings::{LimitSettings, NodeSettings};
-use eelgrassdeal_types::{NodeId, StartId, new_start_id};
+use eelgrassdeal_types::{NodeId, StartId, VmId, new_start_id};
 
 use crate::answer_queue::MemoryBudget;
 use crate::replica::ReplicaTable;
@@ -66,6 +67,8 @@
     pub(crate) client: Client,
     pub(crate) phase: Cell<NodePhase>,
     pub(crate) replicas: RefCell<ReplicaTable>,
+    /// The platform's list of VMs; empty until it has been read.
+    pub(crate) vms: RefCell<Rc<BTreeMap<VmId, VmState>>>,
     pub(crate) memory: Rc<MemoryBudget>,
     pub(crate) in_flight: Cell<u32>,
     pub(crate) connections: Cell<u32>,
@@ -90,6 +93,7 @@
             client,
             phase: Cell::new(NodePhase::Starting),
             replicas: RefCell::new(ReplicaTable::new()),
+            vms: RefCell::default(),
             memory: MemoryBudget::new(limits.total_buffer_bytes),
             in_flight: Cell::new(0),
             connections: Cell::new(0),
