--- a/crates/eelgrassdeal_peers/src/lib.rs
+++ b/crates/eelgrassdeal_peers/src/lib.rs
@@ -1,1 +1,1 @@
-//! Placeholder
+//! QUIC connections between the nodes.
