Route by allowances of an accounting owner for each replica

Cause: equal shares start less than one request a node when nodes outnumber replicas, and seven nodes get nothing from a cold limit of 2. Ruled out: every node probing every replica (traffic grows with nodes times replicas); a loss recorded by one owner alone (an owner that is cut off would have healthy groups rebuilt, so two peers are asked first). Change: slot table, reports to owners over QUIC, probes and orders by owners, confirmation of the configuration through the store and peers, revisions pulled from peers, losses of workers as configuration entries, certificates for tests. Conclusion: adopted as the default policy; equal_shares stays as the baseline.

--- a/crates/eelgrassdeal_node/src/admin.rs
+++ b/crates/eelgrassdeal_node/src/admin.rs
@@ -2,6 +2,7 @@
 
 use std::cell::OnceCell;
 use std::rc::Rc;
+use std::time::Instant;
 
 use eelgrassdeal_schema::admin::NodeStatus;
 use eelgrassdeal_schema::config::ConfigChange;
@@ -88,7 +89,7 @@
         revision: fleet.revision(),
         confirmed_age_ms,
         state: state.phase.get().name().to_owned(),
-        replicas: state.replicas.borrow().statuses(&fleet),
+        replicas: state.slots.borrow().statuses(Instant::now()),
         buffered_bytes: state.memory.held(),
         in_flight: state.in_flight.get(),
     }
--- a/crates/eelgrassdeal_node/src/chat/mod.rs
+++ b/crates/eelgrassdeal_node/src/chat/mod.rs
@@ -6,8 +6,9 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use eelgrassdeal_routing::affinity_key;
 use eelgrassdeal_schema::engine::{ChatRequest, ResumePoint};
-use eelgrassdeal_types::{CallError, ErrorKind};
+use eelgrassdeal_types::{CallError, ClientAccountId, ErrorKind};
 use hyper::Request;
 use hyper::body::Incoming;
 use serde::Deserialize;
@@ -16,17 +17,23 @@
 use crate::answer_queue::answer_queue;
 use crate::call::{CallContext, header_number, open_call};
 use crate::http::{AnswerReply, raw_reply, read_body, stream_reply};
+use crate::slots::largest_request_kv;
 use crate::state::NodeState;
 use relay::AnswerRelay;
 
 /// Tokens that an answer may have when the caller names no number.
 const DEFAULT_MAX_TOKENS: u32 = 512;
+const BYTES_PER_TOKEN: u64 = 4;
 
 /// A chat completion as it is passed on: the caller's body with the system's fields set.
 pub(crate) struct ChatCall {
     pub(crate) call: CallContext,
     pub(crate) chat: ChatRequest,
     pub(crate) body: Value,
+    /// KV tokens that the request may occupy.
+    pub(crate) kv_tokens: u64,
+    /// Key of the prompt's prefix, which an engine may have cached.
+    pub(crate) affinity: [u8; 32],
 }
 
 /// Answers `POST /v1/chat/completions`.
@@ -47,7 +54,15 @@
         return Err(CallError::new(ErrorKind::UnknownModel, text));
     }
     let is_streamed = chat.stream;
-    let chat_call = ChatCall { call, chat, body };
+    let kv_tokens = kv_tokens(&chat);
+    let largest = fleet.model(&chat.model).map_or(0, largest_request_kv);
+    if kv_tokens > largest {
+        let text = format!("the request needs up to {kv_tokens} tokens, more than {largest}");
+        return Err(CallError::new(ErrorKind::BadRequest, text));
+    }
+    let account = ClientAccountId::from(call.account.id.as_str());
+    let affinity = affinity_key(&account, prompt_start(&chat).as_bytes());
+    let chat_call = ChatCall { call, chat, body, kv_tokens, affinity };
     let mut relay = AnswerRelay::new(state.clone(), chat_call);
     // The first attempt starts before the head of the answer, so that a refusal has its status.
     relay.start_first().await?;
@@ -80,3 +95,13 @@
     }
     Ok((chat, body))
 }
+
+/// Prompt estimate plus the longest answer. About four bytes make a token.
+fn kv_tokens(chat: &ChatRequest) -> u64 {
+    let bytes: usize = chat.messages.iter().map(|message| message.content.len()).sum();
+    (bytes as u64).div_ceil(BYTES_PER_TOKEN) + u64::from(chat.max_tokens)
+}
+
+fn prompt_start(chat: &ChatRequest) -> &str {
+    chat.messages.first().map_or("", |message| message.content.as_str())
+}
--- a/crates/eelgrassdeal_node/src/chat/relay.rs
+++ b/crates/eelgrassdeal_node/src/chat/relay.rs
@@ -1,7 +1,7 @@
 //! Relay of one answer from engines to its caller, through as many attempts as it takes.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use eelgrassdeal_types::{CallError, ErrorKind, ReplicaId};
@@ -12,7 +12,7 @@
 use super::ChatCall;
 use super::event::{EngineEvent, EngineEvents, chunk_frame, done_frame, error_frame};
 use crate::answer_queue::AnswerQueue;
-use crate::replica::{HeldSlot, ReplicaTarget};
+use crate::slots::{HeldSlot, ReplicaTarget, SlotNeed};
 use crate::state::NodeState;
 use crate::upstream_client::{SendFailure, send_request};
 
@@ -20,13 +20,24 @@
 const MAX_FAILED_ATTEMPTS: u32 = 8;
 /// An engine that sends nothing for this long has lost a member or hangs.
 const EVENT_PATIENCE: Duration = Duration::from_secs(3);
-/// How often a request without a slot looks again.
-const SLOT_POLL: Duration = Duration::from_millis(5);
 
 /// One attempt that is under way. Dropping it cancels the engine's stream and frees the slot.
 struct RunningAttempt {
     slot: HeldSlot,
     events: EngineEvents,
+    /// When the request was sent; `None` once the first token came.
+    waiting_since: Option<Instant>,
+}
+
+impl RunningAttempt {
+    /// Reads the next event, and notes how long the first one took.
+    async fn next(&mut self, patience: Duration) -> EngineEvent {
+        let event = self.events.next(patience).await;
+        if let (EngineEvent::Chunk { .. }, Some(sent)) = (&event, self.waiting_since.take()) {
+            self.slot.note_first_token(sent.elapsed());
+        }
+        event
+    }
 }
 
 /// Why an attempt ended.
@@ -42,7 +53,6 @@
 pub(crate) struct AnswerRelay {
     state: Rc<NodeState>,
     chat_call: ChatCall,
-    target: ReplicaTarget,
     attempt: Option<RunningAttempt>,
     /// Offset of the next token to deliver.
     next_offset: u64,
@@ -56,11 +66,9 @@
 impl AnswerRelay {
     pub(crate) fn new(state: Rc<NodeState>, chat_call: ChatCall) -> Self {
         let resume = chat_call.chat.resume.clone().unwrap_or_default();
-        let target = ReplicaTarget::Model(chat_call.chat.model.clone());
         Self {
             state,
             chat_call,
-            target,
             attempt: None,
             next_offset: resume.offset,
             delivered: resume.text,
@@ -85,6 +93,9 @@
             };
             let end = self.relay_attempt(&mut attempt, &queue).await;
             let replica = attempt.slot.replica.clone();
+            if matches!(end, AttemptEnd::Done) {
+                attempt.slot.note_complete();
+            }
             drop(attempt);
             match end {
                 AttemptEnd::Done => {
@@ -114,7 +125,7 @@
         loop {
             let mut attempt = self.next_attempt().await?;
             loop {
-                match attempt.events.next(self.patience()).await {
+                match attempt.next(self.patience()).await {
                     EngineEvent::Chunk { offset, text: part, .. } if offset == self.next_offset => {
                         text.push_str(&part);
                         self.note_delivered(&part);
@@ -153,10 +164,14 @@
             let slot = self.wait_for_slot().await?;
             // The wait may have taken long, or the process may have been paused.
             self.chat_call.call.check_deadline()?;
+            if !slot.may_send() {
+                continue;
+            }
+            let sent = Instant::now();
             match send_request(&slot.address, self.engine_request()?).await {
                 Ok(response) if response.status().is_success() => {
                     let events = EngineEvents::new(response.into_body());
-                    return Ok(RunningAttempt { slot, events });
+                    return Ok(RunningAttempt { slot, events, waiting_since: Some(sent) });
                 }
                 // An engine that refuses has not run the request.
                 Ok(response) => {
@@ -170,21 +185,19 @@
     }
 
     async fn wait_for_slot(&mut self) -> Result<HeldSlot, CallError> {
-        loop {
-            if let Some(slot) = HeldSlot::take(&self.state, &self.target, &self.avoid) {
-                return Ok(slot);
-            }
+        let need = SlotNeed {
+            target: ReplicaTarget::Model(self.chat_call.chat.model.clone()),
+            kv_tokens: self.chat_call.kv_tokens,
+            excluded: self.avoid.clone(),
+            affinity: Some(self.chat_call.affinity),
+            is_resume: self.failed_attempts > 0 || self.next_offset > 0,
+        };
+        let candidates = self.state.slots.borrow().candidates(&need.target).len();
+        if need.excluded.len() >= candidates {
             // Every replica has failed once; a repaired one may serve by now.
             self.avoid.clear();
-            let fleet = self.state.fleet();
-            let is_first = self.failed_attempts == 0 && self.next_offset == 0;
-            if is_first && !self.state.replicas.borrow().serves(&fleet, &self.target) {
-                let text = "no replica of the model is serving";
-                return Err(CallError::new(ErrorKind::NoCapacity, text));
-            }
-            self.chat_call.call.check_deadline()?;
-            compio::time::sleep(SLOT_POLL).await;
         }
+        HeldSlot::acquire(&self.state, &self.chat_call.call, &need).await
     }
 
     fn engine_request(&self) -> Result<Request<Full<Bytes>>, CallError> {
@@ -212,7 +225,7 @@
         let stall_timeout = Duration::from_millis(u64::from(self.state.limits.stall_timeout_ms));
         loop {
             let next = {
-                let event = std::pin::pin!(attempt.events.next(self.patience()));
+                let event = std::pin::pin!(attempt.next(self.patience()));
                 let closed = std::pin::pin!(queue.closed());
                 match futures_util::future::select(event, closed).await {
                     futures_util::future::Either::Left((event, _)) => event,
--- a/crates/eelgrassdeal_node/src/fleet_sync/follow.rs
+++ b/crates/eelgrassdeal_node/src/fleet_sync/follow.rs
@@ -6,13 +6,19 @@
 use eelgrassdeal_control::FleetConfig;
 use eelgrassdeal_platform::LogError;
 use eelgrassdeal_schema::config::ConfigChange;
+use eelgrassdeal_types::Revision;
 use error_stack::Report;
+use prost::Message;
 
 use crate::state::{NodePhase, NodeState};
 
 /// How often the head of the log is read. At 410 nodes this is 205 reads/s, of the 2,000 that the
 /// table service bears.
 const HEAD_INTERVAL: Duration = Duration::from_secs(2);
+/// Revisions kept for peers. At 10 changes a second they cover half a minute.
+const RECENT_CHANGES: usize = 256;
+/// Revisions in one answer to a peer; a peer message holds 64 KiB.
+const MAX_PULL_BYTES: usize = 48 * 1024;
 
 /// Reads the head of the log and all missing revisions, until the task is dropped.
 pub(crate) async fn follow_config(state: Rc<NodeState>) {
@@ -20,7 +26,7 @@
         let started = Instant::now();
         match catch_up(&state).await {
             Ok(()) => {
-                state.confirm(started);
+                state.confirmation.borrow_mut().record_store_read(started);
                 if state.phase.get() == NodePhase::Starting {
                     log::info!("configuration read; revision {}", state.fleet().revision());
                     state.phase.set(NodePhase::Serving);
@@ -51,11 +57,39 @@
     let mut fleet = FleetConfig::clone(&state.fleet());
     let before = fleet.revision();
     for change in changes {
-        fleet.apply(change);
+        if fleet.apply(change) {
+            keep_recent(state, change);
+        }
     }
     if fleet.revision() > before {
         log::info!("configuration revision {} is in force", fleet.revision());
-        state.replicas.borrow_mut().follow(&fleet);
+        let mut slots = state.slots.borrow_mut();
+        slots.follow(&fleet, Instant::now());
+        state.confirmation.borrow_mut().set_peers(slots.peers());
+        drop(slots);
         state.set_fleet(fleet);
     }
 }
+
+/// Revisions after `revision`, as far as they are kept here.
+pub(crate) fn recent_changes(state: &NodeState, revision: Revision) -> Vec<ConfigChange> {
+    let recent = state.recent_changes.borrow();
+    let mut size = 0;
+    recent
+        .iter()
+        .filter(|change| change.revision > revision)
+        .take_while(|change| {
+            size += change.encoded_len();
+            size <= MAX_PULL_BYTES
+        })
+        .cloned()
+        .collect()
+}
+
+fn keep_recent(state: &NodeState, change: &ConfigChange) {
+    let mut recent = state.recent_changes.borrow_mut();
+    recent.push_back(change.clone());
+    if recent.len() > RECENT_CHANGES {
+        recent.pop_front();
+    }
+}
--- a/crates/eelgrassdeal_node/src/fleet_sync/mod.rs
+++ b/crates/eelgrassdeal_node/src/fleet_sync/mod.rs
@@ -3,11 +3,12 @@
 mod append;
 mod follow;
 mod heartbeat;
+mod loss;
 mod plan;
 mod probe;
 mod vm_list;
 
-pub(crate) use follow::{apply_changes, follow_config};
+pub(crate) use follow::{apply_changes, follow_config, recent_changes};
 pub(crate) use heartbeat::write_heartbeats;
 pub(crate) use plan::run_planner;
 pub(crate) use probe::probe_replicas;
--- a/crates/eelgrassdeal_node/src/lifecycle.rs
+++ b/crates/eelgrassdeal_node/src/lifecycle.rs
@@ -9,6 +9,7 @@
 use compio::net::TcpListener;
 use compio::runtime::JoinHandle;
 use cyper::Client;
+use eelgrassdeal_peers::{PeerEndpoint, PeerSettings};
 use eelgrassdeal_platform::{
     CallLedger, ConfigLog, HttpObjectStore, HttpTableStore, HttpVmList, TableStore,
 };
@@ -20,6 +21,7 @@
     follow_config, follow_vm_list, probe_replicas, run_planner, write_heartbeats,
 };
 use crate::http::accept_connections;
+use crate::slots::{handle_peer_request, ping_peers, send_reports};
 use crate::state::{NodePhase, NodeState, PlatformAccess, SecretTokens};
 
 /// Added to the lifetime of locator answers before new work is refused.
@@ -64,6 +66,7 @@
         let ttl = Duration::from_millis(u64::from(state.limits.locate_ttl_ms));
         compio::time::sleep(ttl + LEAVE_MARGIN).await;
         state.phase.set(NodePhase::Draining);
+        state.slots.borrow_mut().holder.release_allowances();
         let drain = async {
             while state.in_flight.get() > 0 || state.memory.held() > 0 {
                 compio::time::sleep(DRAIN_POLL).await;
@@ -97,7 +100,9 @@
         .change_context(NodeError)
         .attach_with(|| format!("listen = {listen:?}"))?;
     let address = listener.local_addr().change_context(NodeError)?;
+    let endpoint = open_endpoint(&settings).await?;
     let state = Rc::new(NodeState::new(&settings, secrets, platform, client));
+    *state.peers.borrow_mut() = Some(endpoint.client());
     let tasks = vec![
         compio::runtime::spawn(accept_connections(state.clone(), listener)),
         compio::runtime::spawn(follow_config(state.clone())),
@@ -105,6 +110,9 @@
         compio::runtime::spawn(run_planner(state.clone())),
         compio::runtime::spawn(follow_vm_list(state.clone())),
         compio::runtime::spawn(write_heartbeats(state.clone())),
+        compio::runtime::spawn(send_reports(state.clone())),
+        compio::runtime::spawn(ping_peers(state.clone())),
+        compio::runtime::spawn(serve_peers(state.clone(), endpoint)),
     ];
     log::info!("node {} listens on {address}", state.node);
     Ok(NodeHandle { state, address, tasks })
@@ -129,6 +137,19 @@
     Ok(())
 }
 
+async fn open_endpoint(settings: &NodeSettings) -> Result<PeerEndpoint, Report<NodeError>> {
+    let listen = settings.peer_listen.parse().change_context(NodeError)?;
+    let tls = settings.peer_tls.clone().unwrap_or_default();
+    PeerEndpoint::bind(&PeerSettings::new(listen, tls))
+        .await
+        .change_context(NodeError)
+        .attach_with(|| format!("peer_listen = {listen}"))
+}
+
+async fn serve_peers(state: Rc<NodeState>, endpoint: PeerEndpoint) {
+    endpoint.serve(move |request| handle_peer_request(state.clone(), request)).await;
+}
+
 fn open_platform(
     settings: &NodeSettings,
     secrets: &SecretTokens,
--- a/crates/eelgrassdeal_node/src/locate.rs
+++ b/crates/eelgrassdeal_node/src/locate.rs
@@ -2,10 +2,12 @@
 
 use std::rc::Rc;
 
+use eelgrassdeal_routing::ServePermission;
 use eelgrassdeal_schema::engine::LocateReply;
-use eelgrassdeal_types::{CallError, ErrorKind};
+use eelgrassdeal_types::{CallError, ErrorKind, NodeId};
 
 use crate::http::{AnswerReply, json_reply};
+use crate::slots::ReplicaTarget;
 use crate::state::{NodePhase, NodeState};
 
 /// Answers `GET /v1/locate?model=`.
@@ -21,7 +23,16 @@
     if !model.is_empty() && fleet.model(model).is_none() {
         return Err(CallError::new(ErrorKind::UnknownModel, format!("no model {model:?}")));
     }
-    let is_usable = |vm: &str| *vm != *state.node || state.phase.get() == NodePhase::Serving;
+    let target = ReplicaTarget::Model(model.to_owned());
+    let slots = state.slots.borrow();
+    let may_serve_here = state.phase.get() == NodePhase::Serving
+        && state.permission() != ServePermission::StartNothing;
+    let is_usable = |vm: &str| match NodeId::from(vm) {
+        node if node == state.node => may_serve_here,
+        node if slots.suspicion.is_suspected(&node) => false,
+        // A node that reports no replica of the model could only refuse.
+        node => model.is_empty() || slots.reports(&node, &target),
+    };
     let mut addresses: Vec<String> = fleet
         .member_nodes()
         .filter(|vm| fleet.is_vm_in_service(&vm.id) && is_usable(&vm.id))
--- a/crates/eelgrassdeal_node/src/service_call.rs
+++ b/crates/eelgrassdeal_node/src/service_call.rs
@@ -12,7 +12,7 @@
 
 use crate::call::{CallContext, header_text, open_call};
 use crate::http::{AnswerReply, raw_reply, read_body};
-use crate::replica::{HeldSlot, ReplicaTarget};
+use crate::slots::{HeldSlot, ReplicaTarget, SlotNeed};
 use crate::state::NodeState;
 use crate::upstream_client::{SendFailure, send_request};
 
@@ -163,10 +163,21 @@
         if let Err(error) = service_call.call.check_deadline() {
             return SendEnd::NotRun(error);
         }
-        let Some(slot) = HeldSlot::take(state, &target, avoid) else {
-            let text = "no upstream of the service takes calls";
-            return SendEnd::NotRun(CallError::new(ErrorKind::NoCapacity, text));
+        let need = SlotNeed {
+            target: target.clone(),
+            kv_tokens: 0,
+            excluded: avoid.clone(),
+            affinity: None,
+            is_resume: false,
         };
+        let slot = match HeldSlot::acquire(state, &service_call.call, &need).await {
+            Ok(slot) if slot.may_send() => slot,
+            Ok(_) => continue,
+            Err(error) => return SendEnd::NotRun(error),
+        };
+        if let Err(error) = service_call.call.check_deadline() {
+            return SendEnd::NotRun(error);
+        }
         let request = match upstream_request(service_call) {
             Ok(request) => request,
             Err(error) => return SendEnd::NotRun(error),
@@ -177,7 +188,10 @@
         };
         let unknown = |text: &str| CallError::new(ErrorKind::OutcomeUnknown, text);
         match compio::time::timeout(service_call.call.time_left(), exchange).await {
-            Ok(Ok(result)) => return SendEnd::Answered(result),
+            Ok(Ok(result)) => {
+                slot.note_complete();
+                return SendEnd::Answered(result);
+            }
             Ok(Err(SendFailure::NotSent)) => avoid.push(slot.replica.clone()),
             Ok(Err(SendFailure::MaybeSent)) => {
                 avoid.push(slot.replica.clone());
--- a/crates/eelgrassdeal_node/src/settings/mod.rs
+++ b/crates/eelgrassdeal_node/src/settings/mod.rs
@@ -92,6 +92,10 @@
     check(!settings.data_centre.is_empty(), "data_centre: missing");
     check(is_address(&settings.listen), "listen: not IP:PORT");
     check(is_address(&settings.peer_listen), "peer_listen: not IP:PORT");
+    let peer_tls = settings.peer_tls.clone().unwrap_or_default();
+    let files = [&peer_tls.certificate_file, &peer_tls.key_file, &peer_tls.ca_file];
+    let has_peer_tls = files.iter().all(|file| !file.is_empty());
+    check(has_peer_tls, "peer_tls: certificate_file, key_file and ca_file are needed");
     for (name, url) in [
         ("table_url", &settings.table_url),
         ("object_url", &settings.object_url),
--- /dev/null
+++ b/crates/eelgrassdeal_node/src/slots/report.rs
@@ -0,0 +1,82 @@
+//! Reports of this node to the owners of its replicas.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use eelgrassdeal_routing::{ServePermission, SlotPolicy};
+use eelgrassdeal_schema::peer::peer_reply::Body as ReplyBody;
+use eelgrassdeal_schema::peer::peer_request::Body as RequestBody;
+use eelgrassdeal_schema::peer::{PingRequest, ReportBatch};
+use eelgrassdeal_types::NodeId;
+
+use super::held::dispatch_waiting;
+use super::owner::answer_reports;
+use super::peer::call_peer;
+use crate::state::{NodePhase, NodeState};
+
+/// Longest time until a changed demand is noticed.
+const REPORT_TICK: Duration = Duration::from_millis(20);
+const PING_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Reports to the owners until the task is dropped.
+pub(crate) async fn send_reports(state: Rc<NodeState>) {
+    loop {
+        send_due_reports(&state);
+        dispatch_waiting(&state);
+        compio::time::sleep(REPORT_TICK).await;
+    }
+}
+
+fn send_due_reports(state: &Rc<NodeState>) {
+    let batches = {
+        let mut slots = state.slots.borrow_mut();
+        if slots.policy != SlotPolicy::Owner || state.phase.get() == NodePhase::Starting {
+            return;
+        }
+        slots.update_demand();
+        let owners = slots.owners();
+        slots.holder.build_reports(Instant::now(), &owners)
+    };
+    for (owner, batch) in batches {
+        if owner == state.node {
+            let answer = answer_reports(state, &state.node, &state.start_id, &batch);
+            let mut slots = state.slots.borrow_mut();
+            slots.holder.apply_allowances(Instant::now(), &owner, &answer);
+        } else {
+            compio::runtime::spawn(report_to(state.clone(), owner, batch)).detach();
+        }
+    }
+}
+
+async fn report_to(state: Rc<NodeState>, owner: NodeId, batch: ReportBatch) {
+    let reply = call_peer(&state, &owner, RequestBody::Report(batch)).await;
+    if let Some(ReplyBody::Allowance(answer)) = reply {
+        let now = Instant::now();
+        state.slots.borrow_mut().holder.apply_allowances(now, &owner, &answer);
+        dispatch_waiting(&state);
+    }
+}
+
+/// Pings suspected peers until they answer, and all peers while the configuration is not
+/// confirmed, to see whether a majority of them can be reached.
+pub(crate) async fn ping_peers(state: Rc<NodeState>) {
+    loop {
+        compio::time::sleep(PING_INTERVAL).await;
+        let is_confirmed = state.confirmation.borrow().is_confirmed(Instant::now());
+        let peers: Vec<NodeId> = {
+            let slots = state.slots.borrow();
+            let peers = slots.peers().into_iter();
+            peers.filter(|peer| !is_confirmed || slots.suspicion.is_suspected(peer)).collect()
+        };
+        for peer in peers {
+            let state = state.clone();
+            compio::runtime::spawn(async move {
+                call_peer(&state, &peer, RequestBody::Ping(PingRequest {})).await;
+            })
+            .detach();
+        }
+        if state.permission() == ServePermission::StartNothing {
+            log::warn!("the configuration is not confirmed; no new work is started");
+        }
+    }
+}
--- a/crates/eelgrassdeal_node/src/state.rs
+++ b/crates/eelgrassdeal_node/src/state.rs
@@ -1,18 +1,21 @@
 //! State that all tasks of a node share.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use cyper::Client;
 use eelgrassdeal_control::FleetConfig;
+use eelgrassdeal_peers::PeerClient;
 use eelgrassdeal_platform::{CallLedger, ConfigLog, ObjectStore, TableStore, VmList, VmState};
+use eelgrassdeal_routing::{ConfirmationState, ServePermission, SlotPolicy};
+use eelgrassdeal_schema::config::ConfigChange;
 use eelgrassdeal_schema::settings::{LimitSettings, NodeSettings};
 use eelgrassdeal_types::{NodeId, StartId, VmId, new_start_id};
 
 use crate::answer_queue::MemoryBudget;
-use crate::replica::ReplicaTable;
+use crate::slots::SlotTable;
 
 /// Where a node is in its life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -66,14 +69,20 @@
     /// For probes and orders; requests of callers use connections of their own.
     pub(crate) client: Client,
     pub(crate) phase: Cell<NodePhase>,
-    pub(crate) replicas: RefCell<ReplicaTable>,
+    pub(crate) slots: RefCell<SlotTable>,
+    /// Calls to other nodes; `None` until the endpoint is bound.
+    pub(crate) peers: RefCell<Option<PeerClient>>,
+    pub(crate) confirmation: RefCell<ConfirmationState>,
+    /// Whether missing revisions are being read from a peer.
+    pub(crate) is_pulling: Cell<bool>,
+    /// Newest revisions, for peers that lack them.
+    pub(crate) recent_changes: RefCell<VecDeque<ConfigChange>>,
     /// The platform's list of VMs; empty until it has been read.
     pub(crate) vms: RefCell<Rc<BTreeMap<VmId, VmState>>>,
     pub(crate) memory: Rc<MemoryBudget>,
     pub(crate) in_flight: Cell<u32>,
     pub(crate) connections: Cell<u32>,
     fleet: RefCell<Rc<FleetConfig>>,
-    confirmed: Cell<Option<Instant>>,
 }
 
 impl NodeState {
@@ -84,21 +93,30 @@
         client: Client,
     ) -> Self {
         let limits = settings.limits.unwrap_or_default();
+        let node = NodeId::from(settings.node.as_str());
+        let max_queued = limits.max_queued as usize;
+        let policy = match settings.slot_policy.as_str() {
+            "equal_shares" => SlotPolicy::EqualShares,
+            _ => SlotPolicy::Owner,
+        };
         Self {
-            node: NodeId::from(settings.node.as_str()),
+            node: node.clone(),
             start_id: new_start_id(),
             limits,
             secrets,
             platform,
             client,
             phase: Cell::new(NodePhase::Starting),
-            replicas: RefCell::new(ReplicaTable::new()),
+            slots: RefCell::new(SlotTable::new(node.clone(), policy, max_queued)),
+            peers: RefCell::default(),
+            confirmation: RefCell::new(ConfirmationState::new()),
+            is_pulling: Cell::new(false),
+            recent_changes: RefCell::default(),
             vms: RefCell::default(),
             memory: MemoryBudget::new(limits.total_buffer_bytes),
             in_flight: Cell::new(0),
             connections: Cell::new(0),
             fleet: RefCell::new(Rc::new(FleetConfig::new())),
-            confirmed: Cell::new(None),
         }
     }
 
@@ -115,15 +133,17 @@
         }
     }
 
-    /// Notes that the configuration was the head of the log at `at`.
-    pub(crate) fn confirm(&self, at: Instant) {
-        if self.confirmed.get().is_none_or(|before| before < at) {
-            self.confirmed.set(Some(at));
-        }
-    }
-
     /// Age of the configuration's confirmation; `None` if it never was confirmed.
     pub(crate) fn confirmed_age(&self) -> Option<Duration> {
-        self.confirmed.get().map(|at| at.elapsed())
+        self.confirmation.borrow().age(Instant::now())
+    }
+
+    /// What this node may start now.
+    pub(crate) fn permission(&self) -> ServePermission {
+        match self.fleet().absent_node(&self.node) {
+            // The others no longer count this node for the limits.
+            Some(_) => ServePermission::StartNothing,
+            None => self.confirmation.borrow().permission(Instant::now()),
+        }
     }
 }
--- a/crates/eelgrassdeal_routing/src/admission.rs
+++ b/crates/eelgrassdeal_routing/src/admission.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
-use eelgrassdeal_types::{CallError, ClientAccountId, ErrorKind, ModelId};
+use eelgrassdeal_types::{CallError, ClientAccountId, ErrorKind, ModelId, ReplicaId};
 use futures_channel::oneshot;
 
 /// Weight of the newest measurement in the estimate of the service time.
@@ -28,6 +28,10 @@
     pub deadline: Instant,
     /// Slots of the target that this node may use at the moment, for the estimate of the wait.
     pub slots: u32,
+    /// Replicas that the request must not run at.
+    pub excluded: Vec<ReplicaId>,
+    /// Key from [`crate::affinity_key`], if a prompt prefix may be cached.
+    pub affinity: Option<[u8; 32]>,
 }
 
 /// Result of waiting: the started slot, or why there is none.
--- a/crates/eelgrassdeal_standins/src/lib.rs
+++ b/crates/eelgrassdeal_standins/src/lib.rs
@@ -6,6 +6,7 @@
 //! on a stand-in that runs as a process of its own. The protocols are those that
 //! `docs/operators.md` names for the real systems.
 
+mod certificates;
 mod engine;
 mod fault;
 mod object;
@@ -15,6 +16,7 @@
 mod vm_list;
 mod weights;
 
+pub use certificates::CertificateFolder;
 pub use engine::{EngineFake, EngineOptions, EngineRun, answer_text, answer_token};
 pub use fault::{FaultPlan, FaultSwitch};
 pub use object::ObjectFake;
--- a/crates/eelgrassdeal_standins/src/main.rs
+++ b/crates/eelgrassdeal_standins/src/main.rs
@@ -1,10 +1,12 @@
 //! `eelgrassdeal-standin`: runs one stand-in, or a whole platform, as a process.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::Duration;
 
 use eelgrassdeal_standins::{
-    EngineFake, EngineOptions, ObjectFake, ServiceFake, TableFake, VmListFake, WeightsFake,
+    CertificateFolder, EngineFake, EngineOptions, ObjectFake, ServiceFake, TableFake, VmListFake,
+    WeightsFake,
 };
 use gumdrop::Options;
 
@@ -25,6 +27,8 @@
     Engine(EngineCommand),
     #[options(help = "a plain service")]
     Service(ServiceCommand),
+    #[options(help = "write certificates for nodes and exit")]
+    Certificates(CertificatesCommand),
 }
 
 #[derive(Debug, Options)]
@@ -79,6 +83,16 @@
     work_ms: u64,
 }
 
+#[derive(Debug, Options)]
+struct CertificatesCommand {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "folder to write to", required)]
+    dir: PathBuf,
+    #[options(help = "node id; may be repeated", meta = "ID")]
+    node: Vec<String>,
+}
+
 #[compio::main]
 async fn main() -> std::io::Result<()> {
     let options = StandinOptions::parse_args_default_or_exit();
@@ -120,6 +134,13 @@
                 handles.push(ServiceFake::new().with_work_time(work_time).serve(address).await?);
             }
         }
+        Some(StandinCommand::Certificates(command)) => {
+            let authority = CertificateFolder::new(&command.dir)?;
+            for node in &command.node {
+                authority.issue(&[node])?;
+            }
+            return Ok(());
+        }
         None => {
             eprintln!("{}", StandinOptions::usage());
             std::process::exit(2);
--- a/crates/eelgrassdeal_testkit/src/fleet.rs
+++ b/crates/eelgrassdeal_testkit/src/fleet.rs
@@ -1,7 +1,7 @@
 //! A fleet in one process.
 
 use std::cell::RefCell;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -15,8 +15,8 @@
 };
 use eelgrassdeal_schema::settings::{LimitSettings, NodeSettings};
 use eelgrassdeal_standins::{
-    EngineFake, EngineOptions, ObjectFake, ServerHandle, ServiceFake, TableFake, VmListFake,
-    WeightsFake,
+    CertificateFolder, EngineFake, EngineOptions, ObjectFake, ServerHandle, ServiceFake, TableFake,
+    VmListFake, WeightsFake,
 };
 use eelgrassdeal_types::{new_writer_mark, unix_ms_now};
 use sha2::{Digest, Sha256};
@@ -375,9 +375,10 @@
 
     fn declare_nodes(&mut self, urls: &[String]) -> Vec<Body> {
         let admin_token_file = secret_file("admin", ADMIN_TOKEN);
+        let authority = CertificateFolder::new(&temp_path("certificates")).expect("an authority");
         let mut bodies = Vec::new();
         for index in 0..self.spec.nodes {
-            let (listen, peer_listen) = (free_address(), free_address());
+            let (listen, peer_listen) = (free_address(), free_udp_address());
             let id = Self::node_id(index);
             let data_centre = Self::centre_id(index % self.spec.centres);
             self.vm_list.set(&id, Some("live"));
@@ -390,6 +391,7 @@
                 table_url: urls[0].clone(),
                 object_url: urls[1].clone(),
                 vm_list_url: urls[2].clone(),
+                peer_tls: Some(authority.issue(&[&id]).expect("a certificate")),
                 admin_token_file: admin_token_file.display().to_string(),
                 limits: Some(self.spec.limits),
                 slot_policy: self.spec.slot_policy.clone(),
@@ -432,6 +434,11 @@
     listener.local_addr().expect("a local address")
 }
 
+fn free_udp_address() -> SocketAddr {
+    let socket = UdpSocket::bind(("127.0.0.1", 0)).expect("a free port");
+    socket.local_addr().expect("a local address")
+}
+
 fn data_centre(index: usize, state: &str) -> DataCentre {
     DataCentre {
         id: TestFleet::centre_id(index),
@@ -441,11 +448,15 @@
 }
 
 fn secret_file(name: &str, secret: &str) -> PathBuf {
-    let path = std::env::temp_dir().join(format!(
+    let path = temp_path(name);
+    std::fs::write(&path, secret).expect("a secret file");
+    path
+}
+
+fn temp_path(name: &str) -> PathBuf {
+    std::env::temp_dir().join(format!(
         "eelgrassdeal-{}-{name}-{}",
         std::process::id(),
         new_writer_mark()
-    ));
-    std::fs::write(&path, secret).expect("a secret file");
-    path
+    ))
 }
