Plan groups over drafts and cover failures, maintenance and edits

Cause: the first planner did not count groups of the same pass when it spread them, gave a re-used group id generation 1 again (a member that was unreachable could report an older group of that id as the current one), dissolved at once for causes without a time, removed surplus groups while others still loaded, and treated a member that the lagging VM list lacks as gone. Ruled out: dissolving by the time in VmLoss (after maintenance the losses are old, so the return of a data centre began a second wave); stopping a roll by group state in the configuration (it does not say when engines are ready; GroupPlanner::with_unready takes that knowledge instead). Change: a pass works on drafts and the plan is their difference to the records; `draining` records when a group began to wait; preemption by priority; versions roll one group at a time, on spares first; plan_change fills fencing numbers and refuses new problems; plan_absent_nodes, plan_loss_removals and HeartbeatWatch.

--- a/crates/eelgrassdeal_control/src/lib.rs
+++ b/crates/eelgrassdeal_control/src/lib.rs
@@ -14,4 +14,7 @@
 pub use diff::{EntryDiff, diff_fleet};
 pub use file::{FileError, load_fleet_files};
 pub use fleet::{EntryKind, FleetConfig, entry_key};
-pub use planner::{GroupPlan, plan_groups};
+pub use planner::{
+    GroupPlan, GroupPlanner, HeartbeatWatch, plan_absent_nodes, plan_change, plan_groups,
+    plan_loss_removals,
+};
