Settle returned groups by what happened to them while out

Cause: after the return of a data centre every group there counted as unsettled for the assumed load time (1,430 s for weights of 700 GB), although most keep their weights; replacements, and VMs that higher priorities had taken, stayed bound. Ruled out: the margin of 30 s for all (groups whose engines were restarted would lose their replacements while they load). Change: a group that loses members while its data centre is out is marked draining; its record changes on return, so only such a group waits for the load time. Conclusion: replacements are given up 30 s after a return without restarts.

--- a/crates/eelgrassdeal_control/src/planner/draft.rs
+++ b/crates/eelgrassdeal_control/src/planner/draft.rs
@@ -58,7 +58,7 @@
         };
         let age_of_group = age(EntryKind::Group, &group.id);
         let age_of_centre = age(EntryKind::DataCentre, &group.data_centre);
-        let is_young = age_of_group.min(age_of_centre) < settle_time(model);
+        let is_young = age_of_group < settle_time(model) || age_of_centre < SETTLE_MARGIN;
         Self {
             missing: pool.missing_members(group),
             is_out,
@@ -68,7 +68,9 @@
             is_young,
             is_surplus: false,
             has_rule: model.is_some(),
-            is_drained: group.state == DRAINING && age_of_group >= DISSOLVE_AFTER,
+            // Members that were switched off for maintenance get the time to return.
+            is_drained: group.state == DRAINING
+                && age_of_group.min(age_of_centre) >= DISSOLVE_AFTER,
             wants_drain: false,
             record: GroupRecord { state: SERVING.to_owned(), ..group.clone() },
             original: Some(group),
--- a/crates/eelgrassdeal_control/src/planner/pass.rs
+++ b/crates/eelgrassdeal_control/src/planner/pass.rs
@@ -49,6 +49,7 @@
     }
 
     pub(super) fn run(mut self) -> GroupPlan {
+        self.mark_restarted();
         for (rule, _) in self.rules.clone() {
             self.mark_surplus(rule);
         }
@@ -99,6 +100,16 @@
         }
     }
 
+    /// Marks the groups that lose members while their data centre is out: their weights are gone,
+    /// and on return they count as settled only after the time of a load.
+    fn mark_restarted(&mut self) {
+        for draft in self.drafts.iter_mut().filter(|draft| draft.is_out) {
+            if !draft.missing.is_empty() || draft.is_draining() {
+                draft.drain();
+            }
+        }
+    }
+
     fn remove_unwanted(&mut self) {
         for at in (0..self.drafts.len()).rev() {
             let draft = &mut self.drafts[at];
--- a/crates/eelgrassdeal_control/tests/planner.rs
+++ b/crates/eelgrassdeal_control/tests/planner.rs
@@ -7,7 +7,7 @@
 use eelgrassdeal_control::{FleetConfig, GroupPlanner, plan_change};
 use eelgrassdeal_platform::{AppendOutcome, ConfigLog, MemoryTable, VmState};
 use eelgrassdeal_schema::config::config_entry::Body;
-use eelgrassdeal_schema::config::{ConfigChange, ConfigEntry, GroupRecord};
+use eelgrassdeal_schema::config::{ConfigChange, ConfigEntry, GroupRecord, Model};
 use fixture::PlanFixture;
 
 /// Three data centres with two domains of four workers each.
@@ -233,6 +233,31 @@
     assert_eq!(fixture.run(100), 0);
 }
 
+/// Guards against giving up replacements while the groups of a returned data centre, whose engines
+/// were restarted, still load.
+#[test]
+fn replacements_stay_until_restarted_groups_have_loaded() {
+    let mut fixture = six_domains();
+    let model = fixture.fleet.model("m").expect("model").clone();
+    fixture.write(Body::Model(Model { weights_bytes: 50_000_000_000, ..model }));
+    fixture.set_rule("m", 6, 1);
+    fixture.run(200);
+    fixture.set_centre("a", "out");
+    fixture.run(10);
+    let restarted = fixture.groups().into_iter().find(|group| group.data_centre == "a");
+    let restarted = restarted.expect("a group in the data centre").members;
+    restarted.iter().for_each(|member| fixture.lose(member));
+    fixture.run(30);
+    restarted.iter().for_each(|member| fixture.remove("vm_loss", member));
+    fixture.run(600);
+    fixture.set_centre("a", "in");
+    fixture.run(125);
+    assert_eq!(fixture.count("m"), 8);
+    assert!(fixture.groups().iter().all(|group| group.state == "serving"));
+    fixture.run(100);
+    assert_eq!(fixture.count("m"), 6);
+}
+
 /// Guards against scaling down by groups that serve while a degraded one is kept.
 #[test]
 fn scaling_down_removes_degraded_groups_first() {
