Report every fault of the operators' files with file and line

Cause: loading stopped at the first fault, duplicate ids replaced each other without a word, and faults found by check_fleet had no line. Ruled out: serde over the whole file (it stops at the first error); a parser of our own (the spans of the toml crate's document suffice). Change: entries are deserialized one by one from the spanned document; defaults for state, role, weight, ramp, latency target and rebuild time are filled in so that differences do not depend on them; check_fleet also checks ids, shared addresses, domains across data centres, accelerators, weights and the ranges of times. Conclusion: the messages are pinned by tests/files.rs.

--- a/crates/eelgrassdeal_control/src/check.rs
+++ b/crates/eelgrassdeal_control/src/check.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::fmt;
 
-use crate::fleet::{EntryKind, FleetConfig};
+use crate::fleet::{EntryKind, FleetConfig, entry_key};
 
 /// Something that is wrong with an entry.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -54,17 +54,64 @@
     }
 }
 
+/// Longest time that a field in milliseconds may name; more is a sign of a wrong unit.
+const MAX_STEP_MS: u32 = 600_000;
+const MAX_REBUILD_AFTER_MS: u64 = 24 * 60 * 60 * 1000;
+/// Bounds what a rule can ask the planner to do; far above the planned 212 replicas.
+const MAX_REPLICAS: u32 = 10_000;
+const MAX_ID_BYTES: usize = 128;
+
 /// Finds everything that is wrong with `fleet`: dangling references, values out of range, and
 /// groups that break an invariant.
 pub fn check_fleet(fleet: &FleetConfig) -> Vec<FleetProblem> {
     let mut list = ProblemList { problems: Vec::new() };
+    check_ids(fleet, &mut list);
     check_machines(fleet, &mut list);
+    check_upstreams(fleet, &mut list);
+    check_shared_addresses(fleet, &mut list);
+    check_domains(fleet, &mut list);
     check_models(fleet, &mut list);
     check_accounts(fleet, &mut list);
     check_groups(fleet, &mut list);
     list.problems
 }
 
+fn check_ids(fleet: &FleetConfig, list: &mut ProblemList) {
+    for (kind, id) in fleet.entries().filter_map(entry_key) {
+        // Ids become parts of URLs, headers and log lines.
+        let is_plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.:".contains(&byte);
+        let is_valid = (1..=MAX_ID_BYTES).contains(&id.len()) && id.bytes().all(is_plain);
+        let text = "must be 1 to 128 letters, digits or any of - _ . :";
+        list.check(is_valid || !kind.is_declared(), kind, id, "id", text);
+    }
+}
+
+fn check_shared_addresses(fleet: &FleetConfig, list: &mut ProblemList) {
+    let mut owners: BTreeMap<&str, &str> = BTreeMap::new();
+    for vm in fleet.vms() {
+        for (field, address) in [("address", &vm.address), ("peer_address", &vm.peer_address)] {
+            let other = match address.is_empty() {
+                true => None,
+                // HTTP uses TCP and peers use UDP, so one VM may use a port for both.
+                false => owners.insert(address, &vm.id).filter(|other| *other != vm.id),
+            };
+            let text = format!("VM {:?} has the same address", other.unwrap_or_default());
+            list.check(other.is_none(), EntryKind::Vm, &vm.id, field, &text);
+        }
+    }
+}
+
+/// Members of a group share a fabric domain, and a group is in one data centre.
+fn check_domains(fleet: &FleetConfig, list: &mut ProblemList) {
+    let mut centres: BTreeMap<&str, &str> = BTreeMap::new();
+    for vm in fleet.vms().filter(|vm| !vm.fabric_domain.is_empty()) {
+        let centre = *centres.entry(&vm.fabric_domain).or_insert(&vm.data_centre);
+        let text = format!("domain {:?} is also in data centre {centre:?}", vm.fabric_domain);
+        let is_same = centre == vm.data_centre;
+        list.check(is_same, EntryKind::Vm, &vm.id, "fabric_domain", &text);
+    }
+}
+
 fn check_machines(fleet: &FleetConfig, list: &mut ProblemList) {
     for centre in fleet.data_centres() {
         let kind = EntryKind::DataCentre;
@@ -81,6 +128,8 @@
             "worker" => {
                 let has_domain = !vm.fabric_domain.is_empty();
                 list.check(has_domain, kind, &vm.id, "fabric_domain", "a worker needs one");
+                let has_accelerators = vm.accelerators > 0;
+                list.check(has_accelerators, kind, &vm.id, "accelerators", "must be at least 1");
                 list.check_one_of(kind, &vm.id, "fencing", &vm.fencing, &["honoured", "ignored"]);
             }
             _ => {
@@ -89,6 +138,9 @@
             }
         }
     }
+}
+
+fn check_upstreams(fleet: &FleetConfig, list: &mut ProblemList) {
     for upstream in fleet.upstreams() {
         let kind = EntryKind::Upstream;
         let id = &upstream.id;
@@ -109,10 +161,24 @@
         list.check(model.vms_per_replica > 0, kind, id, "vms_per_replica", "must be at least 1");
         list.check(model.kv_tokens > 0, kind, id, "kv_tokens", "must be at least 1");
         check_slots(list, kind, id, model.slots, model.cold_slots);
+        list.check(!model.version.is_empty(), kind, id, "version", "must not be empty");
+        list.check(model.weights_bytes > 0, kind, id, "weights_bytes", "must be at least 1");
+        for (field, value) in [
+            ("ramp_step_ms", model.ramp_step_ms),
+            ("first_token_target_ms", model.first_token_target_ms),
+        ] {
+            let text = format!("{value} is not from 1 to {MAX_STEP_MS} milliseconds");
+            list.check((1..=MAX_STEP_MS).contains(&value), kind, id, field, &text);
+        }
     }
     for rule in fleet.serve_rules() {
         let kind = EntryKind::Serve;
         list.check(fleet.model(&rule.model).is_some(), kind, &rule.id, "model", "no such model");
+        let text = format!("more than {MAX_REPLICAS}");
+        list.check(rule.replicas <= MAX_REPLICAS, kind, &rule.id, "replicas", &text);
+        let text = format!("more than {MAX_REBUILD_AFTER_MS} milliseconds (24 h)");
+        let is_valid = rule.rebuild_after_ms <= MAX_REBUILD_AFTER_MS;
+        list.check(is_valid, kind, &rule.id, "rebuild_after_ms", &text);
         for centre in &rule.data_centres {
             let text = format!("no data centre {centre:?}");
             let is_known = fleet.data_centre(centre).is_some();
@@ -157,6 +223,7 @@
     let mut owners: BTreeMap<&str, &str> = BTreeMap::new();
     for group in fleet.groups() {
         let kind = EntryKind::Group;
+        list.check(!group.members.is_empty(), kind, &group.id, "members", "must not be empty");
         for member in &group.members {
             if let Some(other) = owners.insert(member, &group.id) {
                 let text = format!("VM {member:?} already belongs to group {other:?}");
--- a/crates/eelgrassdeal_control/src/fleet.rs
+++ b/crates/eelgrassdeal_control/src/fleet.rs
@@ -75,7 +75,8 @@
         !matches!(self, Self::AbsentNode | Self::RequestBan | Self::Group | Self::VmLoss)
     }
 
-    fn from_name(name: &str) -> Option<Self> {
+    /// The kind with this name.
+    pub fn from_name(name: &str) -> Option<Self> {
         Self::ALL.into_iter().find(|kind| kind.name() == name)
     }
 }
--- a/crates/eelgrassdeal_control/src/lib.rs
+++ b/crates/eelgrassdeal_control/src/lib.rs
@@ -12,7 +12,7 @@
 
 pub use check::{FleetProblem, check_fleet};
 pub use diff::{EntryDiff, diff_fleet};
-pub use file::{FileError, load_fleet_files};
+pub use file::{FileError, FileProblem, FleetFiles, load_fleet_files};
 pub use fleet::{EntryKind, FleetConfig, entry_key};
 pub use planner::{
     GroupPlan, GroupPlanner, HeartbeatWatch, plan_absent_nodes, plan_change, plan_groups,
--- /dev/null
+++ b/crates/eelgrassdeal_control/tests/files.rs
@@ -0,0 +1,250 @@
+//! Messages about the operators' files.
+
+use std::fmt::Write as _;
+use std::path::{Path, PathBuf};
+
+use eelgrassdeal_control::{FleetFiles, load_fleet_files};
+use expect_test::{Expect, expect};
+
+/// Files of one test, removed afterwards.
+struct TestFiles {
+    folder: PathBuf,
+}
+
+impl TestFiles {
+    fn new(name: &str, register: &str, rules: &str) -> Self {
+        let folder =
+            std::env::temp_dir().join(format!("eelgrassdeal-files-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("test input");
+        std::fs::write(folder.join("register.toml"), register).expect("test input");
+        std::fs::write(folder.join("rules.toml"), rules).expect("test input");
+        Self { folder }
+    }
+
+    fn messages(&self) -> String {
+        let files =
+            FleetFiles::load(&self.folder.join("register.toml"), &self.folder.join("rules.toml"));
+        let problems = match files {
+            Ok(files) => files.check(),
+            Err(report) => report.current_context().problems.clone(),
+        };
+        let mut text = String::new();
+        for problem in problems {
+            let line = problem.to_string();
+            let folder = format!("{}/", self.folder.display());
+            writeln!(text, "{}", line.replace(&folder, "")).expect("test input");
+        }
+        text
+    }
+}
+
+impl Drop for TestFiles {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn check_messages(name: &str, register: &str, rules: &str, expected: Expect) {
+    expected.assert_eq(&TestFiles::new(name, register, rules).messages());
+}
+
+/// Guards against a typing error that is silently ignored, a value with a unit in it, and against
+/// messages about the first fault only.
+#[test]
+fn schema_faults_are_named_with_their_lines() {
+    let register = r#"
+[[data_centre]]
+id = "a"
+
+[[vm]]
+id = "w1"
+data_center = "a"
+
+[[vm]]
+id = "w2"
+accelerators = "4"
+
+[[model]]
+id = "m"
+ramp_step_ms = 1.5
+
+[[model]]
+id = "n"
+slots = -1
+
+[[data_centre]]
+id = "a"
+
+[[vms]]
+id = "w3"
+"#;
+    let rules = "[serve]\nid = \"x\"\n";
+    check_messages(
+        "schema",
+        register,
+        rules,
+        expect![[r#"
+            register.toml:7: vm: unknown field `data_center`, expected one of `id`, `address`, `peer_address`, `data_centre`, `fabric_domain`, `role`, `accelerators`, `fencing`, `authenticates_orders`, `state`
+            register.toml:11: vm: invalid type: string "4", expected u32
+            register.toml:15: model: invalid type: floating point `1.5`, expected u32
+            register.toml:19: model: invalid value: integer `-1`, expected u32
+            register.toml:21: data_centre "a" is already declared in line 2
+            register.toml:24: unknown section "vms"; this file has [[data_centre]], [[vm]], [[model]], [[service]], [[upstream]]
+            rules.toml:1: write [[serve]], one for each serve
+        "#]],
+    );
+}
+
+/// Guards against a file that is no TOML, and one that is not there.
+#[test]
+fn unreadable_files_are_named() {
+    check_messages(
+        "syntax",
+        "[[vm]]\nid = \n",
+        "",
+        expect![[r#"
+        register.toml:2: string values must be quoted, expected literal string
+    "#]],
+    );
+    let result = load_fleet_files(Path::new("/nonexistent/register.toml"), Path::new("/dev/null"));
+    let report = result.expect_err("no such file");
+    expect![[r#"
+        cannot load the operators' files
+        /nonexistent/register.toml:0: No such file or directory (os error 2)"#]]
+    .assert_eq(&report.current_context().to_string());
+}
+
+/// Guards against references into nothing and values that no engine or rule can have.
+#[test]
+fn wrong_values_are_named_with_their_lines() {
+    let register = r#"
+[[data_centre]]
+id = "a"
+state = "off"
+
+[[vm]]
+id = "w 1"
+address = "localhost:1"
+data_centre = "z"
+role = "engine"
+
+[[vm]]
+id = "w2"
+address = "127.0.0.1:1"
+data_centre = "a"
+fabric_domain = "f"
+accelerators = 4
+fencing = "honoured"
+
+[[vm]]
+id = "w3"
+address = "127.0.0.1:1"
+data_centre = "z"
+fabric_domain = "f"
+fencing = "yes"
+state = "stopped"
+
+[[model]]
+id = "m"
+slots = 2
+cold_slots = 3
+ramp_step_ms = 3600000
+
+[[upstream]]
+id = "u"
+service = "s"
+address = "127.0.0.1"
+data_centre = "a"
+"#;
+    let rules = r#"
+[[client_account]]
+id = "c1"
+key_sha256 = "secret"
+models = ["none"]
+
+[[client_account]]
+id = "c2"
+key_sha256 = "secret"
+services = ["none"]
+
+[[serve]]
+id = "r"
+model = "none"
+replicas = 20000
+data_centres = ["a", "y"]
+rebuild_after_ms = 600000000
+"#;
+    check_messages(
+        "values",
+        register,
+        rules,
+        expect![[r#"
+        register.toml:4: data_centre "a", state: "off" is not one of in, out
+        register.toml:6: vm "w 1", peer_address: not IP:PORT
+        register.toml:7: vm "w 1", id: must be 1 to 128 letters, digits or any of - _ . :
+        register.toml:8: vm "w 1", address: not IP:PORT
+        register.toml:9: vm "w 1", data_centre: no such data centre
+        register.toml:10: vm "w 1", role: "engine" is not one of entry, worker
+        register.toml:20: vm "w3", accelerators: must be at least 1
+        register.toml:22: vm "w3", address: VM "w2" has the same address
+        register.toml:23: vm "w3", data_centre: no such data centre
+        register.toml:24: vm "w3", fabric_domain: domain "f" is also in data centre "a"
+        register.toml:25: vm "w3", fencing: "yes" is not one of honoured, ignored
+        register.toml:26: vm "w3", state: "stopped" is not one of in_service, leaving
+        register.toml:28: model "m", kv_tokens: must be at least 1
+        register.toml:28: model "m", version: must not be empty
+        register.toml:28: model "m", vms_per_replica: must be at least 1
+        register.toml:28: model "m", weights_bytes: must be at least 1
+        register.toml:31: model "m", cold_slots: must be from 1 to slots
+        register.toml:32: model "m", ramp_step_ms: 3600000 is not from 1 to 600000 milliseconds
+        register.toml:34: upstream "u", cold_slots: must be from 1 to slots
+        register.toml:34: upstream "u", slots: must be at least 1
+        register.toml:36: upstream "u", service: no such service
+        register.toml:37: upstream "u", address: not IP:PORT
+        rules.toml:4: client_account "c1", key_sha256: not a SHA-256 digest in lower-case hexadecimal
+        rules.toml:5: client_account "c1", models: no model "none"
+        rules.toml:9: client_account "c2", key_sha256: account "c1" has the same key
+        rules.toml:9: client_account "c2", key_sha256: not a SHA-256 digest in lower-case hexadecimal
+        rules.toml:10: client_account "c2", services: no service "none"
+        rules.toml:14: serve "r", model: no such model
+        rules.toml:15: serve "r", replicas: more than 10000
+        rules.toml:16: serve "r", data_centres: no data centre "y"
+        rules.toml:17: serve "r", rebuild_after_ms: more than 86400000 milliseconds (24 h)
+    "#]],
+    );
+}
+
+/// Guards against entries that differ for ever because a default was left out.
+#[test]
+fn defaults_are_filled_in() {
+    let register = r#"
+[[data_centre]]
+id = "a"
+
+[[vm]]
+id = "w1"
+address = "127.0.0.1:1"
+data_centre = "a"
+fabric_domain = "f"
+accelerators = 4
+fencing = "ignored"
+
+[[model]]
+id = "m"
+version = "1"
+vms_per_replica = 1
+weights_bytes = 1
+slots = 4
+kv_tokens = 100
+"#;
+    let rules = "[[serve]]\nid = \"m\"\nmodel = \"m\"\nreplicas = 1\n";
+    check_messages("defaults", register, rules, expect![[""]]);
+    let files = TestFiles::new("defaults2", register, rules);
+    let folder = &files.folder;
+    let fleet = load_fleet_files(&folder.join("register.toml"), &folder.join("rules.toml"))
+        .expect("test input");
+    let vm = fleet.vm("w1").expect("test input");
+    assert_eq!((vm.role.as_str(), vm.state.as_str()), ("worker", "in_service"));
+    assert_eq!(fleet.data_centre("a").expect("test input").state, "in");
+    assert_eq!(fleet.serve_rule("m").expect("test input").rebuild_after_ms, 600_000);
+}
