Relay whole answers through cuts, stalls, stragglers and lost nodes

Cause: an answer could be taken for whole when its engine ended it early in the proper form; a request waited without bound for the head of an answer; deadline_expired ("not run") was possible after bytes had left; a second resume sent an engine a part of the text as if it were all of it; a killed node of a test kept its connections. Change: the relay is split into attempt, progress, sink and relay. An end counts only after the chunk that announces it. Engine events have a size bound.

--- a/crates/eelgrassdeal_node/src/answer_queue.rs
+++ b/crates/eelgrassdeal_node/src/answer_queue.rs
@@ -10,13 +10,16 @@
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame};
+use slotmap::{DefaultKey, SlotMap};
 
 /// Bytes that all queues of a node may hold together.
 pub(crate) struct MemoryBudget {
     limit: u64,
     held: Cell<u64>,
     peak: Cell<u64>,
-    waiting: RefCell<Vec<Waker>>,
+    /// One place for each queue; filled while the queue waits for room.
+    waiting: RefCell<SlotMap<DefaultKey, Option<Waker>>>,
+    has_waiting: Cell<bool>,
 }
 
 impl MemoryBudget {
@@ -25,7 +28,8 @@
             limit,
             held: Cell::new(0),
             peak: Cell::new(0),
-            waiting: RefCell::new(Vec::new()),
+            waiting: RefCell::new(SlotMap::new()),
+            has_waiting: Cell::new(false),
         })
     }
 
@@ -34,9 +38,14 @@
         self.held.get()
     }
 
-    /// Whether `size` more bytes fit.
+    /// Whether a stream waits for bytes of others to be given back.
+    pub(crate) fn is_exhausted(&self) -> bool {
+        self.has_waiting.get()
+    }
+
+    /// Whether `size` more bytes fit. A chunk above the limit fits only alone.
     fn has_room(&self, size: u64) -> bool {
-        self.held.get() + size <= self.limit
+        self.held.get() == 0 || self.held.get() + size <= self.limit
     }
 
     fn take(&self, size: u64) {
@@ -48,17 +57,35 @@
     fn give_back(&self, size: u64) {
         self.held.set(self.held.get().saturating_sub(size));
         metrics::gauge!("eelgrassdeal_buffered_bytes").set(self.held.get() as f64);
-        self.waiting.borrow_mut().drain(..).for_each(Waker::wake);
+        if self.has_waiting.replace(false) {
+            let mut waiting = self.waiting.borrow_mut();
+            waiting.values_mut().filter_map(Option::take).for_each(Waker::wake);
+        }
+    }
+
+    fn wait(&self, place: DefaultKey, waker: &Waker) {
+        if let Some(waiting) = self.waiting.borrow_mut().get_mut(place) {
+            *waiting = Some(waker.clone());
+            self.has_waiting.set(true);
+        }
     }
 }
 
+struct QueuedChunk {
+    frame: Bytes,
+    text_bytes: usize,
+}
+
 #[derive(Default)]
 struct QueueState {
-    chunks: VecDeque<Bytes>,
+    chunks: VecDeque<QueuedChunk>,
     bytes: usize,
+    /// Chunks that the connection took.
+    taken: u64,
     is_finished: bool,
     is_cut: bool,
     is_closed: bool,
+    /// Present while the connection has room and waits for a chunk.
     reader: Option<Waker>,
     writer: Option<Waker>,
 }
@@ -67,11 +94,19 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct CallerGone;
 
+/// Chunks that were removed from a queue before the connection took them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct RemovedChunks {
+    pub(crate) count: u64,
+    pub(crate) text_bytes: usize,
+}
+
 /// Writing side, held by the relay.
 pub(crate) struct AnswerQueue {
     state: Rc<RefCell<QueueState>>,
     limit: usize,
     budget: Rc<MemoryBudget>,
+    place: DefaultKey,
 }
 
 /// Reading side: the body of the answer.
@@ -83,7 +118,8 @@
 /// Makes a queue that holds at most `limit` bytes, or one chunk that is larger.
 pub(crate) fn answer_queue(limit: usize, budget: &Rc<MemoryBudget>) -> (AnswerQueue, AnswerBody) {
     let state = Rc::new(RefCell::new(QueueState::default()));
-    let queue = AnswerQueue { state: state.clone(), limit, budget: budget.clone() };
+    let place = budget.waiting.borrow_mut().insert(None);
+    let queue = AnswerQueue { state: state.clone(), limit, budget: budget.clone(), place };
     (queue, AnswerBody { state, budget: budget.clone() })
 }
 
@@ -96,29 +132,74 @@
                 return Poll::Ready(Err(CallerGone));
             }
             let has_own_room = state.bytes == 0 || state.bytes + size <= self.limit;
-            if has_own_room && (state.bytes == 0 || self.budget.has_room(size as u64)) {
+            if has_own_room && self.budget.has_room(size as u64) {
                 return Poll::Ready(Ok(()));
             }
             state.writer = Some(context.waker().clone());
-            self.budget.waiting.borrow_mut().push(context.waker().clone());
+            if has_own_room {
+                self.budget.wait(self.place, context.waker());
+            }
             Poll::Pending
         })
         .await
     }
 
-    /// Queues a chunk. The caller of this function has waited for room.
-    pub(crate) fn push(&self, chunk: Bytes) -> Result<(), CallerGone> {
+    /// Waits until the connection has taken all chunks and has room for more.
+    pub(crate) async fn wait_for_reader(&self) -> Result<(), CallerGone> {
+        poll_fn(|context| {
+            let mut state = self.state.borrow_mut();
+            match (state.is_closed, state.reader.is_some()) {
+                (true, _) => Poll::Ready(Err(CallerGone)),
+                (false, true) => Poll::Ready(Ok(())),
+                (false, false) => {
+                    state.writer = Some(context.waker().clone());
+                    Poll::Pending
+                }
+            }
+        })
+        .await
+    }
+
+    /// Queues a chunk that adds `text_bytes` of text. The caller of this function has waited for
+    /// room.
+    pub(crate) fn push(&self, frame: Bytes, text_bytes: usize) -> Result<(), CallerGone> {
         let mut state = self.state.borrow_mut();
         if state.is_closed {
             return Err(CallerGone);
         }
-        self.budget.take(chunk.len() as u64);
-        state.bytes += chunk.len();
-        state.chunks.push_back(chunk);
+        self.budget.take(frame.len() as u64);
+        state.bytes += frame.len();
+        state.chunks.push_back(QueuedChunk { frame, text_bytes });
         wake(&mut state.reader);
         Ok(())
     }
 
+    /// Removes the chunks that the connection has not taken.
+    pub(crate) fn remove_queued(&self) -> RemovedChunks {
+        let mut state = self.state.borrow_mut();
+        let mut removed = RemovedChunks::default();
+        for chunk in state.chunks.drain(..) {
+            removed.count += 1;
+            removed.text_bytes += chunk.text_bytes;
+        }
+        // The space of a full queue is given back too.
+        state.chunks.shrink_to_fit();
+        let bytes = std::mem::take(&mut state.bytes);
+        drop(state);
+        self.budget.give_back(bytes as u64);
+        removed
+    }
+
+    /// Chunks that the connection has taken.
+    pub(crate) fn taken(&self) -> u64 {
+        self.state.borrow().taken
+    }
+
+    /// Whether no chunk is queued.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.state.borrow().chunks.is_empty()
+    }
+
     /// Waits until the caller's connection is gone.
     pub(crate) async fn closed(&self) {
         poll_fn(|context| {
@@ -144,6 +225,7 @@
     /// A queue that is dropped without [`AnswerQueue::finish`] cuts the connection, so that the
     /// caller cannot take a part of an answer for the whole.
     fn drop(&mut self) {
+        self.budget.waiting.borrow_mut().remove(self.place);
         let mut state = self.state.borrow_mut();
         state.is_cut = !state.is_finished;
         wake(&mut state.reader);
@@ -160,12 +242,13 @@
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         let mut state = self.state.borrow_mut();
         match state.chunks.pop_front() {
-            Some(chunk) => {
-                state.bytes -= chunk.len();
+            Some(QueuedChunk { frame, .. }) => {
+                state.bytes -= frame.len();
+                state.taken += 1;
                 wake(&mut state.writer);
                 drop(state);
-                self.budget.give_back(chunk.len() as u64);
-                Poll::Ready(Some(Ok(Frame::data(chunk))))
+                self.budget.give_back(frame.len() as u64);
+                Poll::Ready(Some(Ok(Frame::data(frame))))
             }
             None if state.is_finished => Poll::Ready(None),
             None if state.is_cut => {
@@ -173,6 +256,7 @@
             }
             None => {
                 state.reader = Some(context.waker().clone());
+                wake(&mut state.writer);
                 Poll::Pending
             }
         }
@@ -183,10 +267,11 @@
     fn drop(&mut self) {
         let mut state = self.state.borrow_mut();
         state.is_closed = true;
-        self.budget.give_back(state.bytes as u64);
-        state.bytes = 0;
+        let bytes = std::mem::take(&mut state.bytes);
         state.chunks.clear();
         wake(&mut state.writer);
+        drop(state);
+        self.budget.give_back(bytes as u64);
     }
 }
 
--- /dev/null
+++ b/crates/eelgrassdeal_node/src/chat/attempt.rs
@@ -0,0 +1,204 @@
+//! Attempts to run a request on a replica.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use eelgrassdeal_types::{CallError, ErrorKind, ReplicaId};
+use http_body_util::Full;
+use hyper::{Method, Request};
+
+use super::ChatCall;
+use super::event::EngineEvents;
+use super::progress::AnswerProgress;
+use crate::replica::{HeldSlot, ReplicaTarget};
+use crate::state::NodeState;
+use crate::upstream_client::{SendFailure, send_request};
+
+/// Attempts that may fail before the answer is given up.
+const MAX_FAILED_ATTEMPTS: u32 = 8;
+/// An engine that does not begin its answer within this time has lost a member or hangs.
+pub(crate) const HEAD_PATIENCE: Duration = Duration::from_secs(5);
+/// How often a request without a slot looks again.
+const SLOT_POLL: Duration = Duration::from_millis(5);
+/// A replica that failed a request is checked anew within this time, and may serve again by then.
+const AVOID_TIME: Duration = Duration::from_secs(2);
+
+/// One attempt that is under way. Dropping it cancels the engine's stream and frees the slot.
+pub(crate) struct RunningAttempt {
+    pub(crate) slot: HeldSlot,
+    pub(crate) events: EngineEvents,
+    /// Tokens received in this attempt.
+    pub(crate) tokens: u32,
+}
+
+/// Starts the attempts of one request.
+pub(crate) struct AttemptStarter {
+    state: Rc<NodeState>,
+    pub(crate) chat_call: ChatCall,
+    target: ReplicaTarget,
+    failed_attempts: u32,
+    /// Whether any byte of the request may have left for an engine.
+    has_sent: bool,
+    /// Replicas that failed this request, and when.
+    avoid: Vec<(ReplicaId, Instant)>,
+}
+
+impl AttemptStarter {
+    pub(crate) fn new(state: Rc<NodeState>, chat_call: ChatCall) -> Self {
+        let target = ReplicaTarget::Model(chat_call.chat.model.clone());
+        Self { state, chat_call, target, failed_attempts: 0, has_sent: false, avoid: Vec::new() }
+    }
+
+    /// Starts the next attempt, and tries replicas until one runs the request.
+    pub(crate) async fn start(
+        &mut self,
+        progress: &AnswerProgress,
+    ) -> Result<RunningAttempt, CallError> {
+        loop {
+            if self.failed_attempts >= MAX_FAILED_ATTEMPTS {
+                let text = "the answer failed on several replicas";
+                return Err(CallError::new(ErrorKind::AnswerIncomplete, text));
+            }
+            let slot = self.wait_for_slot(progress).await?;
+            // The wait may have taken long, or the process may have been paused.
+            self.check_deadline()?;
+            if let Some(attempt) = self.send(slot, progress).await? {
+                return Ok(attempt);
+            }
+        }
+    }
+
+    /// Starts an attempt on a replica that is not a straggler, if one has a slot and its retry
+    /// budget allows it now.
+    pub(crate) async fn start_elsewhere(
+        &mut self,
+        straggler: &ReplicaId,
+        progress: &AnswerProgress,
+    ) -> Option<RunningAttempt> {
+        let mut avoid = self.avoided();
+        avoid.push(straggler.clone());
+        avoid.extend(self.stragglers());
+        let slot = self.take_slot(avoid)?;
+        self.send(slot, progress).await.ok().flatten()
+    }
+
+    /// Notes that an attempt failed after it was sent.
+    pub(crate) fn note_failure(&mut self, replica: ReplicaId, progress: &AnswerProgress) {
+        self.failed_attempts += 1;
+        let request_id = &self.chat_call.call.request_id;
+        let offset = progress.next_offset();
+        log::info!("request_id={request_id} replica={replica} offset={offset} attempt failed");
+        metrics::counter!("eelgrassdeal_failed_attempts_total").increment(1);
+        self.avoid.push((replica, Instant::now()));
+    }
+
+    /// Whether the replica is much slower than others of the model.
+    pub(crate) fn is_straggler(&self, replica: &ReplicaId) -> bool {
+        self.stragglers().contains(replica)
+    }
+
+    fn stragglers(&self) -> Vec<ReplicaId> {
+        self.state.front.paces.borrow().stragglers(&self.chat_call.chat.model)
+    }
+
+    fn check_deadline(&self) -> Result<(), CallError> {
+        self.chat_call.call.check_deadline().map_err(|error| match self.has_sent {
+            true => CallError::new(ErrorKind::DeadlinePassed, "the deadline passed"),
+            false => error,
+        })
+    }
+
+    fn avoided(&self) -> Vec<ReplicaId> {
+        let recent = self.avoid.iter().filter(|(_, at)| at.elapsed() < AVOID_TIME);
+        recent.map(|(replica, _)| replica.clone()).collect()
+    }
+
+    async fn wait_for_slot(&mut self, progress: &AnswerProgress) -> Result<HeldSlot, CallError> {
+        loop {
+            self.check_deadline()?;
+            let avoid = self.avoided();
+            let avoid_slow = [avoid.clone(), self.stragglers()].concat();
+            if let Some(slot) = self.take_slot(avoid_slow).or_else(|| self.take_slot(avoid)) {
+                return Ok(slot);
+            }
+            let fleet = self.state.fleet();
+            let is_first = !self.has_sent && progress.next_offset() == 0;
+            if is_first && !self.state.replicas.borrow().serves(&fleet, &self.target) {
+                let text = "no replica of the model is serving";
+                return Err(CallError::new(ErrorKind::NoCapacity, text));
+            }
+            compio::time::sleep(SLOT_POLL).await;
+        }
+    }
+
+    /// Takes a slot of a replica whose retry budget allows the attempt.
+    fn take_slot(&self, mut avoid: Vec<ReplicaId>) -> Option<HeldSlot> {
+        let now = Instant::now();
+        loop {
+            let slot = HeldSlot::take(&self.state, &self.target, &avoid)?;
+            let mut retries = self.state.front.retries.borrow_mut();
+            if !self.has_sent {
+                retries.note_request(&slot.replica, now);
+                return Some(slot);
+            }
+            if retries.take_retry(&slot.replica, now) {
+                return Some(slot);
+            }
+            avoid.push(slot.replica.clone());
+        }
+    }
+
+    /// Sends the request; `None` if the replica does not run it.
+    async fn send(
+        &mut self,
+        slot: HeldSlot,
+        progress: &AnswerProgress,
+    ) -> Result<Option<RunningAttempt>, CallError> {
+        let request = self.engine_request(progress)?;
+        let patience = HEAD_PATIENCE.min(self.chat_call.call.time_left());
+        let sent = compio::time::timeout(patience, send_request(&slot.address, request)).await;
+        let replica = slot.replica.clone();
+        match sent {
+            Ok(Ok(response)) if response.status().is_success() => {
+                self.has_sent = true;
+                let events = EngineEvents::new(response.into_body());
+                return Ok(Some(RunningAttempt { slot, events, tokens: 0 }));
+            }
+            // An engine that is not ready refuses without running the request.
+            Ok(Ok(response)) if response.status().as_u16() == 503 => {
+                log::info!("replica {replica} is not ready");
+                self.has_sent = true;
+                self.avoid.push((replica, Instant::now()));
+            }
+            Ok(Ok(response)) => {
+                log::warn!("replica {replica} answered {}", response.status());
+                self.has_sent = true;
+                self.note_failure(replica, progress);
+            }
+            Ok(Err(SendFailure::NotSent)) => self.avoid.push((replica, Instant::now())),
+            Ok(Err(SendFailure::MaybeSent)) | Err(_) => {
+                self.has_sent = true;
+                self.note_failure(replica, progress);
+            }
+        }
+        Ok(None)
+    }
+
+    fn engine_request(&self, progress: &AnswerProgress) -> Result<Request<Full<Bytes>>, CallError> {
+        let mut body = self.chat_call.body.clone();
+        body["stream"] = true.into();
+        body["priority"] = self.chat_call.call.priority.into();
+        if let Some(resume) = progress.resume_point() {
+            body["resume"] = resume;
+        }
+        Request::builder()
+            .method(Method::POST)
+            .uri("/v1/chat/completions")
+            .header("host", "engine")
+            .header("content-type", "application/json")
+            .header("x-request-id", &*self.chat_call.call.request_id)
+            .body(Full::new(Bytes::from(body.to_string())))
+            .map_err(|error| CallError::new(ErrorKind::Internal, error.to_string()))
+    }
+}
--- a/crates/eelgrassdeal_node/src/chat/event.rs
+++ b/crates/eelgrassdeal_node/src/chat/event.rs
@@ -1,6 +1,8 @@
 //! Server-sent events of an answer.
 
+use std::cell::Cell;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,7 +18,15 @@
 /// Data of the last event of a whole answer.
 const DONE_DATA: &str = "[DONE]";
 
-type BodyBytes = Pin<Box<dyn Stream<Item = Result<Bytes, hyper::Error>>>>;
+/// Largest event of an engine. A stream without line ends would otherwise be collected without
+/// bound.
+const MAX_EVENT_BYTES: usize = 16 * 1024;
+
+type BodyBytes = Pin<Box<dyn Stream<Item = Result<Bytes, EventError>>>>;
+
+/// The engine's stream cannot be read on.
+#[derive(Debug)]
+struct EventError;
 
 /// One event of an engine's stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -29,6 +39,8 @@
         data: String,
         /// Text that the chunk adds.
         text: String,
+        /// Whether the chunk says why the answer ends, so that no more text follows.
+        is_last: bool,
     },
     /// The answer is whole.
     Done,
@@ -39,18 +51,33 @@
 /// Reads events from the body of an engine's answer.
 pub(crate) struct EngineEvents {
     events: EventStream<BodyBytes>,
+    /// Bytes received since the last whole event.
+    unparsed: Rc<Cell<usize>>,
 }
 
 impl EngineEvents {
     pub(crate) fn new(body: Incoming) -> Self {
-        let bytes: BodyBytes = Box::pin(body.into_data_stream());
-        Self { events: bytes.eventsource() }
+        let unparsed = Rc::new(Cell::new(0));
+        let counter = unparsed.clone();
+        let bytes: BodyBytes = Box::pin(body.into_data_stream().map(move |part| {
+            let part = part.map_err(|_| EventError)?;
+            // Several whole events may arrive in one part, so the part itself is not counted
+            // before the bytes that came without an event.
+            match counter.replace(counter.get() + part.len()) {
+                before if before > MAX_EVENT_BYTES => Err(EventError),
+                _ => Ok(part),
+            }
+        }));
+        Self { events: bytes.eventsource(), unparsed }
     }
 
     /// Reads the next event, and gives up after `patience`.
     pub(crate) async fn next(&mut self, patience: Duration) -> EngineEvent {
         match compio::time::timeout(patience, self.events.next()).await {
-            Ok(Some(Ok(event))) => parse_event(event),
+            Ok(Some(Ok(event))) => {
+                self.unparsed.set(0);
+                parse_event(event)
+            }
             Ok(Some(Err(_)) | None) | Err(_) => EngineEvent::Broken,
         }
     }
@@ -62,8 +89,10 @@
     }
     match (event.id.parse(), serde_json::from_str::<Value>(&event.data)) {
         (Ok(offset), Ok(chunk)) => {
-            let text = chunk["choices"][0]["delta"]["content"].as_str().unwrap_or_default();
-            EngineEvent::Chunk { offset, text: text.to_owned(), data: event.data }
+            let choice = &chunk["choices"][0];
+            let text = choice["delta"]["content"].as_str().unwrap_or_default().to_owned();
+            let is_last = choice["finish_reason"].is_string();
+            EngineEvent::Chunk { offset, text, is_last, data: event.data }
         }
         _ => EngineEvent::Broken,
     }
--- a/crates/eelgrassdeal_node/src/chat/mod.rs
+++ b/crates/eelgrassdeal_node/src/chat/mod.rs
@@ -1,7 +1,10 @@
 //! Chat completions: whole answers, streamed from whichever replica runs them.
 
+mod attempt;
 mod event;
+mod progress;
 mod relay;
+mod sink;
 
 use std::rc::Rc;
 use std::sync::Arc;
@@ -54,7 +57,7 @@
     if is_streamed {
         let limit = state.limits.stream_buffer_bytes as usize;
         let (queue, body) = answer_queue(limit, &state.memory);
-        compio::runtime::spawn(async move { relay.stream_into(queue).await }).detach();
+        state.front.tasks.spawn(relay.stream_into(queue));
         return Ok(stream_reply(body));
     }
     let text = relay.collect().await?;
--- a/crates/eelgrassdeal_node/src/chat/relay.rs
+++ b/crates/eelgrassdeal_node/src/chat/relay.rs
@@ -1,33 +1,29 @@
 //! Relay of one answer from engines to its caller, through as many attempts as it takes.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use eelgrassdeal_types::{CallError, ErrorKind, ReplicaId};
-use http_body_util::Full;
-use hyper::{Method, Request};
+use eelgrassdeal_types::{CallError, ErrorKind};
+use futures_util::future::{Either, select};
 use serde_json::json;
 
 use super::ChatCall;
-use super::event::{EngineEvent, EngineEvents, chunk_frame, done_frame, error_frame};
+use super::attempt::{AttemptStarter, HEAD_PATIENCE, RunningAttempt};
+use super::event::{EngineEvent, done_frame, error_frame};
+use super::progress::AnswerProgress;
+use super::sink::{AnswerSink, SinkFailure};
 use crate::answer_queue::AnswerQueue;
-use crate::replica::{HeldSlot, ReplicaTarget};
+use crate::call::CallContext;
 use crate::state::NodeState;
-use crate::upstream_client::{SendFailure, send_request};
 
-/// Attempts that may fail before the answer is given up.
-const MAX_FAILED_ATTEMPTS: u32 = 8;
-/// An engine that sends nothing for this long has lost a member or hangs.
-const EVENT_PATIENCE: Duration = Duration::from_secs(3);
-/// How often a request without a slot looks again.
-const SLOT_POLL: Duration = Duration::from_millis(5);
-
-/// One attempt that is under way. Dropping it cancels the engine's stream and frees the slot.
-struct RunningAttempt {
-    slot: HeldSlot,
-    events: EngineEvents,
-}
+/// An engine that sends no further token for this long has lost a member or hangs.
+const TOKEN_PATIENCE: Duration = Duration::from_secs(2);
+/// Resumes after a stall before the answer is given up, so that a caller that reads in small
+/// portions cannot occupy engines with the same answer again and again.
+const MAX_STALL_RESUMES: u32 = 64;
+/// Tokens of an attempt after which its pace is compared with that of other replicas.
+const PACE_CHECK_TOKENS: u32 = 8;
 
 /// Why an attempt ended.
 enum AttemptEnd {
@@ -35,243 +31,232 @@
     Broken,
     /// The caller reads too slowly; the answer goes on when there is room.
     Stalled,
+    /// Another replica is much faster.
+    Straggling,
     CallerGone,
+    TooLarge,
+}
+
+/// How an answer ended.
+enum AnswerEnd {
+    Whole,
+    CallerGone,
+    Failed(CallError),
 }
 
 /// Relays one answer.
 pub(crate) struct AnswerRelay {
     state: Rc<NodeState>,
-    chat_call: ChatCall,
-    target: ReplicaTarget,
+    starter: AttemptStarter,
+    progress: AnswerProgress,
     attempt: Option<RunningAttempt>,
-    /// Offset of the next token to deliver.
-    next_offset: u64,
-    /// Text delivered so far, for the next engine to continue from.
-    delivered: String,
-    failed_attempts: u32,
-    /// Replicas that failed this request.
-    avoid: Vec<ReplicaId>,
+    stall_resumes: u32,
 }
 
 impl AnswerRelay {
     pub(crate) fn new(state: Rc<NodeState>, chat_call: ChatCall) -> Self {
         let resume = chat_call.chat.resume.clone().unwrap_or_default();
-        let target = ReplicaTarget::Model(chat_call.chat.model.clone());
-        Self {
-            state,
-            chat_call,
-            target,
-            attempt: None,
-            next_offset: resume.offset,
-            delivered: resume.text,
-            failed_attempts: 0,
-            avoid: Vec::new(),
-        }
+        let starter = AttemptStarter::new(state.clone(), chat_call);
+        let progress = AnswerProgress::new(resume);
+        Self { state, starter, progress, attempt: None, stall_resumes: 0 }
     }
 
     /// Starts the first attempt, so that a refusal still has a status of its own.
     pub(crate) async fn start_first(&mut self) -> Result<(), CallError> {
-        let attempt = self.start_attempt().await?;
-        self.attempt = Some(attempt);
+        self.attempt = Some(self.starter.start(&self.progress).await?);
         Ok(())
     }
 
     /// Streams the answer into `queue`.
     pub(crate) async fn stream_into(mut self, queue: AnswerQueue) {
-        loop {
-            let mut attempt = match self.next_attempt().await {
-                Ok(attempt) => attempt,
-                Err(error) => return self.end_with_error(queue, &error).await,
-            };
-            let end = self.relay_attempt(&mut attempt, &queue).await;
-            let replica = attempt.slot.replica.clone();
-            drop(attempt);
-            match end {
-                AttemptEnd::Done => {
-                    let frame = done_frame();
-                    if queue.wait_for_room(frame.len()).await.is_ok() {
-                        let _ = queue.push(frame);
-                        queue.finish();
-                    }
-                    return;
-                }
-                AttemptEnd::CallerGone => return,
-                AttemptEnd::Broken => self.note_failure(replica),
-                AttemptEnd::Stalled => {
-                    let patience = self.chat_call.call.time_left();
-                    let room = queue.wait_for_room(usize::from(u16::MAX));
-                    if compio::time::timeout(patience, room).await.is_err() {
-                        return;
-                    }
-                }
-            }
+        let mut sink = AnswerSink::Stream(queue);
+        let end = self.run(&mut sink).await;
+        let AnswerSink::Stream(queue) = sink else { return };
+        match end {
+            AnswerEnd::Whole => self.push_last(queue, done_frame(), self.call().time_left()).await,
+            AnswerEnd::Failed(error) => self.end_with_error(queue, &error).await,
+            AnswerEnd::CallerGone => {}
         }
     }
 
     /// Collects the whole answer into one chat completion.
     pub(crate) async fn collect(mut self) -> Result<Bytes, CallError> {
-        let mut text = String::new();
-        loop {
-            let mut attempt = self.next_attempt().await?;
-            loop {
-                match attempt.events.next(self.patience()).await {
-                    EngineEvent::Chunk { offset, text: part, .. } if offset == self.next_offset => {
-                        text.push_str(&part);
-                        self.note_delivered(&part);
-                    }
-                    EngineEvent::Chunk { offset, .. } if offset < self.next_offset => {}
-                    EngineEvent::Done => return Ok(self.completion(&text)),
-                    EngineEvent::Chunk { .. } | EngineEvent::Broken => break,
-                }
-            }
-            let replica = attempt.slot.replica.clone();
-            drop(attempt);
-            self.note_failure(replica);
+        let mut sink = AnswerSink::Text(String::new());
+        match (self.run(&mut sink).await, sink) {
+            (AnswerEnd::Whole, AnswerSink::Text(text)) => Ok(self.completion(&text)),
+            (AnswerEnd::Failed(error), _) => Err(error),
+            _ => Err(CallError::new(ErrorKind::Internal, "the answer has no reader")),
         }
     }
 
-    async fn next_attempt(&mut self) -> Result<RunningAttempt, CallError> {
-        match self.attempt.take() {
-            Some(attempt) => Ok(attempt),
-            None => self.start_attempt().await.map_err(|error| match error.kind {
-                ErrorKind::DeadlineExpired => {
-                    CallError::new(ErrorKind::DeadlinePassed, "the deadline passed")
-                }
-                // The request has run, so the answer must not say that it has not.
-                _ => CallError::new(ErrorKind::AnswerIncomplete, error.message),
-            }),
-        }
-    }
-
-    async fn start_attempt(&mut self) -> Result<RunningAttempt, CallError> {
+    /// Relays attempts into `sink` until the answer has ended.
+    async fn run(&mut self, sink: &mut AnswerSink) -> AnswerEnd {
         loop {
-            self.chat_call.call.check_deadline()?;
-            if self.failed_attempts >= MAX_FAILED_ATTEMPTS {
-                let text = "the answer failed on several replicas";
-                return Err(CallError::new(ErrorKind::AnswerIncomplete, text));
-            }
-            let slot = self.wait_for_slot().await?;
-            // The wait may have taken long, or the process may have been paused.
-            self.chat_call.call.check_deadline()?;
-            match send_request(&slot.address, self.engine_request()?).await {
-                Ok(response) if response.status().is_success() => {
-                    let events = EngineEvents::new(response.into_body());
-                    return Ok(RunningAttempt { slot, events });
+            let mut attempt = match self.next_attempt(sink).await {
+                Ok(Some(attempt)) => attempt,
+                Ok(None) => return AnswerEnd::CallerGone,
+                Err(error) => return AnswerEnd::Failed(error),
+            };
+            let end = self.relay_attempt(&mut attempt, sink).await;
+            let replica = attempt.slot.replica.clone();
+            match end {
+                AttemptEnd::Done => return AnswerEnd::Whole,
+                AttemptEnd::CallerGone => return AnswerEnd::CallerGone,
+                AttemptEnd::TooLarge => {
+                    let text = "the answer is too large to be sent in one piece; use a stream";
+                    return AnswerEnd::Failed(CallError::new(ErrorKind::AnswerIncomplete, text));
                 }
-                // An engine that refuses has not run the request.
-                Ok(response) => {
-                    log::info!("replica {} answered {}", slot.replica, response.status());
-                    self.note_refusal(slot.replica.clone());
+                AttemptEnd::Broken => {
+                    drop(attempt);
+                    // The deadline is the caller's and no fault of the replica.
+                    if !self.call().time_left().is_zero() {
+                        self.starter.note_failure(replica, &self.progress);
+                    }
+                }
+                AttemptEnd::Straggling => {
+                    let moved = self.starter.start_elsewhere(&replica, &self.progress).await;
+                    self.attempt = Some(moved.unwrap_or(attempt));
+                }
+                AttemptEnd::Stalled => {
+                    drop(attempt);
+                    if let Err(end) = self.wait_out_stall(sink).await {
+                        return end;
+                    }
                 }
-                Err(SendFailure::NotSent) => self.note_refusal(slot.replica.clone()),
-                Err(SendFailure::MaybeSent) => self.note_failure(slot.replica.clone()),
-            }
-        }
-    }
-
-    async fn wait_for_slot(&mut self) -> Result<HeldSlot, CallError> {
-        loop {
-            if let Some(slot) = HeldSlot::take(&self.state, &self.target, &self.avoid) {
-                return Ok(slot);
-            }
-            // Every replica has failed once; a repaired one may serve by now.
-            self.avoid.clear();
-            let fleet = self.state.fleet();
-            let is_first = self.failed_attempts == 0 && self.next_offset == 0;
-            if is_first && !self.state.replicas.borrow().serves(&fleet, &self.target) {
-                let text = "no replica of the model is serving";
-                return Err(CallError::new(ErrorKind::NoCapacity, text));
             }
-            self.chat_call.call.check_deadline()?;
-            compio::time::sleep(SLOT_POLL).await;
         }
     }
 
-    fn engine_request(&self) -> Result<Request<Full<Bytes>>, CallError> {
-        let mut body = self.chat_call.body.clone();
-        body["stream"] = true.into();
-        body["priority"] = self.chat_call.call.priority.into();
-        if self.next_offset > 0 {
-            body["resume"] = json!({ "offset": self.next_offset, "text": self.delivered });
+    /// The attempt that is under way, or a new one; `None` if the caller leaves meanwhile.
+    async fn next_attempt(
+        &mut self,
+        sink: &AnswerSink,
+    ) -> Result<Option<RunningAttempt>, CallError> {
+        if let Some(attempt) = self.attempt.take() {
+            return Ok(Some(attempt));
         }
-        Request::builder()
-            .method(Method::POST)
-            .uri("/v1/chat/completions")
-            .header("host", "engine")
-            .header("content-type", "application/json")
-            .header("x-request-id", &*self.chat_call.call.request_id)
-            .body(Full::new(Bytes::from(body.to_string())))
-            .map_err(|error| CallError::new(ErrorKind::Internal, error.to_string()))
+        let started = {
+            let start = std::pin::pin!(self.starter.start(&self.progress));
+            match select(start, std::pin::pin!(sink.closed())).await {
+                Either::Left((started, _)) => started,
+                Either::Right(_) => return Ok(None),
+            }
+        };
+        started.map(Some).map_err(|error| match error.kind {
+            // The request has run, so the answer must not say that it has not.
+            ErrorKind::DeadlinePassed => error,
+            _ => CallError::new(ErrorKind::AnswerIncomplete, error.message),
+        })
     }
 
     async fn relay_attempt(
         &mut self,
         attempt: &mut RunningAttempt,
-        queue: &AnswerQueue,
+        sink: &mut AnswerSink,
     ) -> AttemptEnd {
         let stall_timeout = Duration::from_millis(u64::from(self.state.limits.stall_timeout_ms));
         loop {
+            let asked_at = Instant::now();
             let next = {
-                let event = std::pin::pin!(attempt.events.next(self.patience()));
-                let closed = std::pin::pin!(queue.closed());
-                match futures_util::future::select(event, closed).await {
-                    futures_util::future::Either::Left((event, _)) => event,
-                    futures_util::future::Either::Right(_) => return AttemptEnd::CallerGone,
+                let event = std::pin::pin!(attempt.events.next(self.patience(attempt)));
+                match select(event, std::pin::pin!(sink.closed())).await {
+                    Either::Left((event, _)) => event,
+                    Either::Right(_) => return AttemptEnd::CallerGone,
                 }
             };
+            let next_offset = self.progress.next_offset();
             match next {
-                EngineEvent::Done => return AttemptEnd::Done,
-                EngineEvent::Broken => return AttemptEnd::Broken,
-                EngineEvent::Chunk { offset, .. } if offset < self.next_offset => {}
-                EngineEvent::Chunk { offset, .. } if offset > self.next_offset => {
+                EngineEvent::Done | EngineEvent::Broken if self.progress.has_last() => {
+                    return AttemptEnd::Done;
+                }
+                // An end that no chunk announced is an answer that was cut.
+                EngineEvent::Done | EngineEvent::Broken => return AttemptEnd::Broken,
+                EngineEvent::Chunk { offset, is_last, .. } if offset < next_offset => {
+                    if is_last && offset + 1 == next_offset {
+                        self.progress.note_last();
+                    }
+                }
+                EngineEvent::Chunk { offset, .. } if offset > next_offset => {
                     return AttemptEnd::Broken;
                 }
-                EngineEvent::Chunk { offset, data, text } => {
-                    let frame = chunk_frame(offset, &data);
-                    let room = queue.wait_for_room(frame.len());
-                    match compio::time::timeout(stall_timeout, room).await {
-                        Ok(Ok(())) if queue.push(frame).is_ok() => self.note_delivered(&text),
-                        Ok(_) => return AttemptEnd::CallerGone,
-                        Err(_) => return AttemptEnd::Stalled,
+                EngineEvent::Chunk { offset, data, text, is_last } => {
+                    let interval = sink.is_drained().then(|| asked_at.elapsed());
+                    let memory = &self.state.memory;
+                    match sink.deliver(offset, &data, &text, memory, stall_timeout).await {
+                        Ok(()) => self.progress.note_delivered(&text, is_last),
+                        Err(SinkFailure::CallerGone) => return AttemptEnd::CallerGone,
+                        Err(SinkFailure::Stalled) => return AttemptEnd::Stalled,
+                        Err(SinkFailure::TooLarge) => return AttemptEnd::TooLarge,
+                    }
+                    metrics::counter!("eelgrassdeal_tokens_total").increment(1);
+                    if self.is_straggling(attempt, interval) {
+                        return AttemptEnd::Straggling;
                     }
                 }
             }
         }
     }
 
-    /// How long to wait for the next event: not past the deadline.
-    fn patience(&self) -> Duration {
-        EVENT_PATIENCE.min(self.chat_call.call.time_left())
+    /// Notes the pace of an attempt; true if the stream should move to a faster replica. The
+    /// interval is absent if the reader may have held the stream up.
+    fn is_straggling(&self, attempt: &mut RunningAttempt, interval: Option<Duration>) -> bool {
+        let is_first = attempt.tokens == 0;
+        attempt.tokens += 1;
+        let replica = &attempt.slot.replica;
+        match interval {
+            Some(interval) if !is_first => {
+                let model = &self.starter.chat_call.chat.model;
+                self.state.front.paces.borrow_mut().note_interval(replica, model, interval);
+            }
+            _ => {}
+        }
+        let is_due = attempt.tokens.is_multiple_of(PACE_CHECK_TOKENS);
+        is_due && !self.progress.has_last() && self.starter.is_straggler(replica)
     }
 
-    fn note_delivered(&mut self, text: &str) {
-        self.next_offset += 1;
-        self.delivered.push_str(text);
-        metrics::counter!("eelgrassdeal_tokens_total").increment(1);
+    /// Waits until the reader of a stalled stream reads on. Meanwhile nothing is queued for it.
+    async fn wait_out_stall(&mut self, sink: &AnswerSink) -> Result<(), AnswerEnd> {
+        let AnswerSink::Stream(queue) = sink else { return Ok(()) };
+        self.progress.go_back(queue.remove_queued());
+        metrics::counter!("eelgrassdeal_stalled_streams_total").increment(1);
+        self.stall_resumes += 1;
+        if self.stall_resumes > MAX_STALL_RESUMES {
+            let text = "the caller read too slowly";
+            return Err(AnswerEnd::Failed(CallError::new(ErrorKind::AnswerIncomplete, text)));
+        }
+        let reader = async {
+            queue.wait_for_reader().await?;
+            queue.wait_for_room(1).await
+        };
+        match compio::time::timeout(self.call().time_left(), reader).await {
+            Ok(Ok(())) => Ok(()),
+            // A reader that has not read until its deadline is cut off.
+            Ok(Err(_)) | Err(_) => Err(AnswerEnd::CallerGone),
+        }
     }
 
-    fn note_failure(&mut self, replica: ReplicaId) {
-        self.failed_attempts += 1;
-        let request_id = &self.chat_call.call.request_id;
-        log::info!(
-            "request_id={request_id} replica={replica} offset={} attempt failed",
-            self.next_offset
-        );
-        metrics::counter!("eelgrassdeal_failed_attempts_total").increment(1);
-        self.avoid.push(replica);
+    /// How long to wait for the next event: not past the deadline.
+    fn patience(&self, attempt: &RunningAttempt) -> Duration {
+        let patience = if attempt.tokens == 0 { HEAD_PATIENCE } else { TOKEN_PATIENCE };
+        patience.min(self.call().time_left())
     }
 
-    fn note_refusal(&mut self, replica: ReplicaId) {
-        self.avoid.push(replica);
+    fn call(&self) -> &CallContext {
+        &self.starter.chat_call.call
     }
 
     async fn end_with_error(&self, queue: AnswerQueue, error: &CallError) {
         const ERROR_PATIENCE: Duration = Duration::from_secs(5);
-        let frame = error_frame(error, &self.chat_call.call.request_id);
+        let frame = error_frame(error, &self.call().request_id);
         metrics::counter!("eelgrassdeal_errors_total", "kind" => error.kind.name()).increment(1);
+        self.push_last(queue, frame, ERROR_PATIENCE).await;
+    }
+
+    /// Queues the frame that ends the stream.
+    async fn push_last(&self, queue: AnswerQueue, frame: Bytes, patience: Duration) {
         let room = queue.wait_for_room(frame.len());
-        if let Ok(Ok(())) = compio::time::timeout(ERROR_PATIENCE, room).await {
-            let _ = queue.push(frame);
+        if let Ok(Ok(())) = compio::time::timeout(patience, room).await {
+            let _ = queue.push(frame, 0);
             queue.finish();
         }
     }
@@ -279,7 +264,7 @@
     fn completion(&self, text: &str) -> Bytes {
         let body = json!({
             "object": "chat.completion",
-            "model": self.chat_call.chat.model,
+            "model": self.starter.chat_call.chat.model,
             "choices": [{
                 "index": 0,
                 "message": { "role": "assistant", "content": text },
--- a/crates/eelgrassdeal_node/src/http/mod.rs
+++ b/crates/eelgrassdeal_node/src/http/mod.rs
@@ -29,8 +29,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) if state.connections.get() < state.limits.max_connections => {
-                let state = state.clone();
-                compio::runtime::spawn(serve_connection(state, stream)).detach();
+                state.front.tasks.spawn(serve_connection(state.clone(), stream));
             }
             Ok((_, address)) => log::warn!("too many connections; closing {address}"),
             Err(error) => {
--- a/crates/eelgrassdeal_node/src/lifecycle.rs
+++ b/crates/eelgrassdeal_node/src/lifecycle.rs
@@ -40,9 +40,16 @@
 pub struct NodeHandle {
     state: Rc<NodeState>,
     address: SocketAddr,
+    #[expect(dead_code, reason = "dropping the handles ends the tasks")]
     tasks: Vec<JoinHandle<()>>,
 }
 
+impl Drop for NodeHandle {
+    fn drop(&mut self) {
+        self.state.front.tasks.abort_all();
+    }
+}
+
 impl NodeHandle {
     /// Address that callers connect to.
     pub fn address(&self) -> SocketAddr {
@@ -71,7 +78,6 @@
         if compio::time::timeout(patience, drain).await.is_err() {
             log::warn!("{} requests in flight at the end of the drain", state.in_flight.get());
         }
-        drop(self.tasks);
     }
 }
 
--- a/crates/eelgrassdeal_node/src/state.rs
+++ b/crates/eelgrassdeal_node/src/state.rs
@@ -11,6 +11,7 @@
 use eelgrassdeal_types::{NodeId, StartId, new_start_id};
 
 use crate::answer_queue::MemoryBudget;
+use crate::front::FrontState;
 use crate::replica::ReplicaTable;
 
 /// Where a node is in its life.
@@ -67,6 +68,7 @@
     pub(crate) phase: Cell<NodePhase>,
     pub(crate) replicas: RefCell<ReplicaTable>,
     pub(crate) memory: Rc<MemoryBudget>,
+    pub(crate) front: FrontState,
     pub(crate) in_flight: Cell<u32>,
     pub(crate) connections: Cell<u32>,
     fleet: RefCell<Rc<FleetConfig>>,
@@ -91,6 +93,7 @@
             phase: Cell::new(NodePhase::Starting),
             replicas: RefCell::new(ReplicaTable::new()),
             memory: MemoryBudget::new(limits.total_buffer_bytes),
+            front: FrontState::default(),
             in_flight: Cell::new(0),
             connections: Cell::new(0),
             fleet: RefCell::new(Rc::new(FleetConfig::new())),
--- a/crates/eelgrassdeal_standins/src/engine.rs
+++ b/crates/eelgrassdeal_standins/src/engine.rs
@@ -26,6 +26,7 @@
 
 /// Requests with this text crash the engine that runs them.
 const POISON_TEXT: &str = "CRASH_ENGINE";
+const DONE_EVENT: Bytes = Bytes::from_static(b"data: [DONE]\n\n");
 /// Frames that wait for a slow reader before the engine stops generating.
 const STREAM_QUEUE_FRAMES: usize = 4;
 
@@ -87,6 +88,23 @@
     }
 }
 
+/// A fault in one stream. The number is the token offset at which it happens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StreamFault {
+    /// The connection is cut before the token.
+    CutAt(u64),
+    /// The stream claims to be whole before the token.
+    DoneAt(u64),
+    /// The token is sent again, and the first token of the stream with it.
+    RepeatAt(u64),
+    /// The token is left out.
+    SkipAt(u64),
+    /// The token is sent after the one that follows it.
+    LateAt(u64),
+    /// Nothing is sent any more, and the connection stays open.
+    StallAt(u64),
+}
+
 /// One request that an engine began to run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EngineRun {
@@ -141,6 +159,7 @@
     crashes: u32,
     runs: Vec<EngineRun>,
     resume_faults: u32,
+    stream_faults: VecDeque<StreamFault>,
 }
 
 /// One member of an engine, in memory. Clones share the state.
@@ -171,6 +190,7 @@
             crashes: 0,
             runs: Vec::new(),
             resume_faults: 0,
+            stream_faults: VecDeque::new(),
         };
         Self {
             options: Rc::new(options),
@@ -230,6 +250,21 @@
         self.slowdown.set(factor.max(1));
     }
 
+    /// Puts a fault into the next stream that has none yet.
+    pub fn fail_stream(&self, fault: StreamFault) {
+        self.state.borrow_mut().stream_faults.push_back(fault);
+    }
+
+    /// Faults that no stream has met yet.
+    pub fn faults_left(&self) -> usize {
+        self.state.borrow().stream_faults.len()
+    }
+
+    /// Requests that run now.
+    pub fn running(&self) -> u32 {
+        self.state.borrow().running
+    }
+
     /// Turns the engine cold without a new start identity.
     pub fn turn_cold(&self) {
         self.state.borrow_mut().warm_since = None;
@@ -462,6 +497,9 @@
     ) {
         compio::time::sleep(self.options.first_token * self.slowdown.get()).await;
         let total = u64::from(chat.max_tokens);
+        let fault = self.state.borrow_mut().stream_faults.pop_front();
+        let token_event =
+            |offset| Ok(Frame::data(chunk_event(chat, offset, Some(&answer_token(chat, offset)))));
         for offset in from_offset..total {
             if offset > from_offset {
                 compio::time::sleep(self.options.token_interval * self.slowdown.get()).await;
@@ -471,13 +509,39 @@
                 let _ = frames.send(Err(io::Error::other("engine lost a member"))).await;
                 return;
             }
-            let event = chunk_event(chat, offset, Some(&answer_token(chat, offset)));
-            // A caller that is gone cancels the stream.
-            if frames.send(Ok(Frame::data(event))).await.is_err() {
-                return;
+            let events = match fault {
+                Some(StreamFault::CutAt(at)) if at == offset => {
+                    let _ = frames.send(Err(io::Error::other("cut by a fault"))).await;
+                    return;
+                }
+                Some(StreamFault::DoneAt(at)) if at == offset => {
+                    let _ = frames.send(Ok(Frame::data(DONE_EVENT))).await;
+                    return;
+                }
+                Some(StreamFault::StallAt(at)) if at == offset => {
+                    while !frames.is_closed() {
+                        compio::time::sleep(Duration::from_millis(5)).await;
+                    }
+                    return;
+                }
+                Some(StreamFault::RepeatAt(at)) if at == offset => {
+                    vec![token_event(offset), token_event(offset), token_event(from_offset)]
+                }
+                Some(StreamFault::SkipAt(at)) if at == offset => Vec::new(),
+                Some(StreamFault::LateAt(at)) if at == offset => Vec::new(),
+                Some(StreamFault::LateAt(at)) if at + 1 == offset => {
+                    vec![token_event(offset), token_event(at)]
+                }
+                _ => vec![token_event(offset)],
+            };
+            for event in events {
+                // A caller that is gone cancels the stream.
+                if frames.send(event).await.is_err() {
+                    return;
+                }
             }
         }
-        let end = [chunk_event(chat, total, None), Bytes::from_static(b"data: [DONE]\n\n")];
+        let end = [chunk_event(chat, total, None), DONE_EVENT];
         for frame in end {
             let _ = frames.send(Ok(Frame::data(frame))).await;
         }
--- a/crates/eelgrassdeal_standins/src/lib.rs
+++ b/crates/eelgrassdeal_standins/src/lib.rs
@@ -15,7 +15,7 @@
 mod vm_list;
 mod weights;
 
-pub use engine::{EngineFake, EngineOptions, EngineRun, answer_text, answer_token};
+pub use engine::{EngineFake, EngineOptions, EngineRun, StreamFault, answer_text, answer_token};
 pub use fault::{FaultPlan, FaultSwitch};
 pub use object::ObjectFake;
 pub use server::{Reply, ReplyBody, ServerHandle, empty_reply, json_reply, serve_http};
--- a/crates/eelgrassdeal_testkit/src/caller.rs
+++ b/crates/eelgrassdeal_testkit/src/caller.rs
@@ -57,6 +57,8 @@
     seeds: Vec<SocketAddr>,
     key: String,
     deadline: Duration,
+    stated_deadline: Option<Duration>,
+    has_fixed_nodes: bool,
 }
 
 /// A chat request with an answer of `tokens` tokens.
@@ -82,6 +84,8 @@
             seeds: seeds.to_vec(),
             key: ACCOUNT_KEY.to_owned(),
             deadline: Duration::from_secs(30),
+            stated_deadline: None,
+            has_fixed_nodes: false,
         }
     }
 
@@ -91,6 +95,18 @@
         self
     }
 
+    /// States another deadline to the nodes than the caller itself keeps.
+    pub fn with_stated_deadline(mut self, deadline: Duration) -> Self {
+        self.stated_deadline = Some(deadline);
+        self
+    }
+
+    /// Uses the seeds in their order instead of asking the nodes which addresses to use.
+    pub fn with_fixed_nodes(mut self) -> Self {
+        self.has_fixed_nodes = true;
+        self
+    }
+
     /// Presents another key.
     pub fn with_key(mut self, key: &str) -> Self {
         self.key = key.to_owned();
@@ -99,6 +115,9 @@
 
     /// Asks the nodes, one after the other, which addresses to use.
     pub async fn locate(&self) -> Vec<SocketAddr> {
+        if self.has_fixed_nodes {
+            return self.seeds.clone();
+        }
         for seed in &self.seeds {
             let exchange = async {
                 let url = format!("http://{seed}/v1/locate?model={MODEL}");
@@ -164,7 +183,8 @@
     ) -> Option<()> {
         outcome.error = None;
         let url = format!("http://{address}/v1/chat/completions");
-        let time_left = self.deadline.saturating_sub(started.elapsed());
+        let time_left =
+            self.stated_deadline.unwrap_or_else(|| self.deadline.saturating_sub(started.elapsed()));
         let mut builder = self
             .client
             .post(url)
@@ -210,6 +230,14 @@
         None
     }
 
+    /// Sends a chat completion to one node and returns status and body of an answer that is not
+    /// streamed.
+    pub async fn chat_text(&self, address: SocketAddr, request: &ChatRequest) -> ServiceOutcome {
+        let request = ChatRequest { stream: false, ..request.clone() };
+        let body = serde_json::to_string(&request).unwrap_or_default();
+        self.post(address, "/v1/chat/completions", None, &body).await
+    }
+
     /// Calls the plain service through one node.
     pub async fn call_service(
         &self,
@@ -218,15 +246,27 @@
         key: Option<&str>,
         body: &str,
     ) -> ServiceOutcome {
+        let path = format!("/v1/services/{SERVICE}/{call}");
+        self.post(address, &path, key, body).await
+    }
+
+    async fn post(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        key: Option<&str>,
+        body: &str,
+    ) -> ServiceOutcome {
+        let stated = self.stated_deadline.unwrap_or(self.deadline);
         let exchange = async {
-            let url = format!("http://{address}/v1/services/{SERVICE}/{call}");
+            let url = format!("http://{address}{path}");
             let mut builder = self
                 .client
                 .post(url)
                 .ok()?
                 .bearer_auth(&self.key)
                 .ok()?
-                .header("x-deadline-ms", self.deadline.as_millis().to_string())
+                .header("x-deadline-ms", stated.as_millis().to_string())
                 .ok()?;
             if let Some(key) = key {
                 builder = builder.header("idempotency-key", key).ok()?;
--- a/crates/eelgrassdeal_testkit/src/fleet.rs
+++ b/crates/eelgrassdeal_testkit/src/fleet.rs
@@ -1,9 +1,10 @@
 //! A fleet in one process.
 
 use std::cell::RefCell;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 use eelgrassdeal_control::FleetConfig;
@@ -177,8 +178,12 @@
         let fleet = Self::start(spec).await;
         let replicas = fleet.spec.replicas as usize;
         let is_serving = wait_until(Duration::from_secs(20), async || {
-            fleet.serving_replicas(0).await >= replicas
-                && fleet.serving_replicas(fleet.spec.nodes - 1).await >= replicas
+            for index in 0..fleet.spec.nodes {
+                if fleet.serving_replicas(index).await < replicas {
+                    return false;
+                }
+            }
+            true
         })
         .await;
         assert!(is_serving, "the replicas do not serve");
@@ -205,6 +210,39 @@
         &found.expect("a VM of the fleet").1
     }
 
+    /// Ids of the members of the groups of the model, in the order of their ranks.
+    pub async fn groups(&self) -> Vec<Vec<String>> {
+        self.config().await.groups().map(|group| group.members.clone()).collect()
+    }
+
+    /// Waits for a group whose leader runs a request, and returns its members.
+    ///
+    /// # Panics
+    ///
+    /// When no engine runs a request within 10 s.
+    pub async fn busy_group(&self) -> Vec<String> {
+        let is_busy = wait_until(Duration::from_secs(10), async || self.running() > 0).await;
+        assert!(is_busy, "no engine runs a request");
+        let groups = self.groups().await;
+        let busy = groups.into_iter().find(|members| self.engine(&members[0]).running() > 0);
+        busy.expect("a group runs a request")
+    }
+
+    /// Requests that run on any engine now.
+    pub fn running(&self) -> u32 {
+        self.engines.iter().map(|(_, engine)| engine.running()).sum()
+    }
+
+    /// Requests and resumes that all engines began to run.
+    pub fn runs(&self) -> usize {
+        self.engines.iter().map(|(_, engine)| engine.runs().len()).sum()
+    }
+
+    /// Resumes at any engine whose delivered text was not what the engine had generated.
+    pub fn resume_faults(&self) -> u32 {
+        self.engines.iter().map(|(_, engine)| engine.resume_faults()).sum()
+    }
+
     /// Stops a node at once, as a crash would.
     pub fn kill_node(&mut self, index: usize) {
         self.nodes[index] = None;
@@ -422,14 +460,35 @@
     false
 }
 
-/// A loopback address that was free a moment ago.
+/// A loopback address that nothing else uses.
+///
+/// The IP number is that of this process alone, and the port lies below those that the system
+/// hands out. A port that was merely free a moment ago could be taken by an outgoing connection of
+/// another test before the node listens on it.
 ///
 /// # Panics
 ///
 /// When no port is free.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
-    listener.local_addr().expect("a local address")
+    const FIRST_PORT: u16 = 10_000;
+    const LAST_PORT: u16 = 30_000;
+    static NEXT_PORT: AtomicU16 = AtomicU16::new(FIRST_PORT);
+    let number = std::process::id();
+    let part = |value: u32| u8::try_from(value).unwrap_or(u8::MAX);
+    let ip = Ipv4Addr::new(
+        127,
+        part(number / (254 * 254) % 250 + 1),
+        part(number / 254 % 254 + 1),
+        part(number % 254 + 1),
+    );
+    loop {
+        let port = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        assert!(port < LAST_PORT, "no port is free");
+        let address = SocketAddr::from((ip, port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 fn data_centre(index: usize, state: &str) -> DataCentre {
