--- a/crates/eelgrassdeal_node/src/state.rs
+++ b/crates/eelgrassdeal_node/src/state.rs
@@ -15,6 +15,7 @@
 use eelgrassdeal_types::{NodeId, StartId, VmId, new_start_id};
 
 use crate::answer_queue::MemoryBudget;
+use crate::front::FrontState;
 use crate::slots::SlotTable;
 
 /// Where a node is in its life.
@@ -80,6 +81,7 @@
     /// The platform's list of VMs; empty until it has been read.
     pub(crate) vms: RefCell<Rc<BTreeMap<VmId, VmState>>>,
     pub(crate) memory: Rc<MemoryBudget>,
+    pub(crate) front: FrontState,
     pub(crate) in_flight: Cell<u32>,
     pub(crate) connections: Cell<u32>,
     fleet: RefCell<Rc<FleetConfig>>,
@@ -114,6 +116,7 @@
             recent_changes: RefCell::default(),
             vms: RefCell::default(),
             memory: MemoryBudget::new(limits.total_buffer_bytes),
+            front: FrontState::default(),
             in_flight: Cell::new(0),
             connections: Cell::new(0),
             fleet: RefCell::new(Rc::new(FleetConfig::new())),
