Bound the HTTP adapters, read the VM list by ETag, and add write faults

Cause: an adapter read an answer of any size, its time limit could not be set, the whole VM list was sent every 2 s, a refused connection and a refusal for load were reported as "outcome unknown", and the stand-ins could not lose a request, carry a write out late, or show what they had applied. Ruled out: a second check on Content-Length before the body is read. With it switched off the tests still passed, so it guarded nothing that the bound on the chunks read does not. Change: one bounded call shared by the adapters (`with_timeout`, `with_max_response_bytes`); `Unreachable` only if no connection was made or the store refused for load; `If-None-Match` in `HttpVmList` and its stand-in; faults `lost_requests`, `late_writes`, `throttled` and a seeded mix per write; put history and expiry in the table stand-in, which now refuses a transaction that names a row twice or has more than 25 writes, as the service does. Conclusion: the failure tests of the records can rely on what an error says.

--- a/crates/eelgrassdeal_platform/src/lib.rs
+++ b/crates/eelgrassdeal_platform/src/lib.rs
@@ -6,6 +6,7 @@
 //! may run only once.
 
 mod config_log;
+mod http_call;
 mod lease;
 mod ledger;
 mod object;
--- a/crates/eelgrassdeal_platform/src/table/http.rs
+++ b/crates/eelgrassdeal_platform/src/table/http.rs
@@ -6,74 +6,74 @@
 use base64::engine::general_purpose::STANDARD as BASE64;
 use bytes::Bytes;
 use cyper::Client;
-use error_stack::{Report, ResultExt};
+use error_stack::Report;
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
+use http::Method;
 use serde_json::{Value, json};
 
 use super::{
     RowCondition, RowKey, RowRange, RowWrite, StoreError, StoreResult, StoredRow, TableStore,
     WriteAction,
 };
+use crate::http_call::HttpCaller;
 
 /// A store that answers later than this counts as down.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// The service limits an answer to 1 MiB of rows; base64 and names add less than the same again.
+const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
 const TARGET_PREFIX: &str = "DynamoDB_20120810.";
 const CONTENT_TYPE: &str = "application/x-amz-json-1.0";
 const CONFLICT_TYPE: &str = "TransactionCanceledException";
+/// Refusals for load: the service did nothing, and the same request may succeed later.
+const LOAD_TYPES: [&str; 3] =
+    ["ThrottlingException", "ProvisionedThroughputExceededException", "RequestLimitExceeded"];
 
 /// A table service reached over HTTP.
 #[derive(Clone, Debug)]
 pub struct HttpTableStore {
-    client: Client,
-    url: String,
-    token: Option<String>,
+    caller: HttpCaller,
 }
 
 impl HttpTableStore {
     /// Uses the service at `url`.
     pub fn new(client: Client, url: impl Into<String>) -> Self {
-        Self { client, url: url.into(), token: None }
+        Self { caller: HttpCaller::new(client, url, CALL_TIMEOUT, MAX_RESPONSE_BYTES) }
     }
 
     /// Presents `token` with each call.
     pub fn with_token(mut self, token: Option<String>) -> Self {
-        self.token = token;
+        self.caller.token = token;
+        self
+    }
+
+    /// Gives up a call after `timeout`; 2 s by default.
+    pub fn with_timeout(mut self, timeout: Duration) -> Self {
+        self.caller.timeout = timeout;
+        self
+    }
+
+    /// Gives up an answer larger than this; 4 MiB by default.
+    pub fn with_max_response_bytes(mut self, max_response_bytes: usize) -> Self {
+        self.caller.max_response_bytes = max_response_bytes;
         self
     }
 
     async fn call(&self, operation: &str, body: Value) -> StoreResult<Value> {
-        let request = async {
-            let mut builder = self
-                .client
-                .post(&self.url)
-                .and_then(|builder| builder.header("content-type", CONTENT_TYPE))
-                .and_then(|builder| {
-                    builder.header("x-amz-target", format!("{TARGET_PREFIX}{operation}"))
-                })
-                .change_context(StoreError::Unreachable)?;
-            if let Some(token) = &self.token {
-                builder = builder.bearer_auth(token).change_context(StoreError::Unreachable)?;
-            }
-            // A lost connection does not tell whether the request arrived.
-            let response = builder
-                .body(body.to_string())
-                .send()
-                .await
-                .change_context(StoreError::OutcomeUnknown)?;
-            let status = response.status();
-            let bytes = response.bytes().await.change_context(StoreError::OutcomeUnknown)?;
-            match (status.as_u16(), serde_json::from_slice::<Value>(&bytes)) {
-                (200, Ok(value)) => Ok(value),
-                (400, Ok(value)) => Err(Report::new(refusal(&value))),
-                // A gateway's answer does not tell whether the service behind it ran the request.
-                (500..=599, _) => Err(Report::new(StoreError::OutcomeUnknown)),
-                _ => Err(Report::new(StoreError::Malformed)),
-            }
+        let target = format!("{TARGET_PREFIX}{operation}");
+        let headers = [("content-type", CONTENT_TYPE), ("x-amz-target", target.as_str())];
+        let body = Bytes::from(body.to_string());
+        let answer = self.caller.call(Method::POST, "", &headers, body).await?;
+        let context = match (answer.status, serde_json::from_slice::<Value>(&answer.body)) {
+            (200, Ok(value)) => return Ok(value),
+            (400, Ok(value)) => refusal(&value),
+            (429, _) => StoreError::Unreachable,
+            // An answer that is cut short, or a gateway's, does not tell whether the service behind
+            // it ran the request.
+            (200 | 500..=599, _) => StoreError::OutcomeUnknown,
+            _ => StoreError::Malformed,
         };
-        compio::time::timeout(CALL_TIMEOUT, request)
-            .await
-            .unwrap_or_else(|_| Err(Report::new(StoreError::OutcomeUnknown)))
+        Err(Report::new(context).attach(format!("status {}", answer.status)))
     }
 
     async fn query_all(&self, range: RowRange) -> StoreResult<Vec<StoredRow>> {
@@ -184,13 +184,17 @@
 }
 
 fn refusal(value: &Value) -> StoreError {
-    let is_conflict = value["__type"].as_str().is_some_and(|name| name.ends_with(CONFLICT_TYPE));
-    if !is_conflict {
-        return StoreError::Malformed;
+    let name = value["__type"].as_str().unwrap_or_default();
+    match name.rsplit('#').next().unwrap_or_default() {
+        CONFLICT_TYPE => StoreError::Conflict { writes: failed_writes(value) },
+        name if LOAD_TYPES.contains(&name) => StoreError::Unreachable,
+        _ => StoreError::Malformed,
     }
+}
+
+fn failed_writes(value: &Value) -> Vec<usize> {
     let reasons = value["CancellationReasons"].as_array().map(Vec::as_slice).unwrap_or_default();
-    let writes = (0..reasons.len())
+    (0..reasons.len())
         .filter(|&position| reasons[position]["Code"].as_str() != Some("None"))
-        .collect();
-    StoreError::Conflict { writes }
+        .collect()
 }
--- a/crates/eelgrassdeal_platform/src/table/memory.rs
+++ b/crates/eelgrassdeal_platform/src/table/memory.rs
@@ -1,7 +1,7 @@
 //! A table store in the memory of one process, for tests and measurements.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 use error_stack::Report;
@@ -40,8 +40,13 @@
     ///
     /// # Errors
     ///
-    /// [`StoreError::Conflict`] when a condition does not hold.
+    /// [`StoreError::Conflict`] when a condition does not hold, [`StoreError::Malformed`] when a
+    /// row is named twice.
     pub fn apply(&self, writes: &[RowWrite]) -> Result<(), StoreError> {
+        let keys: BTreeSet<&RowKey> = writes.iter().map(|write| &write.key).collect();
+        if keys.len() < writes.len() {
+            return Err(StoreError::Malformed);
+        }
         let mut rows = self.rows.borrow_mut();
         let failed: Vec<usize> = (0..writes.len())
             .filter(|&position| {
--- a/crates/eelgrassdeal_platform/src/table/mod.rs
+++ b/crates/eelgrassdeal_platform/src/table/mod.rs
@@ -149,7 +149,7 @@
 /// Why the store gave no answer that can be used.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StoreError {
-    /// The request did not reach the store; nothing was written.
+    /// The request did not reach the store, or was refused for load; nothing was written.
     Unreachable,
     /// The store may have applied the write; the answer was lost.
     OutcomeUnknown,
@@ -190,6 +190,6 @@
     /// Reads the rows of a range in the order of their sort keys.
     fn query(&self, range: RowRange) -> LocalBoxFuture<'_, StoreResult<Vec<StoredRow>>>;
 
-    /// Applies all writes or none.
+    /// Applies all writes or none. At most 25 writes, each of another row.
     fn transact(&self, writes: Vec<RowWrite>) -> LocalBoxFuture<'_, StoreResult<()>>;
 }
--- /dev/null
+++ b/crates/eelgrassdeal_platform/tests/common/mod.rs
@@ -0,0 +1,40 @@
+//! Stand-ins on loopback ports given by the system.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cyper::Client;
+use eelgrassdeal_platform::HttpTableStore;
+use eelgrassdeal_standins::{ServerHandle, TableFake};
+
+/// Client limit in tests: long enough for a loaded machine, short enough for late writes.
+pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+
+pub(crate) fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+pub(crate) fn url_of(server: &ServerHandle) -> String {
+    format!("http://{}", server.address())
+}
+
+pub(crate) fn new_client() -> Client {
+    Client::new().expect("client without TLS files")
+}
+
+/// A table stand-in that keeps its history, its server, and a store that reaches it.
+pub(crate) async fn serve_table() -> (TableFake, ServerHandle, HttpTableStore) {
+    let fake = TableFake::new().with_history();
+    let server = fake.serve(any_port()).await.expect("loopback port");
+    let store = HttpTableStore::new(new_client(), url_of(&server));
+    (fake, server, store.with_timeout(CALL_TIMEOUT))
+}
+
+/// Waits until every late write was carried out.
+pub(crate) async fn await_late_writes(fake: &TableFake) {
+    while fake.stats().waiting_writes > 0 {
+        compio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
--- a/crates/eelgrassdeal_standins/src/lib.rs
+++ b/crates/eelgrassdeal_standins/src/lib.rs
@@ -16,10 +16,10 @@
 mod weights;
 
 pub use engine::{EngineFake, EngineOptions, EngineRun, answer_text, answer_token};
-pub use fault::{FaultPlan, FaultSwitch};
+pub use fault::{FaultMix, FaultPlan, FaultSwitch};
 pub use object::ObjectFake;
 pub use server::{Reply, ReplyBody, ServerHandle, empty_reply, json_reply, serve_http};
 pub use service::{ServiceFake, ServiceRun};
-pub use table::{TableFake, TableStats};
-pub use vm_list::VmListFake;
+pub use table::{AppliedPut, TableFake, TableStats};
+pub use vm_list::{VmListFake, VmListStats};
 pub use weights::WeightsFake;
--- a/crates/eelgrassdeal_standins/src/object.rs
+++ b/crates/eelgrassdeal_standins/src/object.rs
@@ -32,6 +32,16 @@
         &self.faults
     }
 
+    /// Names of the objects, each with a leading `/`.
+    pub fn names(&self) -> Vec<String> {
+        self.objects.borrow().keys().cloned().collect()
+    }
+
+    /// Replaces the body of an object, as a damaged disk might.
+    pub fn overwrite(&self, name: &str, body: Bytes) {
+        self.objects.borrow_mut().insert(name.to_owned(), body);
+    }
+
     /// Serves the protocol on `listen`.
     ///
     /// # Errors
@@ -50,19 +60,20 @@
         let method = request.method().clone();
         let name = request.uri().path().to_owned();
         let body = request.into_body().collect().await.ok()?.to_bytes();
+        if name == "/faults" {
+            self.faults.set_json(&serde_json::from_slice(&body).ok()?);
+            return empty_reply(204);
+        }
         let plan = self.faults.plan();
-        match (plan.is_down, method) {
-            (true, _) => None,
-            (false, Method::PUT) => {
-                let mut objects = self.objects.borrow_mut();
-                let status = if objects.contains_key(&name) { 412 } else { 201 };
-                objects.entry(name).or_insert(body);
-                match self.faults.take_lost_answer() {
-                    true => None,
-                    false => empty_reply(status),
-                }
-            }
-            (false, _) => match self.objects.borrow().get(&name) {
+        if plan.is_down {
+            return None;
+        }
+        if !plan.delay.is_zero() {
+            compio::time::sleep(plan.delay).await;
+        }
+        match method {
+            Method::PUT => self.put(name, body),
+            _ => match self.objects.borrow().get(&name) {
                 Some(object) => Response::builder()
                     .body(http_body_util::Either::Left(Full::new(object.clone())))
                     .ok(),
@@ -70,4 +81,17 @@
             },
         }
     }
+
+    fn put(&self, name: String, body: Bytes) -> Reply {
+        if self.faults.take_lost_request() {
+            return None;
+        }
+        let mut objects = self.objects.borrow_mut();
+        let status = if objects.contains_key(&name) { 412 } else { 201 };
+        objects.entry(name).or_insert(body);
+        match self.faults.take_lost_answer() {
+            true => None,
+            false => empty_reply(status),
+        }
+    }
 }
--- a/crates/eelgrassdeal_standins/src/table.rs
+++ b/crates/eelgrassdeal_standins/src/table.rs
@@ -1,22 +1,28 @@
 //! Stand-in for the table service: a subset of the DynamoDB JSON protocol.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::SocketAddr;
 use std::ops::Bound;
 use std::rc::Rc;
 
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD as BASE64;
 use http_body_util::BodyExt;
 use hyper::Request;
 use hyper::body::Incoming;
 use serde_json::{Value, json};
 
-use crate::fault::FaultSwitch;
+use crate::fault::{FaultSwitch, WriteFault};
 use crate::server::{Reply, ServerHandle, empty_reply, json_reply, serve_http};
 
 /// Rows of one answer to `Query`; more need another call.
 const QUERY_PAGE_ROWS: usize = 500;
+/// Largest page of an answer to `Query`, as DynamoDB limits it.
+const QUERY_PAGE_BYTES: usize = 1024 * 1024;
+/// Writes of one transaction; the adapters keep to the smallest limit of the service's versions.
+const MAX_TRANSACTION_WRITES: usize = 25;
 
 type ItemKey = (String, String, String);
 
@@ -27,6 +33,25 @@
     pub reads: u64,
     /// `TransactWriteItems` calls.
     pub writes: u64,
+    /// Writes that were taken, not answered, and are still to be carried out.
+    pub waiting_writes: u64,
+}
+
+/// A put that took effect.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AppliedPut {
+    /// Table of the row.
+    pub table: String,
+    /// Partition key of the row.
+    pub partition: String,
+    /// Sort key of the row.
+    pub sort: String,
+    /// Version of the row after the write.
+    pub version: u64,
+    /// Body of the row after the write.
+    pub body: Vec<u8>,
+    /// When the service may drop the row, in seconds since the Unix epoch; 0 for never.
+    pub expires_unix_s: u64,
 }
 
 /// A table service in memory.
@@ -34,6 +59,7 @@
 pub struct TableFake {
     items: Rc<RefCell<BTreeMap<ItemKey, Value>>>,
     stats: Rc<Cell<TableStats>>,
+    history: Option<Rc<RefCell<Vec<AppliedPut>>>>,
     faults: FaultSwitch,
 }
 
@@ -43,6 +69,28 @@
         Self::default()
     }
 
+    /// Keeps a record of every put that took effect. The memory for it is not bounded.
+    pub fn with_history(mut self) -> Self {
+        self.history = Some(Rc::default());
+        self
+    }
+
+    /// Puts that took effect, in order, if [`TableFake::with_history`] keeps them.
+    pub fn history(&self) -> Vec<AppliedPut> {
+        self.history.as_ref().map(|history| history.borrow().clone()).unwrap_or_default()
+    }
+
+    /// Drops the rows whose time has passed at `now_unix_s`; returns how many.
+    pub fn drop_expired(&self, now_unix_s: u64) -> usize {
+        let mut items = self.items.borrow_mut();
+        let rows_before = items.len();
+        items.retain(|_, item| {
+            let expires_unix_s = number(&item["expires"]["N"]);
+            expires_unix_s == 0 || expires_unix_s > now_unix_s
+        });
+        rows_before - items.len()
+    }
+
     /// Switches faults.
     pub fn faults(&self) -> &FaultSwitch {
         &self.faults
@@ -86,7 +134,10 @@
             }
             "/stats" => {
                 let stats = self.stats();
-                return json_reply(200, &json!({"reads": stats.reads, "writes": stats.writes}));
+                return json_reply(
+                    200,
+                    &json!({"reads": stats.reads, "writes": stats.writes, "waiting_writes": stats.waiting_writes}),
+                );
             }
             _ => {}
         }
@@ -97,30 +148,51 @@
         if !plan.delay.is_zero() {
             compio::time::sleep(plan.delay).await;
         }
-        self.run(&operation, &body)
-    }
-
-    fn run(&self, operation: &str, body: &Value) -> Reply {
-        let mut stats = self.stats.get();
-        match operation {
-            "GetItem" | "Query" => stats.reads += 1,
-            _ => stats.writes += 1,
+        if self.faults.take_throttled() {
+            return json_reply(400, &json!({ "__type": "ThrottlingException" }));
         }
-        self.stats.set(stats);
-        match operation {
-            "GetItem" => self.get(body),
-            "Query" => self.query(body),
-            "TransactWriteItems" => {
-                let reply = self.transact(body);
-                match self.faults.take_lost_answer() {
-                    true => None,
-                    false => reply,
-                }
+        match operation.as_str() {
+            "GetItem" => {
+                self.count(|stats| stats.reads += 1);
+                self.get(&body)
+            }
+            "Query" => {
+                self.count(|stats| stats.reads += 1);
+                self.query(&body)
             }
+            "TransactWriteItems" => self.write(body).await,
             _ => json_reply(400, &json!({ "__type": "UnknownOperationException" })),
         }
     }
 
+    async fn write(&self, body: Value) -> Reply {
+        match self.faults.take_write_fault() {
+            WriteFault::Answered => self.transact(&body),
+            WriteFault::LostAnswer => {
+                self.transact(&body);
+                None
+            }
+            WriteFault::LostRequest => None,
+            WriteFault::Late(late_by) => {
+                let fake = self.clone();
+                self.count(|stats| stats.waiting_writes += 1);
+                compio::runtime::spawn(async move {
+                    compio::time::sleep(late_by).await;
+                    fake.transact(&body);
+                    fake.count(|stats| stats.waiting_writes -= 1);
+                })
+                .detach();
+                None
+            }
+        }
+    }
+
+    fn count(&self, change: impl FnOnce(&mut TableStats)) {
+        let mut stats = self.stats.get();
+        change(&mut stats);
+        self.stats.set(stats);
+    }
+
     fn get(&self, body: &Value) -> Reply {
         let key = item_key(&body["TableName"], &body["Key"]);
         let items = self.items.borrow();
@@ -143,17 +215,33 @@
                 *row_table == table && *row_partition == partition
             })
             .map(|(_, item)| item);
-        let page: Vec<&Value> = rows.by_ref().take(QUERY_PAGE_ROWS).collect();
+        let mut page: Vec<&Value> = Vec::new();
+        let mut page_bytes = 0;
+        let mut next = rows.next();
+        while let Some(item) = next.filter(|_| page.len() < QUERY_PAGE_ROWS) {
+            page_bytes += item["body"]["B"].as_str().map_or(0, str::len);
+            if page_bytes > QUERY_PAGE_BYTES && !page.is_empty() {
+                break;
+            }
+            page.push(item);
+            next = rows.next();
+        }
         let mut reply = json!({ "Items": page });
-        if let (Some(_), Some(last)) = (rows.next(), page.last()) {
+        if let (Some(_), Some(last)) = (next, page.last()) {
             reply["LastEvaluatedKey"] = json!({ "pk": last["pk"], "sk": last["sk"] });
         }
         json_reply(200, &reply)
     }
 
     fn transact(&self, body: &Value) -> Reply {
+        self.count(|stats| stats.writes += 1);
         let mut items = self.items.borrow_mut();
         let writes = body["TransactItems"].as_array().map(Vec::as_slice).unwrap_or_default();
+        let keys: BTreeSet<ItemKey> = writes.iter().map(write_key).collect();
+        // The service refuses a transaction that names a row twice.
+        if keys.len() < writes.len() || writes.is_empty() || writes.len() > MAX_TRANSACTION_WRITES {
+            return json_reply(400, &json!({ "__type": "ValidationException" }));
+        }
         let mut has_failed = false;
         let reasons: Vec<Value> = writes
             .iter()
@@ -175,7 +263,9 @@
             match kind {
                 "Put" => {
                     let item = operation["Item"].clone();
-                    items.insert(item_key(&operation["TableName"], &item), item);
+                    let key = item_key(&operation["TableName"], &item);
+                    self.record(&key, &item);
+                    items.insert(key, item);
                 }
                 "Delete" => {
                     items.remove(&item_key(&operation["TableName"], &operation["Key"]));
@@ -185,6 +275,27 @@
         }
         json_reply(200, &json!({}))
     }
+
+    fn record(&self, key: &ItemKey, item: &Value) {
+        let Some(history) = &self.history else { return };
+        let body = item["body"]["B"].as_str().and_then(|text| BASE64.decode(text).ok());
+        history.borrow_mut().push(AppliedPut {
+            table: key.0.clone(),
+            partition: key.1.clone(),
+            sort: key.2.clone(),
+            version: number(&item["ver"]["N"]),
+            body: body.unwrap_or_default(),
+            expires_unix_s: number(&item["expires"]["N"]),
+        });
+    }
+}
+
+fn write_key(write: &Value) -> ItemKey {
+    let (kind, operation) = operation_of(write);
+    match kind {
+        "Put" => item_key(&operation["TableName"], &operation["Item"]),
+        _ => item_key(&operation["TableName"], &operation["Key"]),
+    }
 }
 
 fn operation_of(write: &Value) -> (&str, &Value) {
@@ -195,12 +306,8 @@
 }
 
 fn holds(items: &BTreeMap<ItemKey, Value>, write: &Value) -> bool {
-    let (kind, operation) = operation_of(write);
-    let key = match kind {
-        "Put" => item_key(&operation["TableName"], &operation["Item"]),
-        _ => item_key(&operation["TableName"], &operation["Key"]),
-    };
-    let item = items.get(&key);
+    let (_, operation) = operation_of(write);
+    let item = items.get(&write_key(write));
     match operation["ConditionExpression"].as_str() {
         Some("attribute_not_exists(pk)") => item.is_none(),
         Some("ver = :ver") => item.is_some_and(|item| {
@@ -217,3 +324,7 @@
 fn text(value: &Value) -> String {
     value.as_str().unwrap_or_default().to_owned()
 }
+
+fn number(value: &Value) -> u64 {
+    value.as_str().and_then(|text| text.parse().ok()).unwrap_or(0)
+}
