Make the call ledger exact under lost, late and concurrent writes, and batch them

Cause: a review of every way to run a call twice or to make "not run" untrue found: a claim refused after lost answers could appear later and block its key; a conflict on the final write counted as success whoever had written the row; the expiry was dropped by the final write, so rows stayed forever, and depended on the claimer's clock alone, so with clocks 4 and 30 min behind the row was dropped while its key was still accepted; one UUID in two spellings named two rows; a result above 64 KiB was repeated as an empty body; a caller that went away left its claim behind; every claim and result cost a write of its own. Ruled out: taking over a claim whose deadline has passed (seen: keys run twice in tests/call_history.rs); a second mark per write, as mark and state together already name the only writer; resolving a lost batch by 25 reads, as sending it again costs one write and names the rows that conflict; a fixed collection window, as writes collect while one is in flight and a lone claim must not wait. Change: a refused claim is withdrawn in the background by a `not_run` write on the claim's own condition, 14 tries in about 2 min, at most 4,096 at once; claims run in their own task, so a dropped future is withdrawn too; `ClaimedCall` can no longer be cloned and has `may_send`, by the wall clock and the steady clock; keys are kept in one spelling; a record outlives its key by 65 min; results too large to keep answer `answer_incomplete`; group commit of up to 25 rows, at most 4 transactions in flight, each row in one of them. Seen without the mechanism (tests/ledger.rs, tests/call_history.rs): no withdrawal: key answers call_in_progress though never sent; conflict as success: a foreign row is reported as written and keys stay outcome_unknown; own mark not read: the claim is refused after a lost answer; lapsed claim taken over, or unanswered claim sent: keys run more than once; key as spelled, old expiry, no expiry on the final write, no length in the digest, no wall clock, no steady clock, large result kept: the test of that name fails; conflict fails the batch: 11 writes for 2; row named twice: 3 writes for 2; background tries off: the result is lost after an outage; condition ignored by the store: the run does not settle. `store_unavailable` speaks of the request, not of earlier requests under the same key.

--- /dev/null
+++ b/crates/eelgrassdeal_platform/examples/claim_writes.rs
@@ -0,0 +1,70 @@
+//! Prints the number of store writes that concurrent calls cost, with and without shared
+//! transactions.
+//!
+//! Run with `cargo run -p eelgrassdeal_platform --example claim_writes`.
+
+use std::error::Error;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cyper::Client;
+use eelgrassdeal_platform::{CallLedger, ClaimOutcome, ClaimedCall, HttpTableStore, StoredResult};
+use eelgrassdeal_standins::TableFake;
+use eelgrassdeal_types::unix_ms_now;
+use futures_util::future::join_all;
+use uuid::Uuid;
+
+/// Time that the store takes for a write.
+const STORE_DELAY: Duration = Duration::from_millis(10);
+/// Time between arrivals in the second part.
+const ARRIVAL_INTERVAL: Duration = Duration::from_millis(1);
+
+/// Claims a new key after `start`.
+async fn claim(ledger: &CallLedger, start: Duration) -> Option<ClaimedCall> {
+    compio::time::sleep(start).await;
+    let now_ms = unix_ms_now();
+    let key = Uuid::now_v7().to_string();
+    let claim = ledger.claim("account", &key, &[b"service", b"call"], now_ms, now_ms + 30_000);
+    match claim.await {
+        Ok(ClaimOutcome::Claimed(call)) => Some(call),
+        Ok(ClaimOutcome::Done(_)) | Err(_) => None,
+    }
+}
+
+/// Writes that `calls` claims took, and then their results.
+async fn measure(
+    rows: usize,
+    calls: u32,
+    interval: Duration,
+) -> Result<(u64, u64), Box<dyn Error>> {
+    let fake = TableFake::new();
+    let server = fake.serve(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
+    let store = HttpTableStore::new(Client::new()?, format!("http://{}", server.address()));
+    fake.faults().set_delay(STORE_DELAY);
+    let ledger = CallLedger::new(Rc::new(store)).with_batch_rows(rows);
+    let claims = join_all((0..calls).map(|number| claim(&ledger, interval * number))).await;
+    let claims: Option<Vec<_>> = claims.into_iter().collect();
+    let claim_writes = fake.stats().writes;
+    let body = Bytes::from_static(b"{\"receipt\":1}");
+    let result = StoredResult { status: 200, content_type: "application/json".into(), body };
+    let claims = claims.ok_or("a claim failed")?;
+    join_all(claims.into_iter().map(|call| ledger.complete(call, &result))).await;
+    Ok((claim_writes, fake.stats().writes - claim_writes))
+}
+
+#[compio::main]
+async fn main() -> Result<(), Box<dyn Error>> {
+    println!("arrivals, claims, rows per transaction, writes of claims, per claim, of results");
+    for (name, interval) in [("at once", Duration::ZERO), ("every 1 ms", ARRIVAL_INTERVAL)] {
+        for calls in [1, 16, 64] {
+            for rows in [1, 25] {
+                let (claim_writes, result_writes) = measure(rows, calls, interval).await?;
+                let share = claim_writes as f64 / f64::from(calls);
+                println!("{name}, {calls}, {rows}, {claim_writes}, {share:.3}, {result_writes}");
+            }
+        }
+    }
+    Ok(())
+}
--- a/crates/eelgrassdeal_platform/src/lib.rs
+++ b/crates/eelgrassdeal_platform/src/lib.rs
@@ -12,10 +12,11 @@
 mod object;
 mod table;
 mod vm_list;
+mod write_batch;
 
 pub use config_log::{AppendOutcome, ConfigLog, LogError};
 pub use lease::{HeldLease, LeaseKeeper};
-pub use ledger::{CallLedger, ClaimOutcome, ClaimedCall, LedgerError, StoredResult};
+pub use ledger::{CallLedger, ClaimOutcome, ClaimedCall, LedgerError, LedgerStats, StoredResult};
 pub use object::{HttpObjectStore, ObjectStore};
 pub use table::{
     HttpTableStore, MemoryTable, RowCondition, RowKey, RowRange, RowWrite, StoreError, StoreResult,
