--- a/crates/eelgrassdeal_node/src/service_call.rs
+++ b/crates/eelgrassdeal_node/src/service_call.rs
@@ -74,7 +74,7 @@
     let mut avoid = Vec::new();
     let mut last_end = None;
     for _ in 0..MAX_ATTEMPTS {
-        match send_call(state, service_call, &mut avoid).await {
+        match send_call(state, service_call, None, &mut avoid).await {
             SendEnd::Answered(result) => return Ok(result_reply(result, false)),
             SendEnd::NotRun(error) => {
                 // An earlier attempt may have run the call.
@@ -98,12 +98,7 @@
         ClaimOutcome::Done(result) => return Ok(result_reply(result, true)),
         ClaimOutcome::Claimed(claimed) => claimed,
     };
-    // The claim may have taken long, or the process may have been paused.
-    if let Err(error) = service_call.call.check_deadline() {
-        release_claim(state, claimed);
-        return Err(error);
-    }
-    match send_call(state, service_call, &mut Vec::new()).await {
+    match send_call(state, service_call, Some(&claimed), &mut Vec::new()).await {
         SendEnd::Answered(result) => {
             if !state.platform.ledger.complete(claimed, &result).await {
                 log::warn!("request_id={} cannot record its result", service_call.call.request_id);
@@ -156,13 +151,11 @@
 async fn send_call(
     state: &Rc<NodeState>,
     service_call: &ServiceCall,
+    claim: Option<&ClaimedCall>,
     avoid: &mut Vec<ReplicaId>,
 ) -> SendEnd {
     let target = ReplicaTarget::Service(service_call.service.clone());
     loop {
-        if let Err(error) = service_call.call.check_deadline() {
-            return SendEnd::NotRun(error);
-        }
         let need = SlotNeed {
             target: target.clone(),
             kv_tokens: 0,
@@ -175,9 +168,14 @@
             Ok(_) => continue,
             Err(error) => return SendEnd::NotRun(error),
         };
+        // The claim and the wait may have taken long, or the process may have been paused.
         if let Err(error) = service_call.call.check_deadline() {
             return SendEnd::NotRun(error);
         }
+        if claim.is_some_and(|claim| !claim.may_send(unix_ms_now())) {
+            let text = "the deadline passed before the call was sent";
+            return SendEnd::NotRun(CallError::new(ErrorKind::DeadlineExpired, text));
+        }
         let request = match upstream_request(service_call) {
             Ok(request) => request,
             Err(error) => return SendEnd::NotRun(error),
