Give test fleets ports that nothing else takes

Cause: a capacity run with 112 nodes stopped with "Address already in use": free_address asked the kernel for any port, which lies in the range that outgoing connections use, and the port was taken by a connection before the node bound it.

Ruled out: binding and passing the socket on; the node binds itself.

Change: ports 10000 to 31999, below the kernel's range (32768 to 60999), each given out once by a process; processes start at different ports.

--- a/crates/eelgrassdeal_testkit/src/fleet.rs
+++ b/crates/eelgrassdeal_testkit/src/fleet.rs
@@ -4,6 +4,7 @@
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use eelgrassdeal_control::FleetConfig;
@@ -33,6 +34,11 @@
 pub const ADMIN_TOKEN: &str = "test-admin";
 
 const APPEND_TRIES: u32 = 20;
+/// Ports below those that the kernel gives to outgoing connections (32768 and up), which could
+/// otherwise take a port between its choice and the bind of the node.
+const FIRST_PORT: u16 = 10_000;
+const PORT_COUNT: u32 = 22_000;
+const PORT_STRIDE: u32 = 601;
 
 /// Shape of a test fleet.
 #[derive(Clone, Debug)]
@@ -425,14 +431,24 @@
     false
 }
 
-/// A loopback address that was free a moment ago.
+/// A loopback address that was free a moment ago, and that this process has not given out before.
 ///
 /// # Panics
 ///
 /// When no port is free.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
-    listener.local_addr().expect("a local address")
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let step = NEXT.fetch_add(1, Ordering::Relaxed);
+        assert!(step < PORT_COUNT, "no port is free");
+        // Processes that run at the same time start at different ports.
+        let offset = std::process::id().wrapping_mul(PORT_STRIDE).wrapping_add(step) % PORT_COUNT;
+        let port = FIRST_PORT + u16::try_from(offset).unwrap_or(0);
+        let is_free = UdpSocket::bind(("127.0.0.1", port)).is_ok();
+        if is_free && TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            return SocketAddr::from(([127, 0, 0, 1], port));
+        }
+    }
 }
 
 fn free_udp_address() -> SocketAddr {
