--- a/crates/eelgrassdeal_platform/src/lib.rs
+++ b/crates/eelgrassdeal_platform/src/lib.rs
@@ -10,6 +10,7 @@
 mod ledger;
 mod object;
 mod table;
+mod traffic;
 mod vm_list;
 
 pub use config_log::{AppendOutcome, ConfigLog, LogError};
@@ -20,4 +21,5 @@
     HttpTableStore, MemoryTable, RowCondition, RowKey, RowRange, RowWrite, StoreError, StoreResult,
     StoredRow, TableName, TableStore, WriteAction,
 };
+pub use traffic::{count_control, request_size, response_head_size};
 pub use vm_list::{HttpVmList, VmList, VmState};
--- a/crates/eelgrassdeal_platform/src/table/http.rs
+++ b/crates/eelgrassdeal_platform/src/table/http.rs
@@ -15,6 +15,7 @@
     RowCondition, RowKey, RowRange, RowWrite, StoreError, StoreResult, StoredRow, TableStore,
     WriteAction,
 };
+use crate::traffic::{count_control, request_size, response_head_size};
 
 /// A store that answers later than this counts as down.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -43,26 +44,28 @@
     }
 
     async fn call(&self, operation: &str, body: Value) -> StoreResult<Value> {
+        let purpose = call_purpose(operation, &body);
+        let target = format!("{TARGET_PREFIX}{operation}");
+        let headers = [("content-type", CONTENT_TYPE), ("x-amz-target", target.as_str())];
+        let body = body.to_string();
+        let sent = request_size("/", &headers, body.len());
         let request = async {
             let mut builder = self
                 .client
                 .post(&self.url)
                 .and_then(|builder| builder.header("content-type", CONTENT_TYPE))
-                .and_then(|builder| {
-                    builder.header("x-amz-target", format!("{TARGET_PREFIX}{operation}"))
-                })
+                .and_then(|builder| builder.header("x-amz-target", &target))
                 .change_context(StoreError::Unreachable)?;
             if let Some(token) = &self.token {
                 builder = builder.bearer_auth(token).change_context(StoreError::Unreachable)?;
             }
             // A lost connection does not tell whether the request arrived.
-            let response = builder
-                .body(body.to_string())
-                .send()
-                .await
-                .change_context(StoreError::OutcomeUnknown)?;
+            let response =
+                builder.body(body).send().await.change_context(StoreError::OutcomeUnknown)?;
             let status = response.status();
+            let head = response_head_size(&response);
             let bytes = response.bytes().await.change_context(StoreError::OutcomeUnknown)?;
+            count_control(purpose, sent, head + bytes.len());
             match (status.as_u16(), serde_json::from_slice::<Value>(&bytes)) {
                 (200, Ok(value)) => Ok(value),
                 (400, Ok(value)) => Err(Report::new(refusal(&value))),
@@ -130,6 +133,22 @@
     }
 }
 
+/// What a call is for, as the counters of control traffic name it.
+fn call_purpose(operation: &str, body: &Value) -> &'static str {
+    let write = body["TransactItems"][0].as_object().and_then(|write| write.values().next());
+    let table = write.unwrap_or(body)["TableName"].as_str().unwrap_or_default();
+    match (table, operation) {
+        ("config", "GetItem") => "head_read",
+        ("config", "Query") => "log_read",
+        ("config", _) => "log_append",
+        ("leases", _) => "lease",
+        ("nodes", _) => "heartbeat",
+        ("claims", _) => "claim",
+        ("suspects", _) => "suspect",
+        _ => "other",
+    }
+}
+
 fn key_json(key: &RowKey) -> Value {
     json!({ "pk": { "S": &*key.partition }, "sk": { "S": &*key.sort } })
 }
--- a/crates/eelgrassdeal_platform/src/vm_list.rs
+++ b/crates/eelgrassdeal_platform/src/vm_list.rs
@@ -11,6 +11,7 @@
 use futures_util::future::LocalBoxFuture;
 
 use crate::table::{StoreError, StoreResult};
+use crate::traffic::{count_control, request_size, response_head_size};
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -48,7 +49,11 @@
         let exchange = async {
             let builder = self.client.get(&self.url).change_context(StoreError::Unreachable)?;
             let response = builder.send().await.change_context(StoreError::Unreachable)?;
-            let reply: VmListReply = response.json().await.change_context(StoreError::Malformed)?;
+            let head = response_head_size(&response);
+            let bytes = response.bytes().await.change_context(StoreError::Unreachable)?;
+            count_control("vm_list", request_size("/", &[], 0), head + bytes.len());
+            let reply: VmListReply =
+                serde_json::from_slice(&bytes).change_context(StoreError::Malformed)?;
             Ok(reply.vms.iter().map(|entry| (VmId::from(&*entry.vm), vm_state(entry))).collect())
         };
         compio::time::timeout(CALL_TIMEOUT, exchange)
