--- a/crates/eelgrassdeal_platform/src/http_call.rs
+++ b/crates/eelgrassdeal_platform/src/http_call.rs
@@ -9,6 +9,7 @@
 use http::{HeaderMap, Method};
 
 use crate::table::{StoreError, StoreResult};
+use crate::traffic::{count_control, request_size, response_head_size};
 
 /// An answer that was read to its end.
 pub(crate) struct HttpAnswer {
@@ -43,17 +44,20 @@
     /// does not tell whether the request arrived.
     pub(crate) async fn call(
         &self,
+        purpose: &'static str,
         method: Method,
         path: &str,
         headers: &[(&str, &str)],
         body: Bytes,
     ) -> StoreResult<HttpAnswer> {
         let builder = self.builder(method, path, headers).change_context(StoreError::Malformed)?;
+        let sent = request_size(path, headers, body.len());
         let exchange = async {
             let response = builder.body(body).send().await.map_err(send_error)?;
             let status = response.status().as_u16();
             let headers = response.headers().clone();
             let body = self.read_body(response).await?;
+            count_control(purpose, sent, response_head_size(&headers) + body.len());
             Ok(HttpAnswer { status, headers, body })
         };
         compio::time::timeout(self.timeout, exchange)
--- a/crates/eelgrassdeal_platform/src/object.rs
+++ b/crates/eelgrassdeal_platform/src/object.rs
@@ -61,7 +61,10 @@
     fn put(&self, name: String, body: Bytes) -> LocalBoxFuture<'_, StoreResult<()>> {
         async move {
             let headers = [("if-none-match", "*")];
-            let answer = self.caller.call(Method::PUT, &format!("/{name}"), &headers, body).await?;
+            let answer = self
+                .caller
+                .call("object", Method::PUT, &format!("/{name}"), &headers, body)
+                .await?;
             match answer.status {
                 200 | 201 | 204 | 412 => Ok(()),
                 status => Err(status_error(status)),
@@ -72,8 +75,10 @@
 
     fn get(&self, name: String) -> LocalBoxFuture<'_, StoreResult<Option<Bytes>>> {
         async move {
-            let answer =
-                self.caller.call(Method::GET, &format!("/{name}"), &[], Bytes::new()).await?;
+            let answer = self
+                .caller
+                .call("object", Method::GET, &format!("/{name}"), &[], Bytes::new())
+                .await?;
             match answer.status {
                 200 => Ok(Some(answer.body)),
                 404 => Ok(None),
--- a/crates/eelgrassdeal_platform/src/vm_list.rs
+++ b/crates/eelgrassdeal_platform/src/vm_list.rs
@@ -76,7 +76,8 @@
     async fn fetch(&self) -> StoreResult<BTreeMap<VmId, VmState>> {
         let known = self.last.borrow().clone();
         let tag = known.as_ref().map(|list| ("if-none-match", list.tag.as_str()));
-        let answer = self.caller.call(Method::GET, "", tag.as_slice(), Bytes::new()).await?;
+        let answer =
+            self.caller.call("vm_list", Method::GET, "", tag.as_slice(), Bytes::new()).await?;
         match (answer.status, known) {
             (200, _) => self.keep(&answer),
             // The list for the tag that was sent, even if another call read a newer one meanwhile.
