--- a/crates/eelgrassdeal_measure/src/main.rs
+++ b/crates/eelgrassdeal_measure/src/main.rs
@@ -1,6 +1,7 @@
 //! `eelgrassdeal-measure`: one subcommand for each measurement, each in a file of its own.
 
 mod capacity;
+mod centre;
 mod fast_caller;
 mod figures;
 mod front;
@@ -23,6 +24,8 @@
     Front(front::FrontOptions),
     #[options(help = "cost of control against nodes, replicas and configuration changes")]
     Capacity(capacity::CapacityOptions),
+    #[options(help = "service while a data centre leaves and returns")]
+    Centre(centre::CentreOptions),
 }
 
 #[compio::main]
@@ -30,6 +33,7 @@
     match MeasureOptions::parse_args_default_or_exit().command {
         Some(MeasureCommand::Front(options)) => front::run(&options).await,
         Some(MeasureCommand::Capacity(options)) => capacity::run(&options).await,
+        Some(MeasureCommand::Centre(options)) => centre::run(&options).await,
         None => {
             eprintln!("{}", MeasureOptions::usage());
             std::process::exit(2);
