--- a/crates/eelgrassdeal_platform/src/lib.rs
+++ b/crates/eelgrassdeal_platform/src/lib.rs
@@ -14,7 +14,7 @@
 mod vm_list;
 mod write_batch;
 
-pub use config_log::{AppendOutcome, ConfigLog, LogError};
+pub use config_log::{AppendOutcome, ConfigLog, LoadedConfig, LogError};
 pub use lease::{HeldLease, LeaseKeeper};
 pub use ledger::{CallLedger, ClaimOutcome, ClaimedCall, LedgerError, LedgerStats, StoredResult};
 pub use object::{HttpObjectStore, ObjectStore};
--- a/crates/eelgrassdeal_platform/tests/common/mod.rs
+++ b/crates/eelgrassdeal_platform/tests/common/mod.rs
@@ -7,6 +7,7 @@
 
 use cyper::Client;
 use eelgrassdeal_platform::HttpTableStore;
+use eelgrassdeal_schema::config::{ConfigChange, EntryKey};
 use eelgrassdeal_standins::{ServerHandle, TableFake};
 
 /// Time limit in tests: no fault here needs it, and a loaded machine must not reach it.
@@ -47,3 +48,15 @@
 pub(crate) async fn await_late_writes(fake: &TableFake) {
     await_until("late writes are carried out", || fake.stats().waiting_writes == 0).await;
 }
+
+/// The change to `revision` with this writer's mark, which removes the entry named by the mark.
+pub(crate) fn new_change(revision: u64, mark: &str) -> ConfigChange {
+    let removed = EntryKey { kind: "request_ban".to_owned(), id: mark.to_owned() };
+    ConfigChange {
+        revision,
+        writer_mark: mark.to_owned(),
+        author: "operator".to_owned(),
+        remove: vec![removed],
+        ..ConfigChange::default()
+    }
+}
--- /dev/null
+++ b/crates/eelgrassdeal_platform/tests/config_history.rs
@@ -0,0 +1,191 @@
+//! Guards the order of revisions under racing operators and faults, by a linearizability check of
+//! the head row.
+
+mod common;
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use common::{await_late_writes, new_change, serve_table};
+use eelgrassdeal_platform::{AppendOutcome, ConfigLog};
+use eelgrassdeal_schema::config::ConfigChange;
+use eelgrassdeal_schema::decode_message;
+use eelgrassdeal_schema::records::HeadRecord;
+use eelgrassdeal_standins::{FaultMix, TableFake};
+use futures_util::future::join_all;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use todc_utils::{Action, History, Specification, WGLChecker};
+
+const OPERATORS: usize = 4;
+const CHANGES: usize = 8;
+
+/// An operation on the head of the log, with its answer.
+#[derive(Clone, Debug, PartialEq)]
+enum HeadOperation {
+    /// The change with this mark was accepted on top of this many revisions.
+    Accept { base: usize, mark: String },
+    /// A change on top of this many revisions lost against the change with this mark.
+    Reject { base: usize, winner: String },
+    /// The head was read.
+    Read { head: usize },
+    /// An operation whose answer is not known yet.
+    Pending,
+}
+
+/// The log as one object: the marks of the accepted changes in order.
+struct HeadSpec;
+
+impl Specification for HeadSpec {
+    type State = Vec<String>;
+    type Operation = HeadOperation;
+
+    fn init() -> Self::State {
+        Vec::new()
+    }
+
+    fn apply(operation: &Self::Operation, state: &Self::State) -> (bool, Self::State) {
+        match operation {
+            HeadOperation::Accept { base, mark } if *base == state.len() => {
+                (true, state.iter().chain([mark]).cloned().collect())
+            }
+            HeadOperation::Reject { base, winner } => {
+                (state.get(*base) == Some(winner), state.clone())
+            }
+            HeadOperation::Read { head } => (*head == state.len(), state.clone()),
+            HeadOperation::Accept { .. } | HeadOperation::Pending => (false, state.clone()),
+        }
+    }
+}
+
+/// Calls and answers in the order in which the callers saw them. The number of an operation is its
+/// place among the calls; `None` as answer stands for "unknown".
+#[derive(Default)]
+struct CallerLog {
+    events: RefCell<Vec<(usize, Option<HeadOperation>)>>,
+    unknown: RefCell<BTreeMap<usize, HeadOperation>>,
+    operations: RefCell<usize>,
+}
+
+impl CallerLog {
+    fn call(&self) -> usize {
+        let operation = self.operations.replace_with(|count| *count + 1);
+        self.events.borrow_mut().push((operation, None));
+        operation
+    }
+
+    fn answer(&self, operation: usize, answer: HeadOperation) {
+        self.events.borrow_mut().push((operation, Some(answer)));
+    }
+
+    /// Unknown appends that took effect end after all others; those that did not are left out.
+    fn into_history(self, accepted: &[ConfigChange]) -> History<HeadOperation> {
+        let mut unknown = self.unknown.into_inner();
+        let is_accepted = |mark: &String| accepted.iter().any(|row| row.writer_mark == *mark);
+        let late: BTreeMap<usize, HeadOperation> = unknown
+            .extract_if(.., |_, operation| match operation {
+                HeadOperation::Accept { mark, .. } => is_accepted(mark),
+                _ => false,
+            })
+            .collect();
+        let mut actions = Vec::new();
+        for (operation, answer) in self.events.into_inner() {
+            match answer {
+                Some(answer) => actions.push((operation, Action::Response(answer))),
+                None if unknown.contains_key(&operation) => {}
+                None => actions.push((operation, Action::Call(HeadOperation::Pending))),
+            }
+        }
+        let late = late.into_iter().map(|(number, answer)| (number, Action::Response(answer)));
+        History::from_actions(actions.into_iter().chain(late).collect())
+    }
+}
+
+async fn read_head(log: &ConfigLog, calls: &CallerLog) -> u64 {
+    let operation = calls.call();
+    // Reads meet no faults here.
+    let head = log.head().await.expect("head");
+    calls.answer(operation, HeadOperation::Read { head: head as usize });
+    head
+}
+
+async fn append(log: &ConfigLog, change: &ConfigChange, calls: &CallerLog) -> AppendOutcome {
+    let operation = calls.call();
+    let base = change.revision as usize - 1;
+    let accept = HeadOperation::Accept { base, mark: change.writer_mark.clone() };
+    let outcome = log.append(change).await;
+    match &outcome {
+        AppendOutcome::Accepted => calls.answer(operation, accept),
+        AppendOutcome::Conflict(winner) => {
+            let winner = winner.writer_mark.clone();
+            calls.answer(operation, HeadOperation::Reject { base, winner });
+        }
+        AppendOutcome::Unknown => {
+            calls.unknown.borrow_mut().insert(operation, accept);
+        }
+    }
+    outcome
+}
+
+/// Appends changes, each computed from the head that was read before.
+async fn run_operator(log: &ConfigLog, number: usize, seed: u64, calls: &CallerLog) {
+    let mut random = StdRng::seed_from_u64(seed * 100 + number as u64);
+    for change in 0..CHANGES {
+        let head = read_head(log, calls).await;
+        compio::time::sleep(Duration::from_millis(random.random_range(0..8))).await;
+        append(log, &new_change(head + 1, &format!("{number}/{change}")), calls).await;
+    }
+}
+
+/// Follows the log like a node, and returns what it read.
+async fn run_follower(log: &ConfigLog, calls: &CallerLog) -> Vec<ConfigChange> {
+    let mut changes: Vec<ConfigChange> = Vec::new();
+    for _ in 0..40 {
+        let head = read_head(log, calls).await;
+        let rows = log.changes_after(changes.len() as u64).await.expect("log rows");
+        changes.extend(rows);
+        assert!(changes.len() as u64 >= head, "a revision of the head is missing");
+        compio::time::sleep(Duration::from_millis(4)).await;
+    }
+    changes
+}
+
+fn check_head_rows(fake: &TableFake) {
+    let heads = fake.history().into_iter().filter(|put| put.partition == "head");
+    for (put, expected) in heads.zip(1..) {
+        let record: HeadRecord = decode_message(&put.body).unwrap_or_default();
+        assert_eq!((put.version, record.revision), (expected, expected));
+    }
+}
+
+/// Guards against an accepted change that is reverted, reported as rejected, or missing, and
+/// against a head that goes back.
+#[compio::test]
+async fn racing_appends_are_linearizable() {
+    for seed in [31, 32, 33] {
+        let (fake, _server, store) = serve_table().await;
+        let log = ConfigLog::new(Rc::new(store.clone())).with_first_delay(Duration::from_millis(2));
+        let mix = FaultMix {
+            lost_answer_percent: 20,
+            lost_request_percent: 20,
+            late_write_percent: 25,
+            late_by: Duration::from_millis(60),
+        };
+        fake.faults().set_mix(mix, seed);
+        let calls = CallerLog::default();
+        let operators =
+            join_all((0..OPERATORS).map(|number| run_operator(&log, number, seed, &calls)));
+        let (_, followed) = futures_util::join!(operators, run_follower(&log, &calls));
+        fake.faults().clear_mix();
+        await_late_writes(&fake).await;
+
+        check_head_rows(&fake);
+        let accepted = log.changes_after(0).await.unwrap();
+        assert!(accepted.starts_with(&followed), "an accepted change was reverted");
+        let unknown = calls.unknown.borrow().len();
+        println!("seed {seed}: {} accepted, {unknown} unknown", accepted.len());
+        assert!(WGLChecker::<HeadSpec>::is_linearizable(calls.into_history(&accepted)));
+    }
+}
--- /dev/null
+++ b/crates/eelgrassdeal_platform/tests/config_log.rs
@@ -0,0 +1,183 @@
+//! Guards the answers of appends and the use of snapshots, one failure at a time.
+
+mod common;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use common::{any_port, await_late_writes, new_change, new_client, serve_table, url_of};
+use eelgrassdeal_platform::{
+    AppendOutcome, ConfigLog, HttpObjectStore, HttpTableStore, LogError, RowCondition, RowKey,
+    RowWrite, TableName, TableStore,
+};
+use eelgrassdeal_schema::config::{ConfigChange, ConfigSnapshot, SnapshotEntry};
+use eelgrassdeal_schema::encode_message;
+use eelgrassdeal_standins::{ObjectFake, ServerHandle};
+
+fn new_log(store: &HttpTableStore) -> ConfigLog {
+    ConfigLog::new(Rc::new(store.clone())).with_first_delay(Duration::from_millis(4))
+}
+
+async fn serve_objects() -> (ObjectFake, ServerHandle, Rc<HttpObjectStore>) {
+    let fake = ObjectFake::new();
+    let server = fake.serve(any_port()).await.expect("loopback port");
+    let store = HttpObjectStore::new(new_client(), url_of(&server));
+    (fake, server, Rc::new(store))
+}
+
+async fn append_up_to(log: &ConfigLog, last: u64) {
+    for revision in log.head().await.expect("head") + 1..=last {
+        let outcome = log.append(&new_change(revision, &format!("m{revision}"))).await;
+        assert_eq!(outcome, AppendOutcome::Accepted);
+    }
+}
+
+fn snapshot_at(revision: u64) -> ConfigSnapshot {
+    ConfigSnapshot { revision, entry: Vec::new() }
+}
+
+/// Guards against an accepted change reported as rejected, and the reverse.
+#[compio::test]
+async fn a_lost_answer_is_resolved_by_the_log_row() {
+    let (fake, _server, store) = serve_table().await;
+    let log = new_log(&store);
+    fake.faults().lose_answers(1);
+    assert_eq!(log.append(&new_change(1, "a")).await, AppendOutcome::Accepted);
+    let winner = AppendOutcome::Conflict(Box::new(new_change(1, "a")));
+    fake.faults().lose_requests(1);
+    assert_eq!(log.append(&new_change(1, "b")).await, winner);
+    // The same mark does not make another change the accepted one.
+    let altered = ConfigChange { author: "other".to_owned(), ..new_change(1, "a") };
+    assert_eq!(log.append(&altered).await, winner);
+    assert_eq!(log.changes_after(0).await.unwrap(), [new_change(1, "a")]);
+}
+
+/// Guards against "rejected" for a change that the store accepts after the operator gave up.
+#[compio::test]
+async fn a_late_append_is_unknown_and_then_accepted() {
+    let (fake, _server, store) = serve_table().await;
+    let log = new_log(&store);
+    fake.faults().delay_writes(4, Duration::from_millis(1500));
+    assert_eq!(log.append(&new_change(1, "a")).await, AppendOutcome::Unknown);
+    await_late_writes(&fake).await;
+    assert_eq!(log.append(&new_change(1, "a")).await, AppendOutcome::Accepted);
+
+    fake.faults().set_down(true);
+    assert_eq!(log.append(&new_change(2, "b")).await, AppendOutcome::Unknown);
+    fake.faults().set_down(false);
+    assert_eq!(log.head().await.unwrap(), 1);
+    assert_eq!(log.append(&new_change(2, "c")).await, AppendOutcome::Accepted);
+    let winner = AppendOutcome::Conflict(Box::new(new_change(2, "c")));
+    assert_eq!(log.append(&new_change(2, "b")).await, winner);
+    assert_eq!(fake.history().len(), 4, "each revision is one head and one log row");
+}
+
+/// Guards against two operators who are both told "accepted" because neither set a mark, and
+/// against a revision that no configuration has.
+#[compio::test]
+async fn changes_without_a_mark_or_revision_are_never_mistaken() {
+    let (fake, _server, store) = serve_table().await;
+    let log = new_log(&store);
+    assert_eq!(log.append(&new_change(1, "")).await, AppendOutcome::Accepted);
+    assert!(matches!(log.append(&new_change(1, "")).await, AppendOutcome::Conflict(_)));
+    assert_eq!(log.append(&new_change(0, "a")).await, AppendOutcome::Unknown);
+    assert_eq!(fake.history().len(), 2);
+}
+
+/// Guards against a start that reads the whole log, or misses a change after the snapshot.
+#[compio::test]
+async fn a_start_reads_the_snapshot_and_the_later_rows() {
+    let (fake, _server, store) = serve_table().await;
+    let (objects, _object_server, object_store) = serve_objects().await;
+    let log = new_log(&store).with_objects(object_store);
+    assert_eq!(log.load().await.unwrap().revision(), 0);
+    append_up_to(&log, 63).await;
+    assert!(!log.write_snapshot(&snapshot_at(63)).await.unwrap(), "not due yet");
+    assert!(!log.write_snapshot(&snapshot_at(64)).await.unwrap(), "not accepted yet");
+    append_up_to(&log, 130).await;
+    assert!(log.is_snapshot_due(64) && !log.is_snapshot_due(65));
+
+    objects.faults().lose_answers(1);
+    fake.faults().lose_answers(1);
+    assert!(log.write_snapshot(&snapshot_at(64)).await.unwrap());
+    assert!(!log.write_snapshot(&snapshot_at(127)).await.unwrap(), "not due yet");
+    let next = snapshot_at(128);
+    let twice = futures_util::join!(log.write_snapshot(&next), log.write_snapshot(&next));
+    assert!(twice.0.unwrap() || twice.1.unwrap());
+    assert!(!log.write_snapshot(&snapshot_at(64)).await.unwrap(), "the newest stays");
+    assert_eq!(log.snapshot_revision().await.unwrap(), 128);
+    assert_eq!(objects.names().len(), 2);
+
+    let reads_before = fake.stats().reads;
+    let loaded = log.load().await.unwrap();
+    assert_eq!(loaded.snapshot, Some(snapshot_at(128)));
+    assert_eq!(loaded.changes, [new_change(129, "m129"), new_change(130, "m130")]);
+    assert_eq!(loaded.revision(), 130);
+    assert_eq!(fake.stats().reads - reads_before, 3);
+}
+
+/// Guards against an older snapshot that replaces a newer one, when its write is late.
+#[compio::test]
+async fn a_late_snapshot_never_replaces_a_newer_one() {
+    let (fake, _server, store) = serve_table().await;
+    let (_objects, _object_server, object_store) = serve_objects().await;
+    let log = new_log(&store).with_objects(object_store).with_snapshot_interval(2);
+    append_up_to(&log, 4).await;
+    fake.faults().delay_writes(4, Duration::from_millis(1500));
+    assert!(log.write_snapshot(&snapshot_at(2)).await.is_err());
+    assert!(log.write_snapshot(&snapshot_at(4)).await.unwrap());
+    await_late_writes(&fake).await;
+    assert_eq!(log.snapshot_revision().await.unwrap(), 4);
+}
+
+/// Guards against an older snapshot that replaces a newer one written while its object was stored.
+#[compio::test]
+async fn a_slow_snapshot_never_replaces_a_newer_one() {
+    let (_fake, _server, store) = serve_table().await;
+    let (objects, _object_server, object_store) = serve_objects().await;
+    let log = new_log(&store).with_objects(object_store).with_snapshot_interval(2);
+    append_up_to(&log, 4).await;
+    objects.faults().set_delay(Duration::from_millis(400));
+    let (older, newer) = (snapshot_at(2), snapshot_at(4));
+    let write_newer = async {
+        compio::time::sleep(Duration::from_millis(100)).await;
+        objects.faults().set_delay(Duration::ZERO);
+        log.write_snapshot(&newer).await
+    };
+    let (slow, fast) = futures_util::join!(log.write_snapshot(&older), write_newer);
+    assert!(slow.is_ok() && fast.unwrap());
+    assert_eq!(log.snapshot_revision().await.unwrap(), 4);
+}
+
+/// Guards against a start that fails, or begins with wrong entries, when a snapshot is lost.
+#[compio::test]
+async fn a_snapshot_that_cannot_be_read_is_replaced_by_the_log() {
+    let (_fake, _server, store) = serve_table().await;
+    let (objects, _object_server, object_store) = serve_objects().await;
+    let log = new_log(&store).with_objects(object_store).with_snapshot_interval(2);
+    append_up_to(&log, 3).await;
+    assert!(log.write_snapshot(&snapshot_at(2)).await.unwrap());
+    let whole_log = log.changes_after(0).await.unwrap();
+    objects.faults().set_down(true);
+    assert_eq!(log.load().await.unwrap().changes, whole_log);
+    objects.faults().set_down(false);
+    assert_eq!(log.load().await.unwrap().changes, whole_log[2..]);
+    let name = objects.names().remove(0);
+    let damaged = ConfigSnapshot { revision: 2, entry: vec![SnapshotEntry::default()] };
+    objects.overwrite(&name, encode_message(&damaged));
+    assert_eq!(log.load().await.unwrap().changes, whole_log);
+}
+
+/// Guards against a node that starts with a revision older than the head.
+#[compio::test]
+async fn a_missing_revision_is_an_error() {
+    let (_fake, _server, store) = serve_table().await;
+    let log = new_log(&store);
+    append_up_to(&log, 3).await;
+    let key = |revision: u64| RowKey::new(TableName::Config, "log", &format!("{revision:020}"));
+    let delete = |revision| vec![RowWrite::delete(key(revision), RowCondition::VersionIs(1))];
+    store.transact(delete(3)).await.unwrap();
+    assert_eq!(*log.load().await.unwrap_err().current_context(), LogError::Corrupt);
+    store.transact(delete(1)).await.unwrap();
+    assert_eq!(*log.changes_after(0).await.unwrap_err().current_context(), LogError::Corrupt);
+}
