--- a/crates/eelgrassdeal_cli/tests/commands.rs
+++ b/crates/eelgrassdeal_cli/tests/commands.rs
@@ -184,6 +184,29 @@
     assert!(shown.contains("replicas = 18") && shown.contains("state = \"out\""));
 }
 
+/// Guards against two changes that are valid by themselves but not together.
+#[compio::test]
+async fn the_merged_configuration_is_checked() {
+    let fixture = CommandFixture::new("merged").await;
+    fixture.run("apply", &[]).await;
+    let vm = |id: &str| {
+        format!(
+            "[[vm]]\nid = \"{id}\"\naddress = \"127.0.0.1:9999\"\ndata_centre = \"yul-a\"\n\
+             fabric_domain = \"yul-a-f1\"\naccelerators = 4\nfencing = \"ignored\"\n\n[[model]]"
+        )
+    };
+    fixture.edit("register.toml", "[[model]]", &vm("worker-51"));
+    assert_status(&fixture.run("apply", &["--author=ben"]).await, ExitStatus::Done);
+    fixture.edit("register.toml", "\"worker-51\"", "\"worker-52\"");
+    let report = fixture.run("apply", &["--base=1"]).await;
+    assert_status(&report, ExitStatus::Refused);
+    expect![[r#"
+        config_invalid: nothing was changed
+        vm "worker-52", address: VM "worker-51" has the same address
+    "#]]
+    .assert_eq(&report.text);
+}
+
 /// Guards against a change that is lost because another writer appended in between.
 #[compio::test]
 async fn racing_operators_are_both_accepted() {
@@ -246,6 +269,9 @@
     assert!(!report.text.contains(&good.handle.address().to_string()));
     assert_eq!(good.revision.get(), 1);
     assert_eq!(good.changes.borrow()[0].upsert.len(), 76, "every entry of the examples");
+    fixture.edit("register.toml", "state = \"in\"", "state = \"out\"");
+    assert_status(&fixture.run("apply", &[&good.argument(), &token]).await, ExitStatus::Done);
+    assert_eq!(good.revision.get(), 2, "pushed without --wait, too");
     fixture.edit("rules.toml", "replicas = 20", "replicas = 18");
     let report = fixture.run("apply", &[&good.argument(), &token, "--wait=5"]).await;
     assert_status(&report, ExitStatus::Done);
