Let idle spares take over while a group waits for its members

Cause: a group without spares in its domain waited 30 s before another was formed, although other domains had room. Ruled out: dissolving at once (a member that returns would find its group gone). Change: a group that waits does not count when idle spares of another domain have room; VMs of lower priorities are still taken only after the wait. The old group goes after 30 s, or the new one is given up when the members return. Without the mechanism idle_spares_take_over_while_a_group_waits fails.

--- a/crates/eelgrassdeal_control/src/planner/pass.rs
+++ b/crates/eelgrassdeal_control/src/planner/pass.rs
@@ -165,14 +165,22 @@
     }
 
     fn form(&mut self, rule: &'a ServeRule, model: &'a Model) {
-        let kept = self.of_rule(&rule.id).count();
-        for _ in kept..rule.replicas as usize {
+        let wanted = rule.replicas as usize;
+        while self.of_rule(&rule.id).count() < wanted {
             let is_formed = self.form_one(rule, model)
                 || (self.preempt(rule, model) && self.form_one(rule, model));
             if !is_formed {
                 return;
             }
         }
+        // Idle spares take over for a group that waits for its members; it goes when its wait is
+        // over, or the members return first and the new group is given up.
+        let is_whole = |draft: &&GroupDraft<'_>| !needs_repair(draft);
+        while self.of_rule(&rule.id).filter(is_whole).count() < wanted {
+            if !self.form_one(rule, model) {
+                return;
+            }
+        }
     }
 
     fn form_one(&mut self, rule: &ServeRule, model: &Model) -> bool {
--- a/crates/eelgrassdeal_control/tests/planner.rs
+++ b/crates/eelgrassdeal_control/tests/planner.rs
@@ -132,6 +132,29 @@
     assert!(survivor.members.iter().all(|member| fixture.fleet.vm_loss(member).is_none()));
 }
 
+/// Guards against idle spares while a group waits for its members, and against a second
+/// interruption when the members return before the wait is over.
+#[test]
+fn idle_spares_take_over_while_a_group_waits() {
+    let mut fixture = PlanFixture::new(&[("a", "a1", 2), ("a", "a2", 3)]);
+    fixture.set_model("m", "1", 2);
+    fixture.set_rule("m", 1, 0);
+    fixture.run(60);
+    fixture.lose("a1-w1");
+    fixture.step();
+    assert_eq!(fixture.group("m-2").fabric_domain, "a2");
+    let (fleet, vms) = (fixture.fleet.clone(), fixture.vms.clone());
+    let mut returned = PlanFixture { fleet, vms, now_unix_ms: fixture.now_unix_ms };
+    returned.run(20);
+    returned.remove("vm_loss", "a1-w1");
+    returned.run(31);
+    assert_eq!(returned.group("m-1").state, "serving", "serves while the new group may load");
+    returned.run(120);
+    assert_eq!(returned.count("m"), 1);
+    fixture.run(35);
+    assert_eq!(fixture.groups().iter().map(|group| &*group.id).collect::<Vec<_>>(), ["m-2"]);
+}
+
 /// Guards against a group that was only cut off for a moment and is dissolved all the same.
 #[test]
 fn a_member_that_returns_within_the_wait_changes_nothing() {
