Roll no group while a surplus group drains

Cause: with a smaller number of replicas and another group size in one edit, a surplus group and a group to be changed drained together; each unsettled the other, so both were called back and drained again every 33 s for ever. Ruled out: keeping a surplus group draining whatever happens to the others (a group whose members return while its replacement loads has to serve again). Change: a rule rolls only when none of its surplus groups is left. Before and after: edited_rules_and_sizes_move_groups_one_at_a_time found the fault (groups of the old size after 600 s) and passes; the property test did not find it in 300 fleets, and now also changes sizes, restricts and removes rules. Conclusion: such an edit ends with groups of the new size.

--- a/crates/eelgrassdeal_control/src/planner/pass.rs
+++ b/crates/eelgrassdeal_control/src/planner/pass.rs
@@ -268,7 +268,11 @@
         let is_quiet = (self.of_rule(&rule.id).filter(|draft| draft.record.id != id))
             .all(|draft| draft.is_out || (draft.is_healthy() && draft.is_settled));
         let kept = self.of_rule(&rule.id).count();
-        if !is_quiet || kept != rule.replicas as usize {
+        // A drain for a roll unsettles its group. While a surplus group drains, that would call the
+        // surplus group back and start both drains again.
+        let has_surplus =
+            self.drafts.iter().any(|draft| draft.record.rule == rule.id && draft.is_surplus);
+        if !is_quiet || has_surplus || kept != rule.replicas as usize {
             return;
         }
         let is_draining = self.drafts[at].is_draining();
--- a/crates/eelgrassdeal_control/tests/planner.rs
+++ b/crates/eelgrassdeal_control/tests/planner.rs
@@ -7,7 +7,7 @@
 use eelgrassdeal_control::{FleetConfig, GroupPlanner, plan_change};
 use eelgrassdeal_platform::{AppendOutcome, ConfigLog, MemoryTable, VmState};
 use eelgrassdeal_schema::config::config_entry::Body;
-use eelgrassdeal_schema::config::{ConfigChange, ConfigEntry, GroupRecord, Model};
+use eelgrassdeal_schema::config::{ConfigChange, ConfigEntry, GroupRecord, Model, ServeRule};
 use fixture::PlanFixture;
 
 /// Three data centres with two domains of four workers each.
@@ -424,3 +424,46 @@
     let is_fenced = |entry: &ConfigEntry| matches!(&entry.body, Some(Body::Group(group)) if group.fencing == winner.revision);
     assert!(winner.upsert.iter().all(is_fenced));
 }
+
+/// Guards against groups that stay where their rule no longer allows them or with a size that
+/// their model no longer has, and against a rule that loses all its groups at once by such an edit.
+#[test]
+fn edited_rules_and_sizes_move_groups_one_at_a_time() {
+    let mut fixture = PlanFixture::new(&[("a", "a1", 6), ("b", "b1", 6)]);
+    fixture.set_model("m", "1", 2);
+    fixture.set_rule("m", 3, 1);
+    fixture.run(60);
+    let rule = fixture.fleet.serve_rule("m").expect("rule").clone();
+    fixture.write(Body::Serve(ServeRule { data_centres: vec!["b".to_owned()], ..rule }));
+    let mut fewest = 3;
+    let mut run_and_count = |fixture: &mut PlanFixture| {
+        for _ in 0..600 {
+            fixture.run(1);
+            let serving = fixture.groups().iter().filter(|group| group.state == "serving").count();
+            fewest = fewest.min(serving);
+        }
+        fewest
+    };
+    assert_eq!(run_and_count(&mut fixture), 3, "spares in b take over first");
+    assert!(fixture.groups().iter().all(|group| group.data_centre == "b"));
+    fixture.set_model("m", "1", 3);
+    fixture.set_rule("m", 2, 1);
+    let rule = fixture.fleet.serve_rule("m").expect("rule").clone();
+    fixture.write(Body::Serve(ServeRule { data_centres: vec!["b".to_owned()], ..rule }));
+    assert_eq!(run_and_count(&mut fixture), 1);
+    assert_eq!(
+        fixture.groups().iter().map(|group| group.members.len()).collect::<Vec<_>>(),
+        [3, 3]
+    );
+}
+
+/// Guards against groups that outlive their rule.
+#[test]
+fn groups_without_a_rule_drain_and_go() {
+    let mut fixture = one_domain(3);
+    fixture.remove("serve", "m");
+    fixture.step();
+    assert!(fixture.groups().iter().all(|group| group.state == "draining"));
+    fixture.run(35);
+    assert!(fixture.groups().is_empty());
+}
--- a/crates/eelgrassdeal_control/tests/planner_properties.rs
+++ b/crates/eelgrassdeal_control/tests/planner_properties.rs
@@ -6,6 +6,7 @@
 
 use eelgrassdeal_control::check_fleet;
 use eelgrassdeal_platform::VmState;
+use eelgrassdeal_schema::config::config_entry::Body;
 use fixture::PlanFixture;
 use proptest::collection::vec;
 use proptest::prelude::*;
@@ -28,7 +29,9 @@
     DarkDomain(usize),
     ToggleCentre(usize),
     SetReplicas(usize, u32),
-    SetVersion(usize, u32),
+    SetModel(usize, u32, u32),
+    RestrictRule(usize, usize),
+    RemoveRule(usize),
     Wait(u64),
 }
 
@@ -43,7 +46,11 @@
         1 => (0..9usize).prop_map(FleetEvent::DarkDomain),
         2 => (0..3usize).prop_map(FleetEvent::ToggleCentre),
         2 => (0..3usize, 0..5u32).prop_map(|(rule, count)| FleetEvent::SetReplicas(rule, count)),
-        1 => (0..3usize, 1..3u32).prop_map(|(model, number)| FleetEvent::SetVersion(model, number)),
+        2 => (0..3usize, 1..3u32, 1..5u32)
+            .prop_map(|(model, version, size)| FleetEvent::SetModel(model, version, size)),
+        1 => (0..3usize, 0..4usize)
+            .prop_map(|(rule, centre)| FleetEvent::RestrictRule(rule, centre)),
+        1 => (0..3usize).prop_map(FleetEvent::RemoveRule),
         4 => (1..900u64).prop_map(FleetEvent::Wait),
     ]
 }
@@ -87,9 +94,16 @@
             fixture.set_centre(CENTRES[number], state);
         }
         Event::SetReplicas(rule, count) => fixture.set_rule(RULES[rule], count, rule as u32 / 2),
-        Event::SetVersion(model, number) => {
-            fixture.set_model(RULES[model], &number.to_string(), model as u32 + 1);
+        Event::SetModel(model, version, size) => {
+            fixture.set_model(RULES[model], &version.to_string(), size);
         }
+        Event::RestrictRule(rule, centre) => {
+            let Some(mut rule) = fixture.fleet.serve_rule(RULES[rule]).cloned() else { return };
+            rule.data_centres =
+                CENTRES.get(centre).map(|id| (*id).to_owned()).into_iter().collect();
+            fixture.write(Body::Serve(rule));
+        }
+        Event::RemoveRule(rule) => fixture.remove("serve", RULES[rule]),
         Event::Wait(seconds) => fixture.pass_time(seconds),
     }
 }
