Let callers name groups that are known to be ready

Cause: the configuration does not say when a group is ready, so the planner guesses from weights_bytes at 500 MB/s; for weights of 700 GB it waits 24 min between two steps of a roll and before it gives up replacements. Ruled out: a faster guess (the time in the queue of the weight store differs by a factor of 35 between the first and the last group of a data centre). Change: GroupPlanner::with_ready takes groups with the generation under which all members report ready; the guess stays for groups about which nothing is known. Before and after: a_roll_goes_on_when_groups_are_known_to_be_ready; a readiness of the generation before does not count.

--- a/crates/eelgrassdeal_cli/src/options.rs
+++ b/crates/eelgrassdeal_cli/src/options.rs
@@ -2,7 +2,7 @@
 
 use gumdrop::Options;
 
-/// Options of the process.
+/// Operators' command line of eelgrassdeal; see docs/operators.md.
 #[derive(Debug, Options)]
 pub struct CtlOptions {
     /// Print the help.
--- a/crates/eelgrassdeal_control/src/planner/draft.rs
+++ b/crates/eelgrassdeal_control/src/planner/draft.rs
@@ -46,7 +46,7 @@
         fleet: &FleetConfig,
         group: &'a GroupRecord,
         pool: &SparePool<'_>,
-        is_unready: bool,
+        is_ready: Option<bool>,
         now_unix_ms: u64,
     ) -> Self {
         let rule = fleet.serve_rule(&group.rule);
@@ -58,13 +58,14 @@
         };
         let age_of_group = age(EntryKind::Group, &group.id);
         let age_of_centre = age(EntryKind::DataCentre, &group.data_centre);
-        let is_young = age_of_group < settle_time(model) || age_of_centre < SETTLE_MARGIN;
+        let is_young = is_ready != Some(true)
+            && (age_of_group < settle_time(model) || age_of_centre < SETTLE_MARGIN);
         Self {
             missing: pool.missing_members(group),
             is_out,
             is_abandoned: is_out && age_of_centre >= rebuild_after(rule),
             is_outdated: is_outdated(group, rule, model),
-            is_settled: !is_unready && !is_out && !is_young,
+            is_settled: is_ready != Some(false) && !is_out && !is_young,
             is_young,
             is_surplus: false,
             has_rule: model.is_some(),
--- a/crates/eelgrassdeal_control/src/planner/mod.rs
+++ b/crates/eelgrassdeal_control/src/planner/mod.rs
@@ -9,8 +9,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use eelgrassdeal_platform::VmState;
-use eelgrassdeal_schema::config::{ConfigEntry, EntryKey};
-use eelgrassdeal_types::{GroupId, VmId};
+use eelgrassdeal_schema::config::{ConfigEntry, EntryKey, GroupRecord};
+use eelgrassdeal_types::{Generation, GroupId, VmId};
 
 use crate::fleet::FleetConfig;
 use pass::PlanPass;
@@ -53,6 +53,24 @@
     GroupPlanner::new(fleet, vms, now_unix_ms).plan()
 }
 
+/// What the caller knows about groups beside the configuration.
+#[derive(Clone, Debug, Default)]
+struct GroupReadiness {
+    ready: BTreeSet<(GroupId, Generation)>,
+    unready: BTreeSet<GroupId>,
+}
+
+impl GroupReadiness {
+    /// `None` for a group about which nothing is known.
+    fn of(&self, group: &GroupRecord) -> Option<bool> {
+        let is_ready = self.ready.contains(&(group.id.as_str().into(), group.generation));
+        match self.unready.contains(group.id.as_str()) {
+            true => Some(false),
+            false => is_ready.then_some(true),
+        }
+    }
+}
+
 /// The planner with optional knowledge about the groups.
 ///
 /// ```
@@ -66,24 +84,32 @@
     fleet: &'a FleetConfig,
     vms: &'a BTreeMap<VmId, VmState>,
     now_unix_ms: u64,
-    unready: BTreeSet<GroupId>,
+    readiness: GroupReadiness,
 }
 
 impl<'a> GroupPlanner<'a> {
     /// Plans for `fleet` as [`plan_groups`] does.
     pub fn new(fleet: &'a FleetConfig, vms: &'a BTreeMap<VmId, VmState>, now_unix_ms: u64) -> Self {
-        Self { fleet, vms, now_unix_ms, unready: BTreeSet::new() }
+        Self { fleet, vms, now_unix_ms, readiness: GroupReadiness::default() }
     }
 
     /// Names groups that are known not to be ready. No version is rolled on and no surplus group
     /// given up on their account.
     pub fn with_unready(mut self, groups: impl IntoIterator<Item = GroupId>) -> Self {
-        self.unready.extend(groups);
+        self.readiness.unready.extend(groups);
+        self
+    }
+
+    /// Names groups of which every member reports ready under this generation. They count as
+    /// settled at once; other groups do so after the time that their load may take, which is a
+    /// cautious guess (24 min for weights of 700 GB).
+    pub fn with_ready(mut self, groups: impl IntoIterator<Item = (GroupId, Generation)>) -> Self {
+        self.readiness.ready.extend(groups);
         self
     }
 
     /// Returns what to change.
     pub fn plan(self) -> GroupPlan {
-        PlanPass::new(self.fleet, self.vms, &self.unready, self.now_unix_ms).run()
+        PlanPass::new(self.fleet, self.vms, &self.readiness, self.now_unix_ms).run()
     }
 }
--- a/crates/eelgrassdeal_control/src/planner/pass.rs
+++ b/crates/eelgrassdeal_control/src/planner/pass.rs
@@ -6,11 +6,11 @@
 use eelgrassdeal_platform::VmState;
 use eelgrassdeal_schema::config::config_entry::Body;
 use eelgrassdeal_schema::config::{ConfigEntry, EntryKey, GroupRecord, Model, ServeRule};
-use eelgrassdeal_types::{GroupId, VmId};
+use eelgrassdeal_types::VmId;
 
-use super::GroupPlan;
 use super::draft::GroupDraft;
 use super::placement::{DomainKey, SparePool, is_allowed};
+use super::{GroupPlan, GroupReadiness};
 use crate::fleet::{EntryKind, FleetConfig};
 
 /// Works on drafts of the groups; the plan is the difference between the drafts and the records,
@@ -26,7 +26,7 @@
     pub(super) fn new(
         fleet: &'a FleetConfig,
         vms: &BTreeMap<VmId, VmState>,
-        unready: &BTreeSet<GroupId>,
+        readiness: &GroupReadiness,
         now_unix_ms: u64,
     ) -> Self {
         let pool = SparePool::new(fleet, vms);
@@ -41,8 +41,8 @@
         let drafts = fleet
             .groups()
             .map(|group| {
-                let is_unready = unready.contains(group.id.as_str());
-                GroupDraft::existing(fleet, group, &pool, is_unready, now_unix_ms)
+                let is_ready = readiness.of(group);
+                GroupDraft::existing(fleet, group, &pool, is_ready, now_unix_ms)
             })
             .collect();
         Self { fleet, pool, drafts, rules }
--- a/crates/eelgrassdeal_control/tests/planner.rs
+++ b/crates/eelgrassdeal_control/tests/planner.rs
@@ -352,6 +352,27 @@
     assert_eq!(fixture.groups().iter().map(|group| &*group.version).collect::<Vec<_>>(), ["2"]);
 }
 
+/// Guards against a roll that waits for a guessed load time although the groups are known to serve,
+/// and against one that goes on because a group was ready under the generation before.
+#[test]
+fn a_roll_goes_on_when_groups_are_known_to_be_ready() {
+    let mut fixture = one_domain(2);
+    fixture.set_model("m", "2", 2);
+    fixture.run(2);
+    let new = fixture.group("m-3");
+    let old = fixture.groups().into_iter().filter(|group| group.id != new.id);
+    let mut ready: Vec<_> = old.map(|group| (group.id.into(), group.generation)).collect();
+    let plan = |ready: &[_]| {
+        GroupPlanner::new(&fixture.fleet, &fixture.vms, fixture.now_unix_ms)
+            .with_ready(ready.iter().cloned())
+            .plan()
+    };
+    ready.push((new.id.as_str().into(), new.generation - 1));
+    assert!(plan(&ready).is_empty());
+    ready.push((new.id.as_str().into(), new.generation));
+    assert_eq!(plan(&ready).upsert.len(), 1, "an old group drains");
+}
+
 /// Guards against groups that keep a VM which the register no longer has or has elsewhere.
 #[test]
 fn an_edit_of_the_register_frees_the_group_of_the_vm() {
