--- a/crates/eelgrassdeal_control/src/planner/pass.rs
+++ b/crates/eelgrassdeal_control/src/planner/pass.rs
@@ -6,11 +6,11 @@
 use eelgrassdeal_platform::VmState;
 use eelgrassdeal_schema::config::config_entry::Body;
 use eelgrassdeal_schema::config::{ConfigEntry, EntryKey, GroupRecord, Model, ServeRule};
-use eelgrassdeal_types::{GroupId, VmId};
+use eelgrassdeal_types::VmId;
 
-use super::GroupPlan;
 use super::draft::GroupDraft;
 use super::placement::{DomainKey, SparePool, is_allowed};
+use super::{GroupPlan, GroupReadiness};
 use crate::fleet::{EntryKind, FleetConfig};
 
 /// Works on drafts of the groups; the plan is the difference between the drafts and the records,
@@ -26,7 +26,7 @@
     pub(super) fn new(
         fleet: &'a FleetConfig,
         vms: &BTreeMap<VmId, VmState>,
-        unready: &BTreeSet<GroupId>,
+        readiness: &GroupReadiness,
         now_unix_ms: u64,
     ) -> Self {
         let pool = SparePool::new(fleet, vms);
@@ -41,8 +41,8 @@
         let drafts = fleet
             .groups()
             .map(|group| {
-                let is_unready = unready.contains(group.id.as_str());
-                GroupDraft::existing(fleet, group, &pool, is_unready, now_unix_ms)
+                let is_ready = readiness.of(group);
+                GroupDraft::existing(fleet, group, &pool, is_ready, now_unix_ms)
             })
             .collect();
         Self { fleet, pool, drafts, rules }
@@ -165,14 +165,22 @@
     }
 
     fn form(&mut self, rule: &'a ServeRule, model: &'a Model) {
-        let kept = self.of_rule(&rule.id).count();
-        for _ in kept..rule.replicas as usize {
+        let wanted = rule.replicas as usize;
+        while self.of_rule(&rule.id).count() < wanted {
             let is_formed = self.form_one(rule, model)
                 || (self.preempt(rule, model) && self.form_one(rule, model));
             if !is_formed {
                 return;
             }
         }
+        // Idle spares take over for a group that waits for its members; it goes when its wait is
+        // over, or the members return first and the new group is given up.
+        let is_whole = |draft: &&GroupDraft<'_>| !needs_repair(draft);
+        while self.of_rule(&rule.id).filter(is_whole).count() < wanted {
+            if !self.form_one(rule, model) {
+                return;
+            }
+        }
     }
 
     fn form_one(&mut self, rule: &ServeRule, model: &Model) -> bool {
@@ -260,7 +268,11 @@
         let is_quiet = (self.of_rule(&rule.id).filter(|draft| draft.record.id != id))
             .all(|draft| draft.is_out || (draft.is_healthy() && draft.is_settled));
         let kept = self.of_rule(&rule.id).count();
-        if !is_quiet || kept != rule.replicas as usize {
+        // A drain for a roll unsettles its group. While a surplus group drains, that would call the
+        // surplus group back and start both drains again.
+        let has_surplus =
+            self.drafts.iter().any(|draft| draft.record.rule == rule.id && draft.is_surplus);
+        if !is_quiet || has_surplus || kept != rule.replicas as usize {
             return;
         }
         let is_draining = self.drafts[at].is_draining();
--- a/crates/eelgrassdeal_control/tests/planner.rs
+++ b/crates/eelgrassdeal_control/tests/planner.rs
@@ -7,7 +7,7 @@
 use eelgrassdeal_control::{FleetConfig, GroupPlanner, plan_change};
 use eelgrassdeal_platform::{AppendOutcome, ConfigLog, MemoryTable, VmState};
 use eelgrassdeal_schema::config::config_entry::Body;
-use eelgrassdeal_schema::config::{ConfigChange, ConfigEntry, GroupRecord, Model};
+use eelgrassdeal_schema::config::{ConfigChange, ConfigEntry, GroupRecord, Model, ServeRule};
 use fixture::PlanFixture;
 
 /// Three data centres with two domains of four workers each.
@@ -132,6 +132,29 @@
     assert!(survivor.members.iter().all(|member| fixture.fleet.vm_loss(member).is_none()));
 }
 
+/// Guards against idle spares while a group waits for its members, and against a second
+/// interruption when the members return before the wait is over.
+#[test]
+fn idle_spares_take_over_while_a_group_waits() {
+    let mut fixture = PlanFixture::new(&[("a", "a1", 2), ("a", "a2", 3)]);
+    fixture.set_model("m", "1", 2);
+    fixture.set_rule("m", 1, 0);
+    fixture.run(60);
+    fixture.lose("a1-w1");
+    fixture.step();
+    assert_eq!(fixture.group("m-2").fabric_domain, "a2");
+    let (fleet, vms) = (fixture.fleet.clone(), fixture.vms.clone());
+    let mut returned = PlanFixture { fleet, vms, now_unix_ms: fixture.now_unix_ms };
+    returned.run(20);
+    returned.remove("vm_loss", "a1-w1");
+    returned.run(31);
+    assert_eq!(returned.group("m-1").state, "serving", "serves while the new group may load");
+    returned.run(120);
+    assert_eq!(returned.count("m"), 1);
+    fixture.run(35);
+    assert_eq!(fixture.groups().iter().map(|group| &*group.id).collect::<Vec<_>>(), ["m-2"]);
+}
+
 /// Guards against a group that was only cut off for a moment and is dissolved all the same.
 #[test]
 fn a_member_that_returns_within_the_wait_changes_nothing() {
@@ -329,6 +352,27 @@
     assert_eq!(fixture.groups().iter().map(|group| &*group.version).collect::<Vec<_>>(), ["2"]);
 }
 
+/// Guards against a roll that waits for a guessed load time although the groups are known to serve,
+/// and against one that goes on because a group was ready under the generation before.
+#[test]
+fn a_roll_goes_on_when_groups_are_known_to_be_ready() {
+    let mut fixture = one_domain(2);
+    fixture.set_model("m", "2", 2);
+    fixture.run(2);
+    let new = fixture.group("m-3");
+    let old = fixture.groups().into_iter().filter(|group| group.id != new.id);
+    let mut ready: Vec<_> = old.map(|group| (group.id.into(), group.generation)).collect();
+    let plan = |ready: &[_]| {
+        GroupPlanner::new(&fixture.fleet, &fixture.vms, fixture.now_unix_ms)
+            .with_ready(ready.iter().cloned())
+            .plan()
+    };
+    ready.push((new.id.as_str().into(), new.generation - 1));
+    assert!(plan(&ready).is_empty());
+    ready.push((new.id.as_str().into(), new.generation));
+    assert_eq!(plan(&ready).upsert.len(), 1, "an old group drains");
+}
+
 /// Guards against groups that keep a VM which the register no longer has or has elsewhere.
 #[test]
 fn an_edit_of_the_register_frees_the_group_of_the_vm() {
@@ -401,3 +445,46 @@
     let is_fenced = |entry: &ConfigEntry| matches!(&entry.body, Some(Body::Group(group)) if group.fencing == winner.revision);
     assert!(winner.upsert.iter().all(is_fenced));
 }
+
+/// Guards against groups that stay where their rule no longer allows them or with a size that
+/// their model no longer has, and against a rule that loses all its groups at once by such an edit.
+#[test]
+fn edited_rules_and_sizes_move_groups_one_at_a_time() {
+    let mut fixture = PlanFixture::new(&[("a", "a1", 6), ("b", "b1", 6)]);
+    fixture.set_model("m", "1", 2);
+    fixture.set_rule("m", 3, 1);
+    fixture.run(60);
+    let rule = fixture.fleet.serve_rule("m").expect("rule").clone();
+    fixture.write(Body::Serve(ServeRule { data_centres: vec!["b".to_owned()], ..rule }));
+    let mut fewest = 3;
+    let mut run_and_count = |fixture: &mut PlanFixture| {
+        for _ in 0..600 {
+            fixture.run(1);
+            let serving = fixture.groups().iter().filter(|group| group.state == "serving").count();
+            fewest = fewest.min(serving);
+        }
+        fewest
+    };
+    assert_eq!(run_and_count(&mut fixture), 3, "spares in b take over first");
+    assert!(fixture.groups().iter().all(|group| group.data_centre == "b"));
+    fixture.set_model("m", "1", 3);
+    fixture.set_rule("m", 2, 1);
+    let rule = fixture.fleet.serve_rule("m").expect("rule").clone();
+    fixture.write(Body::Serve(ServeRule { data_centres: vec!["b".to_owned()], ..rule }));
+    assert_eq!(run_and_count(&mut fixture), 1);
+    assert_eq!(
+        fixture.groups().iter().map(|group| group.members.len()).collect::<Vec<_>>(),
+        [3, 3]
+    );
+}
+
+/// Guards against groups that outlive their rule.
+#[test]
+fn groups_without_a_rule_drain_and_go() {
+    let mut fixture = one_domain(3);
+    fixture.remove("serve", "m");
+    fixture.step();
+    assert!(fixture.groups().iter().all(|group| group.state == "draining"));
+    fixture.run(35);
+    assert!(fixture.groups().is_empty());
+}
