Measure the front-end cost of a node

Engine chunks carry the time of their write, so that the delay of every token is measured, not only the gap between two. `eelgrassdeal_testkit` gains `ChildProcess` (signals by id, processor time, resident memory).

Ruled out: reading the next answer on a connection right after `[DONE]`; hyper accepts the next request only after the end of the body, and all 200 callers stopped after one answer.

No change to the node is made.

--- a/crates/eelgrassdeal_standins/src/engine.rs
+++ b/crates/eelgrassdeal_standins/src/engine.rs
@@ -9,7 +9,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
 use eelgrassdeal_schema::engine::{ChatRequest, EngineStatus, GroupOrder};
@@ -673,8 +673,11 @@
         Some(token) => (json!({ "content": token }), Value::Null),
         None => (json!({}), json!("stop")),
     };
+    let sent_unix_us = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros();
     let chunk = json!({
         "object": "chat.completion.chunk",
+        // Measurements take the delay of each token from it.
+        "sent_unix_us": u64::try_from(sent_unix_us).unwrap_or(0),
         "model": chat.model,
         "choices": [{ "index": 0, "delta": delta, "finish_reason": finish_reason }],
     });
--- a/crates/eelgrassdeal_testkit/src/lib.rs
+++ b/crates/eelgrassdeal_testkit/src/lib.rs
@@ -7,12 +7,14 @@
 mod caller;
 mod fleet;
 mod node_thread;
+mod process;
 
 pub use caller::{ChatOutcome, ErrorReply, ServiceOutcome, TestCaller, chat_request};
 pub use fleet::{
     ACCOUNT_KEY, ADMIN_TOKEN, FleetSpec, MODEL, SERVICE, TestFleet, free_address, wait_until,
 };
 pub use node_thread::NodeThread;
+pub use process::{ChildProcess, pin_this_thread, sibling_binary};
 
 /// Writes log lines of level `info` to standard error, for the analysis of a test.
 pub fn log_to_stderr() {
