Measure the cost of control against the size of the fleet

Change: counters eelgrassdeal_control_bytes_total{purpose,direction} and eelgrassdeal_control_calls_total{purpose} at the HTTP adapters and at the probes.

Ruled out: reading bytes from the kernel, which keeps no account of them for one process.

--- a/crates/eelgrassdeal_measure/src/process_fleet.rs
+++ b/crates/eelgrassdeal_measure/src/process_fleet.rs
@@ -11,6 +11,7 @@
     ClientAccount, ConfigChange, ConfigEntry, DataCentre, Model, ServeRule, Service, Upstream, Vm,
 };
 use eelgrassdeal_schema::settings::{LimitSettings, LogSettings, NodeSettings};
+use eelgrassdeal_standins::CertificateFolder;
 use eelgrassdeal_testkit::{ACCOUNT_KEY, ChildProcess, MODEL, SERVICE};
 use eelgrassdeal_testkit::{free_address, sibling_binary, wait_until};
 use eelgrassdeal_types::{new_writer_mark, unix_ms_now};
@@ -88,7 +89,9 @@
             "0",
         ]);
         let service_process = start(&["service", "--listen", &service_text, "--work-ms", "0"]);
+        let authority = CertificateFolder::new(&folder.path).expect("an authority");
         let settings = NodeSettings {
+            peer_tls: Some(authority.issue(&["entry-0"]).expect("a certificate")),
             node: "entry-0".to_owned(),
             data_centre: "dc0".to_owned(),
             listen: node_address.to_string(),
--- a/crates/eelgrassdeal_node/src/admin.rs
+++ b/crates/eelgrassdeal_node/src/admin.rs
@@ -34,9 +34,27 @@
 pub(crate) fn metrics_text(state: &Rc<NodeState>) -> AnswerReply {
     metrics::gauge!("eelgrassdeal_in_flight").set(f64::from(state.in_flight.get()));
     metrics::gauge!("eelgrassdeal_connections").set(f64::from(state.connections.get()));
+    count_peer_bytes(state);
     text_reply(200, METRICS.get().map(PrometheusHandle::render).unwrap_or_default())
 }
 
+/// Brings the counters of control traffic up to the datagrams exchanged with peers.
+fn count_peer_bytes(state: &NodeState) {
+    let Some(client) = state.peers.borrow().clone() else { return };
+    let counters = client.counters();
+    let bytes = |direction| {
+        metrics::counter!(
+            "eelgrassdeal_control_bytes_total",
+            "purpose" => "peer",
+            "direction" => direction
+        )
+    };
+    bytes("sent").absolute(counters.values().map(|peer| peer.udp_bytes_sent).sum());
+    bytes("received").absolute(counters.values().map(|peer| peer.udp_bytes_received).sum());
+    metrics::counter!("eelgrassdeal_control_calls_total", "purpose" => "peer")
+        .absolute(counters.values().map(|peer| peer.messages_sent).sum());
+}
+
 /// Answers `GET /readyz`.
 pub(crate) fn readiness(state: &Rc<NodeState>) -> AnswerReply {
     match state.phase.get() {
--- a/crates/eelgrassdeal_node/src/fleet_sync/probe.rs
+++ b/crates/eelgrassdeal_node/src/fleet_sync/probe.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use eelgrassdeal_control::FleetConfig;
+use eelgrassdeal_platform::{count_control, head_size, request_size};
 use eelgrassdeal_routing::LoadReport;
 use eelgrassdeal_schema::config::{GroupRecord, Vm};
 use eelgrassdeal_schema::engine::{EngineStatus, GroupOrder};
@@ -140,7 +141,11 @@
 pub(crate) async fn read_status(state: &NodeState, address: &str) -> Option<EngineStatus> {
     let exchange = async {
         let builder = state.client.get(format!("http://{address}/status")).ok()?;
-        builder.send().await.ok()?.json().await.ok()
+        let response = builder.send().await.ok()?;
+        let head = head_size(response.headers());
+        let bytes = response.bytes().await.ok()?;
+        count_control("probe", request_size("/status", &[], 0), head + bytes.len());
+        serde_json::from_slice(&bytes).ok()
     };
     compio::time::timeout(PROBE_TIMEOUT, exchange).await.ok().flatten()
 }
--- a/crates/eelgrassdeal_platform/src/lib.rs
+++ b/crates/eelgrassdeal_platform/src/lib.rs
@@ -11,6 +11,7 @@
 mod ledger;
 mod object;
 mod table;
+mod traffic;
 mod vm_list;
 mod write_batch;
 
@@ -22,4 +23,5 @@
     HttpTableStore, MemoryTable, RowCondition, RowKey, RowRange, RowWrite, StoreError, StoreResult,
     StoredRow, TableName, TableStore, WriteAction,
 };
+pub use traffic::{count_control, head_size, request_size};
 pub use vm_list::{HttpVmList, VmList, VmState};
--- a/crates/eelgrassdeal_platform/src/table/http.rs
+++ b/crates/eelgrassdeal_platform/src/table/http.rs
@@ -17,6 +17,7 @@
     WriteAction,
 };
 use crate::http_call::HttpCaller;
+use crate::traffic::{count_control, head_size, request_size};
 
 /// A store that answers later than this counts as down.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -60,10 +61,13 @@
     }
 
     async fn call(&self, operation: &str, body: Value) -> StoreResult<Value> {
+        let purpose = call_purpose(operation, &body);
         let target = format!("{TARGET_PREFIX}{operation}");
         let headers = [("content-type", CONTENT_TYPE), ("x-amz-target", target.as_str())];
         let body = Bytes::from(body.to_string());
+        let sent = request_size("/", &headers, body.len());
         let answer = self.caller.call(Method::POST, "", &headers, body).await?;
+        count_control(purpose, sent, head_size(&answer.headers) + answer.body.len());
         let context = match (answer.status, serde_json::from_slice::<Value>(&answer.body)) {
             (200, Ok(value)) => return Ok(value),
             (400, Ok(value)) => refusal(&value),
@@ -130,6 +134,22 @@
     }
 }
 
+/// What a call is for, as the counters of control traffic name it.
+fn call_purpose(operation: &str, body: &Value) -> &'static str {
+    let write = body["TransactItems"][0].as_object().and_then(|write| write.values().next());
+    let table = write.unwrap_or(body)["TableName"].as_str().unwrap_or_default();
+    match (table, operation) {
+        ("config", "GetItem") => "head_read",
+        ("config", "Query") => "log_read",
+        ("config", _) => "log_append",
+        ("leases", _) => "lease",
+        ("nodes", _) => "heartbeat",
+        ("claims", _) => "claim",
+        ("suspects", _) => "suspect",
+        _ => "other",
+    }
+}
+
 fn key_json(key: &RowKey) -> Value {
     json!({ "pk": { "S": &*key.partition }, "sk": { "S": &*key.sort } })
 }
--- a/crates/eelgrassdeal_platform/src/vm_list.rs
+++ b/crates/eelgrassdeal_platform/src/vm_list.rs
@@ -16,6 +16,7 @@
 
 use crate::http_call::{HttpAnswer, HttpCaller};
 use crate::table::{StoreError, StoreResult};
+use crate::traffic::{count_control, head_size, request_size};
 
 /// The list is read every 2 s; a later answer is of no use.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -77,6 +78,8 @@
         let known = self.last.borrow().clone();
         let tag = known.as_ref().map(|list| ("if-none-match", list.tag.as_str()));
         let answer = self.caller.call(Method::GET, "", tag.as_slice(), Bytes::new()).await?;
+        let received = head_size(&answer.headers) + answer.body.len();
+        count_control("vm_list", request_size("/", tag.as_slice(), 0), received);
         match (answer.status, known) {
             (200, _) => self.keep(&answer),
             // The list for the tag that was sent, even if another call read a newer one meanwhile.
--- a/crates/eelgrassdeal_testkit/src/fleet.rs
+++ b/crates/eelgrassdeal_testkit/src/fleet.rs
@@ -424,7 +424,7 @@
         let authority = CertificateFolder::new(&temp_path("certificates")).expect("an authority");
         let mut bodies = Vec::new();
         for index in 0..self.spec.nodes {
-            let (listen, peer_listen) = (free_address(), free_udp_address());
+            let (listen, peer_listen) = (free_address(), free_address());
             let id = Self::node_id(index);
             let data_centre = Self::centre_id(index % self.spec.centres);
             self.vm_list.set(&id, Some("live"));
@@ -501,11 +501,6 @@
     }
 }
 
-fn free_udp_address() -> SocketAddr {
-    let socket = UdpSocket::bind(("127.0.0.1", 0)).expect("a free port");
-    socket.local_addr().expect("a local address")
-}
-
 fn data_centre(index: usize, state: &str) -> DataCentre {
     DataCentre {
         id: TestFleet::centre_id(index),
