Let the capacity measurement pass the lint and form groups

Cause: after the rebase onto the validation of the configuration, no group was formed: the planner refuses a model without weights_bytes.

--- a/crates/eelgrassdeal_measure/src/process_fleet.rs
+++ b/crates/eelgrassdeal_measure/src/process_fleet.rs
@@ -206,12 +206,12 @@
             id: MODEL.to_owned(),
             version: "1".to_owned(),
             vms_per_replica: 1,
+            weights_bytes: 1_000_000,
             slots: MANY,
             cold_slots: MANY,
             kv_tokens: u64::from(u32::MAX),
             ramp_step_ms: 100,
             first_token_target_ms: 500,
-            ..Model::default()
         }),
         Body::Service(Service {
             id: SERVICE.to_owned(),
