--- a/crates/eelgrassdeal_measure/src/capacity/mod.rs
+++ b/crates/eelgrassdeal_measure/src/capacity/mod.rs
@@ -16,9 +16,6 @@
 use fleet::CapacityFleet;
 use point::{CapacityPoint, FleetSize};
 
-/// Reads one figure from a measured point.
-type PointFigure = fn(&CapacityPoint) -> f64;
-
 /// The fleet around which each size is varied alone.
 const BASE: FleetSize = FleetSize { nodes: 28, replicas: 48 };
 const BASE_CHANGES: f64 = 4.0;
@@ -26,6 +23,9 @@
 const REPLICAS: [usize; 3] = [6, 48, 212];
 const CHANGES: [f64; 3] = [1.0, 4.0, 10.0];
 
+/// Reads one figure of a point.
+type FigureOf = fn(&CapacityPoint) -> f64;
+
 /// Options of `capacity`.
 #[derive(Debug, Options)]
 pub(crate) struct CapacityOptions {
@@ -91,7 +91,7 @@
 
 /// Prints slope and exponent of each figure against one size.
 fn print_fits(name: &str, points: &[CapacityPoint], size: impl Fn(&CapacityPoint) -> f64) {
-    let figures: [(&str, PointFigure); 6] = [
+    let figures: [(&str, FigureOf); 6] = [
         ("control_bytes_per_s", CapacityPoint::bytes_per_second),
         ("control_core_percent", |point| point.core_percent),
         ("resident_mb", |point| point.resident_mb),
--- a/crates/eelgrassdeal_node/tests/whole_path.rs
+++ b/crates/eelgrassdeal_node/tests/whole_path.rs
@@ -1,7 +1,5 @@
 //! The whole path: a caller, a node, a group of engines, a plain service.
 
-use std::time::Duration;
-
 use eelgrassdeal_standins::answer_text;
 use eelgrassdeal_testkit::{FleetSpec, TestCaller, TestFleet, chat_request};
 
@@ -24,14 +22,8 @@
     let caller = TestCaller::new(&fleet.node_addresses);
     let request = chat_request("appraise lot 8", 200);
     let (outcome, ()) = futures_util::join!(caller.chat(&request), async {
-        compio::time::sleep(Duration::from_millis(300)).await;
-        let config = fleet.config().await;
-        let busy = config.groups().find(|group| {
-            let leader = fleet.engine(&group.members[0]);
-            leader.status().running > 0
-        });
-        let group = busy.expect("a group runs the request");
-        fleet.engine(&group.members[1]).kill();
+        let members = fleet.busy_group().await;
+        fleet.engine(&members[1]).kill();
     });
     assert!(outcome.is_whole, "{outcome:?}");
     assert_eq!(outcome.text, answer_text(&request));
