Add store outages to the seeded call run, and wait for counts instead of times

Change: two outages of 100 ms in each seeded run; no wait after the last try; the table stand-in counts the calls that arrive, and the test waits for that count. Conclusion: at most once and "not run" hold through outages.

--- a/crates/eelgrassdeal_platform/src/config_log/mod.rs
+++ b/crates/eelgrassdeal_platform/src/config_log/mod.rs
@@ -221,7 +221,11 @@
         decode_message(&row.body).ok()
     }
 
+    /// Waits after try `number` of a write unless it is the last.
     async fn delay(&self, number: u32) {
+        if number + 1 >= WRITE_TRIES {
+            return;
+        }
         compio::time::sleep(self.first_delay.saturating_mul(1 << number.min(16))).await;
     }
 }
--- a/crates/eelgrassdeal_platform/src/ledger/mod.rs
+++ b/crates/eelgrassdeal_platform/src/ledger/mod.rs
@@ -300,13 +300,13 @@
                 }
                 Err(StoreError::Conflict { .. }) => {}
                 Err(_) => {
-                    self.delay(number).await;
+                    self.delay(number, FOREGROUND_TRIES).await;
                     continue;
                 }
             }
             // The row tells both who won and whether an unanswered write took effect.
             let Ok(Some(stored)) = self.store.get(row.key.clone()).await else {
-                self.delay(number).await;
+                self.delay(number, FOREGROUND_TRIES).await;
                 continue;
             };
             let judgement = row.judge(&stored, now_unix_ms)?;
@@ -365,7 +365,7 @@
                 if number + 1 >= FOREGROUND_TRIES {
                     waiting.take().map(|sender| sender.send(false));
                 }
-                self.delay(number).await;
+                self.delay(number, BACKGROUND_TRIES).await;
             }
             false
         };
@@ -401,8 +401,12 @@
         log::warn!("the record of call {key} of {account} is given up: {cause}");
     }
 
-    /// Waits before try `number + 1`. The random part spreads the retries of many nodes.
-    async fn delay(&self, number: u32) {
+    /// Waits after try `number` unless it is the last of `tries`. The random part spreads the
+    /// retries of many nodes.
+    async fn delay(&self, number: u32, tries: u32) {
+        if number + 1 >= tries {
+            return;
+        }
         let delay = self.first_delay.saturating_mul(1 << number.min(16)).min(MAX_DELAY);
         let share = rand::rng().random_range(0.5..1.0);
         compio::time::sleep(delay.mul_f64(share)).await;
--- a/crates/eelgrassdeal_platform/tests/call_history.rs
+++ b/crates/eelgrassdeal_platform/tests/call_history.rs
@@ -141,6 +141,17 @@
         }
     }
 
+    /// Takes the store down twice, at random times.
+    async fn run_outages(&self, seed: u64) {
+        let mut random = StdRng::seed_from_u64(seed);
+        for _ in 0..2 {
+            compio::time::sleep(Duration::from_millis(random.random_range(20..150))).await;
+            self.table.faults().set_down(true);
+            compio::time::sleep(Duration::from_millis(100)).await;
+            self.table.faults().set_down(false);
+        }
+    }
+
     async fn settle(&self) {
         self.table.faults().clear_mix();
         self.service.faults().lose_answers(0);
@@ -168,7 +179,7 @@
             fleet.run_caller(key, seed * 1000 + (number * CALLERS + caller) as u64, log)
         })
     });
-    join_all(callers).await;
+    futures_util::join!(join_all(callers), fleet.run_outages(seed));
     fleet.settle().await;
     let mut attempts: BTreeMap<String, Vec<Attempt>> = BTreeMap::new();
     for attempt in log.into_inner() {
--- a/crates/eelgrassdeal_platform/tests/ledger.rs
+++ b/crates/eelgrassdeal_platform/tests/ledger.rs
@@ -324,7 +324,7 @@
     let (hanging, other) = (key_at(NOW_MS), key_at(NOW_MS));
     let hang = ledger.claim("kamenko", &hanging, BODY, NOW_MS, NOW_MS + 100);
     let claim_other = async {
-        compio::time::sleep(Duration::from_millis(50)).await;
+        await_until("the first hangs", || fake.stats().calls == 1).await;
         fake.faults().set_delay(Duration::ZERO);
         // Less than the time limit of the hanging transaction.
         ledger.claim("kamenko", &other, BODY, NOW_MS, NOW_MS + 3000).await
--- a/crates/eelgrassdeal_standins/src/table.rs
+++ b/crates/eelgrassdeal_standins/src/table.rs
@@ -26,12 +26,14 @@
 
 type ItemKey = (String, String, String);
 
-/// Calls that were carried out.
+/// Counts of calls.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct TableStats {
-    /// `GetItem` and `Query` calls.
+    /// Calls that arrived, with those that met a fault.
+    pub calls: u64,
+    /// `GetItem` and `Query` calls that were carried out.
     pub reads: u64,
-    /// `TransactWriteItems` calls.
+    /// `TransactWriteItems` calls that were carried out.
     pub writes: u64,
     /// Writes that were taken, not answered, and are still to be carried out.
     pub waiting_writes: u64,
@@ -141,6 +143,7 @@
             }
             _ => {}
         }
+        self.count(|stats| stats.calls += 1);
         let plan = self.faults.plan();
         if plan.is_down {
             return None;
