--- a/crates/eelgrassdeal_routing/src/slot/holder.rs
+++ b/crates/eelgrassdeal_routing/src/slot/holder.rs
@@ -14,6 +14,11 @@
 /// Time between two reports when more requests wait than the owner knows of.
 const URGENT_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time after a change of the owner in which reports are sent more often, so that the new owner
+/// soon knows what runs.
+const SETTLE_TIME: Duration = Duration::from_secs(3);
+const SETTLE_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Load above this multiple of the average ends the prefix affinity.
 const AFFINITY_LOAD_FACTOR: f64 = 1.25;
 
@@ -110,6 +115,7 @@
 struct HeldReplica {
     owner: Option<NodeId>,
     epoch: u64,
+    switched: Option<Instant>,
     sequence: u64,
     sent: VecDeque<SentReport>,
     /// Newest answer that was applied; older ones are ignored.
@@ -119,6 +125,8 @@
     /// Newest answer from the present owner.
     answered: u64,
     allowance: Option<HeldAllowance>,
+    /// Limit of the replica and start identity of the upstream that the former owner told.
+    former_limit: Option<(u32, String)>,
     refusal: String,
     in_flight: Amount,
     /// Requests started since the load in the allowance was told.
@@ -159,9 +167,19 @@
     }
 
     fn due(&self) -> Option<Instant> {
+        let sent = self.last_sent()?;
         let is_urgent = self.demand.requests > self.reported_demand;
-        let interval = if is_urgent { URGENT_INTERVAL } else { REPORT_INTERVAL };
-        self.last_sent().map(|sent| sent + interval)
+        let is_settling = self.is_settling(sent);
+        let interval = match (is_urgent, is_settling) {
+            (true, _) => URGENT_INTERVAL,
+            (false, true) => SETTLE_INTERVAL,
+            (false, false) => REPORT_INTERVAL,
+        };
+        Some(sent + interval)
+    }
+
+    fn is_settling(&self, at: Instant) -> bool {
+        self.switched.is_some_and(|switched| at < switched + SETTLE_TIME)
     }
 
     /// Makes `owner` the present one, unless the former one may still count this node's report.
@@ -173,14 +191,28 @@
         }
         self.owner = Some(owner.clone());
         self.epoch += 1;
+        self.switched = Some(now);
         self.answered = 0;
         self.applied = self.sequence;
         self.floor = self.sequence + 1;
-        self.allowance = None;
+        let former = self.allowance.take();
+        self.former_limit = former.map(|held| (held.limit, held.target.upstream_start));
         self.sent.clear();
         true
     }
 
+    /// Limit and start identity for the report: a new owner goes on from the limit of the former
+    /// one, and a latency is of a certain start. Otherwise both are left out to save bytes.
+    fn told_limit(&self, now: Instant) -> (u32, String) {
+        match (&self.former_limit, &self.allowance) {
+            (Some((limit, start)), _) if self.is_settling(now) => (*limit, start.clone()),
+            (_, Some(held)) if !self.first_token.is_zero() => {
+                (0, held.target.upstream_start.clone())
+            }
+            _ => (0, String::new()),
+        }
+    }
+
     fn build_report(&mut self, now: Instant, replica: &ReplicaId) -> SlotReport {
         self.sequence += 1;
         let answered = self.answered;
@@ -192,7 +224,7 @@
         let oldest = self.sent.iter().find(is_active).map_or(self.sequence, |sent| sent.sequence);
         let low = self.sent.iter().find(|report| report.sequence == answered);
         let low = low.map_or_else(Amount::default, |report| report.low);
-        let known = self.allowance.as_ref();
+        let (limit, upstream_start) = self.told_limit(now);
         let report = SlotReport {
             replica: replica.to_string(),
             in_flight: self.in_flight.slots,
@@ -208,10 +240,8 @@
             in_flight_kv_low: low.kv,
             largest_kv: self.demand.largest_kv,
             first_token_ms: u32::try_from(self.first_token.as_millis()).unwrap_or(u32::MAX),
-            limit: known.map_or(0, |allowance| allowance.limit),
-            upstream_start: known
-                .map(|held| held.target.upstream_start.clone())
-                .unwrap_or_default(),
+            limit,
+            upstream_start,
         };
         self.first_token = Duration::ZERO;
         self.reported_demand = self.demand.requests;
--- a/crates/eelgrassdeal_routing/src/slot/owner.rs
+++ b/crates/eelgrassdeal_routing/src/slot/owner.rs
@@ -24,7 +24,8 @@
     pub load_lag: Duration,
     /// Whether the upstream reports its load.
     pub has_load_reports: bool,
-    /// Longest time that a request runs at an upstream that does not report its load.
+    /// Longest time that a request runs. An upstream without load reports gets new work from a
+    /// new owner only after it.
     pub longest_request: Duration,
 }
 
@@ -50,6 +51,8 @@
     samples: LoadHistory,
     /// Requests of nodes that this owner knows nothing of, started before its votes counted.
     unknown: u32,
+    /// Since when the votes of the whole set count here.
+    full_since: Option<Instant>,
     load: u32,
     generation: Generation,
     address: String,
@@ -69,6 +72,7 @@
             former: Vec::new(),
             samples: LoadHistory::default(),
             unknown: 0,
+            full_since: None,
             load: 0,
             generation: 0,
             address: String::new(),
@@ -91,6 +95,11 @@
         &self.ramp
     }
 
+    /// How the owner accounts.
+    pub fn settings(&self) -> OwnerSettings {
+        self.settings
+    }
+
     /// Takes over a changed declaration.
     pub fn set_settings(&mut self, settings: OwnerSettings) {
         self.settings = settings;
@@ -218,7 +227,7 @@
         if let Some((from, rest)) = measured {
             self.apply_unaccounted(now, from, rest);
         }
-        self.count_full_set(now);
+        self.forget_unknown(now);
     }
 
     /// Takes over that at most `rest` requests started before `from` are of unknown nodes.
@@ -249,20 +258,18 @@
         self.unknown = if has_new_vote { rest } else { self.unknown.min(rest) };
     }
 
-    /// With the votes of the whole set there is no other owner, and nothing is unknown.
-    fn count_full_set(&mut self, now: Instant) {
-        let is_ripe = |voter: &NodeId| {
+    /// Forgets what is unknown once the whole set has reported here for the longest time that a
+    /// request can run: by then the requests of former members have ended too.
+    fn forget_unknown(&mut self, now: Instant) {
+        let is_counted = |voter: &NodeId| {
             let reporter = self.reporters.get(voter);
-            reporter.is_some_and(|known| known.is_live(now) && known.ripe <= now)
+            reporter.is_some_and(|known| known.is_live(now) && known.is_counted)
         };
-        let ripe = self.voters.voters.iter().filter(|voter| is_ripe(voter)).count();
-        if ripe == self.voters.size && ripe > 0 {
+        let counted = self.voters.voters.iter().filter(|voter| is_counted(voter)).count();
+        if counted < self.voters.size {
+            self.full_since = None;
+        } else if now > *self.full_since.get_or_insert(now) + self.settings.longest_request {
             self.unknown = 0;
-            for voter in &self.voters.voters {
-                if let Some(reporter) = self.reporters.get_mut(voter) {
-                    reporter.is_counted = true;
-                }
-            }
         }
     }
 
