--- /dev/null
+++ b/crates/eelgrassdeal_routing/tests/ramp.rs
@@ -0,0 +1,85 @@
+//! The limit of a replica that warms up.
+
+use std::time::{Duration, Instant};
+
+use eelgrassdeal_routing::{RampSettings, RampState};
+use eelgrassdeal_types::StartId;
+
+const STEP: Duration = Duration::from_secs(10);
+const TARGET: Duration = Duration::from_millis(500);
+
+fn ramp(now: Instant) -> RampState {
+    let settings =
+        RampSettings { cold_slots: 2, slots: 12, step: STEP, first_token_target: TARGET };
+    let mut ramp = RampState::new(settings, now);
+    ramp.observe_start(now, &StartId::from("s1"));
+    ramp
+}
+
+/// Answers with `latency` during each of `steps` steps.
+fn run_steps(ramp: &mut RampState, now: &mut Instant, steps: u32, latency: Duration) {
+    for _ in 0..steps {
+        *now += STEP / 2;
+        ramp.observe_first_token(*now, latency);
+        *now += STEP / 2;
+        ramp.advance(*now);
+    }
+}
+
+/// Guards against full load on a cold engine.
+#[test]
+fn limit_doubles_with_each_healthy_step() {
+    let mut now = Instant::now();
+    let mut ramp = ramp(now);
+    let mut limits = vec![ramp.limit()];
+    for _ in 0..4 {
+        run_steps(&mut ramp, &mut now, 1, TARGET);
+        limits.push(ramp.limit());
+    }
+    assert_eq!(limits, [2, 4, 8, 12, 12]);
+}
+
+/// Guards against a limit that rises by idle time or by slow answers.
+#[test]
+fn limit_stays_without_healthy_answers() {
+    let mut now = Instant::now();
+    let mut ramp = ramp(now);
+    ramp.advance(now + STEP * 10);
+    assert_eq!(ramp.limit(), 2);
+    now += STEP * 10;
+    run_steps(&mut ramp, &mut now, 2, TARGET * 2);
+    assert_eq!(ramp.limit(), 2);
+}
+
+/// Guards against the warm limit for an engine that restarted or lost its caches.
+#[test]
+fn restart_or_slow_first_token_resets_the_limit() {
+    let mut now = Instant::now();
+    let mut ramp = ramp(now);
+    run_steps(&mut ramp, &mut now, 2, TARGET);
+    assert_eq!(ramp.limit(), 8);
+    ramp.observe_first_token(now, TARGET * 3);
+    assert_eq!(ramp.limit(), 8);
+    ramp.observe_first_token(now, TARGET * 3 + Duration::from_millis(1));
+    assert_eq!(ramp.limit(), 2);
+    run_steps(&mut ramp, &mut now, 2, TARGET);
+    ramp.observe_start(now, &StartId::from("s2"));
+    assert_eq!(ramp.limit(), 2);
+    // A new owner goes on from the limit of the same start only.
+    ramp.adopt(8, "s1");
+    assert_eq!(ramp.limit(), 2);
+    ramp.adopt(8, "s2");
+    assert_eq!(ramp.limit(), 8);
+}
+
+/// Guards against a surge on engines of a data centre that returns.
+#[test]
+fn return_to_service_halves_the_limit() {
+    let mut now = Instant::now();
+    let mut ramp = ramp(now);
+    run_steps(&mut ramp, &mut now, 3, TARGET);
+    ramp.return_to_service(now, &StartId::from("s1"));
+    assert_eq!(ramp.limit(), 6);
+    ramp.return_to_service(now, &StartId::from("s2"));
+    assert_eq!(ramp.limit(), 2);
+}
