Test owners of upstreams that report no load

Cause: the rule for plain services, to wait for the longest request, had no test. Seen without the wait, by mutation: the new owner grants before it.

--- a/crates/eelgrassdeal_routing/tests/slot_owner.rs
+++ b/crates/eelgrassdeal_routing/tests/slot_owner.rs
@@ -251,3 +251,16 @@
         assert_eq!(next.ramp().limit(), expected, "start {start}");
     }
 }
+
+/// Guards against a new owner of a plain service, which reports no load, that grants while
+/// requests of the former owner's time still run.
+#[test]
+fn without_load_reports_the_longest_request_is_awaited() {
+    let mut bench = Bench::new();
+    bench.owner.set_settings(OwnerSettings { has_load_reports: false, ..bench.owner.settings() });
+    let begin = bench.now + STEP;
+    let budgets = bench.run(4, LONGEST_REQUEST + Duration::from_secs(2));
+    let first = budgets.iter().find(|(_, budget)| *budget > 0).unwrap().0;
+    assert!(first - begin > LONGEST_REQUEST + Duration::from_secs(1), "{:?}", first - begin);
+    assert_eq!(bench.budget(), LIMIT);
+}
