--- a/crates/eelgrassdeal_measure/src/main.rs
+++ b/crates/eelgrassdeal_measure/src/main.rs
@@ -26,6 +26,14 @@
     Capacity(capacity::CapacityOptions),
     #[options(help = "service while a data centre leaves and returns")]
     Centre(centre::CentreOptions),
+    #[options(help = "overshoot and traffic of the division of slots among nodes")]
+    Slots(SlotsOptions),
+}
+
+#[derive(Debug, Options)]
+struct SlotsOptions {
+    #[options(help = "print this help")]
+    help: bool,
 }
 
 #[compio::main]
@@ -34,6 +42,7 @@
         Some(MeasureCommand::Front(options)) => front::run(&options).await,
         Some(MeasureCommand::Capacity(options)) => capacity::run(&options).await,
         Some(MeasureCommand::Centre(options)) => centre::run(&options).await,
+        Some(MeasureCommand::Slots(_)) => eelgrassdeal_measure::run_slots(),
         None => {
             eprintln!("{}", MeasureOptions::usage());
             std::process::exit(2);
--- a/crates/eelgrassdeal_routing/src/ramp.rs
+++ b/crates/eelgrassdeal_routing/src/ramp.rs
@@ -6,6 +6,8 @@
 
 /// A first-token time above this multiple of the target means that the engine is cold again.
 const COLD_LATENCY_FACTOR: u32 = 3;
+/// Time in which a new owner hears from every node: several report intervals.
+const ADOPT_TIME: Duration = Duration::from_secs(3);
 
 /// Declared capacity of a replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,13 +35,24 @@
     step_began: Instant,
     answers: u32,
     slow_answers: u32,
+    created: Instant,
+    has_reset: bool,
 }
 
 impl RampState {
     /// Starts at the cold limit.
     pub fn new(settings: RampSettings, now: Instant) -> Self {
         let limit = settings.cold_slots.min(settings.slots);
-        Self { settings, limit, start: None, step_began: now, answers: 0, slow_answers: 0 }
+        Self {
+            settings,
+            limit,
+            start: None,
+            step_began: now,
+            answers: 0,
+            slow_answers: 0,
+            created: now,
+            has_reset: false,
+        }
     }
 
     /// Limit of requests in flight over all nodes.
@@ -105,27 +118,26 @@
     }
 
     /// Continues from the limit that another owner reached for the same start of the engine.
-    pub fn adopt(&mut self, limit: u32, start: &str) {
-        if self.start.as_deref() == Some(start) {
+    ///
+    /// Only an owner that is new does so. Later the nodes still tell the limit of before a reset,
+    /// and to adopt it would undo the reset.
+    pub fn adopt(&mut self, now: Instant, limit: u32, start: &str) {
+        let is_new = !self.has_reset && now < self.created + ADOPT_TIME;
+        if is_new && self.start.as_deref() == Some(start) {
             self.limit = self.limit.max(limit.min(self.settings.slots));
         }
     }
 
-    /// Sets the limit for an engine whose data centre came back into service.
+    /// Sets the cold limit for an engine whose data centre came back into service.
     ///
-    /// An engine that kept its start identity continues with half of its limit, so that the
-    /// returning load does not arrive all at once; any other engine starts cold.
+    /// It may have turned cold while it got no requests, also without a new start identity.
     pub fn return_to_service(&mut self, now: Instant, start: &StartId) {
-        if self.start.as_ref() == Some(start) {
-            self.limit = (self.limit / 2).max(self.settings.cold_slots.min(self.settings.slots));
-            self.begin_step(now);
-        } else {
-            self.start = Some(start.clone());
-            self.reset(now);
-        }
+        self.start = Some(start.clone());
+        self.reset(now);
     }
 
     fn reset(&mut self, now: Instant) {
+        self.has_reset = true;
         self.limit = self.settings.cold_slots.min(self.settings.slots);
         self.begin_step(now);
     }
--- /dev/null
+++ b/crates/eelgrassdeal_routing/tests/ramp.rs
@@ -0,0 +1,112 @@
+//! The limit of a replica that warms up.
+
+use std::time::{Duration, Instant};
+
+use eelgrassdeal_routing::{RampSettings, RampState};
+use eelgrassdeal_types::StartId;
+
+const STEP: Duration = Duration::from_secs(10);
+const TARGET: Duration = Duration::from_millis(500);
+
+fn ramp(now: Instant) -> RampState {
+    let settings =
+        RampSettings { cold_slots: 2, slots: 12, step: STEP, first_token_target: TARGET };
+    let mut ramp = RampState::new(settings, now);
+    ramp.observe_start(now, &StartId::from("s1"));
+    ramp
+}
+
+/// Answers with `latency` during each of `steps` steps.
+fn run_steps(ramp: &mut RampState, now: &mut Instant, steps: u32, latency: Duration) {
+    for _ in 0..steps {
+        ramp.observe_first_token(*now, latency);
+        *now += STEP / 2;
+        ramp.observe_first_token(*now, latency);
+        *now += STEP / 2;
+        ramp.advance(*now);
+    }
+}
+
+/// Guards against full load on a cold engine.
+#[test]
+fn limit_doubles_with_each_healthy_step() {
+    let mut now = Instant::now();
+    let mut ramp = ramp(now);
+    let mut limits = vec![ramp.limit()];
+    for _ in 0..4 {
+        run_steps(&mut ramp, &mut now, 1, TARGET);
+        limits.push(ramp.limit());
+    }
+    assert_eq!(limits, [2, 4, 8, 12, 12]);
+}
+
+/// Guards against a limit that rises by idle time or by slow answers.
+#[test]
+fn limit_stays_without_healthy_answers() {
+    let mut now = Instant::now();
+    let mut ramp = ramp(now);
+    ramp.advance(now + STEP * 10);
+    assert_eq!(ramp.limit(), 2);
+    now += STEP * 10;
+    run_steps(&mut ramp, &mut now, 2, TARGET * 2);
+    assert_eq!(ramp.limit(), 2);
+}
+
+/// Guards against the warm limit for an engine that restarted or lost its caches.
+#[test]
+fn restart_or_slow_first_token_resets_the_limit() {
+    let mut now = Instant::now();
+    let mut ramp = ramp(now);
+    run_steps(&mut ramp, &mut now, 2, TARGET);
+    assert_eq!(ramp.limit(), 8);
+    ramp.observe_first_token(now, TARGET * 3);
+    assert_eq!(ramp.limit(), 8);
+    ramp.observe_first_token(now, TARGET * 3 + Duration::from_millis(1));
+    assert_eq!(ramp.limit(), 2);
+    run_steps(&mut ramp, &mut now, 2, TARGET);
+    ramp.observe_start(now, &StartId::from("s2"));
+    assert_eq!(ramp.limit(), 2);
+    // Nodes still tell the limit of before the reset.
+    ramp.adopt(now, 8, "s2");
+    assert_eq!(ramp.limit(), 2);
+}
+
+/// Guards against a new owner that starts over, or that takes the limit of another start.
+#[test]
+fn a_new_owner_goes_on_from_the_limit_of_the_same_start() {
+    let now = Instant::now();
+    let mut ramp = ramp(now);
+    ramp.adopt(now, 8, "s2");
+    assert_eq!(ramp.limit(), 2);
+    ramp.adopt(now, 8, "s1");
+    assert_eq!(ramp.limit(), 8);
+    ramp.adopt(now + STEP, 12, "s1");
+    assert_eq!(ramp.limit(), 8);
+}
+
+/// Guards against idle time that counts as the healthy step of an engine that has done nothing.
+#[test]
+fn a_step_begins_with_its_first_answer() {
+    let mut now = Instant::now();
+    let mut ramp = ramp(now);
+    now += STEP * 10;
+    ramp.observe_first_token(now, TARGET);
+    ramp.advance(now);
+    assert_eq!(ramp.limit(), 2);
+    ramp.advance(now + STEP);
+    assert_eq!(ramp.limit(), 4);
+}
+
+/// Guards against a surge on engines of a data centre that returns: they may have turned cold
+/// without a new start identity.
+#[test]
+fn return_to_service_starts_cold() {
+    let mut now = Instant::now();
+    let mut ramp = ramp(now);
+    run_steps(&mut ramp, &mut now, 3, TARGET);
+    assert_eq!(ramp.limit(), 12);
+    ramp.return_to_service(now, &StartId::from("s1"));
+    assert_eq!(ramp.limit(), 2);
+    ramp.return_to_service(now, &StartId::from("s2"));
+    assert_eq!(ramp.limit(), 2);
+}
