--- a/crates/eelgrassdeal_measure/src/lib.rs
+++ b/crates/eelgrassdeal_measure/src/lib.rs
@@ -1,1 +1,7 @@
-//! Placeholder
+//! Measurements of eelgrassdeal, each with a baseline policy in the same run.
+
+mod first_fit;
+mod fleet_events;
+mod groups;
+
+pub use groups::{GroupsOptions, measure_groups};
