--- a/crates/eelgrassdeal_measure/src/main.rs
+++ b/crates/eelgrassdeal_measure/src/main.rs
@@ -28,6 +28,8 @@
     Centre(centre::CentreOptions),
     #[options(help = "overshoot and traffic of the division of slots among nodes")]
     Slots(SlotsOptions),
+    #[options(help = "group downtime and stranded accelerators")]
+    Groups(eelgrassdeal_measure::GroupsOptions),
 }
 
 #[derive(Debug, Options)]
@@ -42,6 +44,9 @@
         Some(MeasureCommand::Front(options)) => front::run(&options).await,
         Some(MeasureCommand::Capacity(options)) => capacity::run(&options).await,
         Some(MeasureCommand::Centre(options)) => centre::run(&options).await,
+        Some(MeasureCommand::Groups(options)) => {
+            print!("{}", eelgrassdeal_measure::measure_groups(&options));
+        }
         Some(MeasureCommand::Slots(_)) => eelgrassdeal_measure::run_slots(),
         None => {
             eprintln!("{}", MeasureOptions::usage());
--- a/crates/eelgrassdeal_node/src/fleet_sync/plan.rs
+++ b/crates/eelgrassdeal_node/src/fleet_sync/plan.rs
@@ -74,8 +74,9 @@
     let fleet = state.fleet();
     let vms = state.vms.borrow().clone();
     let now_unix_ms = unix_ms_now();
-    let unready = state.slots.borrow().closed_groups(Instant::now());
+    let (ready, unready) = state.slots.borrow().group_readiness(Instant::now());
     let plan = GroupPlanner::new(&fleet, &vms, now_unix_ms)
+        .with_ready(ready)
         .with_unready(unready)
         .plan()
         .merge(watch.plan_nodes(&fleet))
--- a/crates/eelgrassdeal_node/src/slots/table.rs
+++ b/crates/eelgrassdeal_node/src/slots/table.rs
@@ -6,7 +6,7 @@
 use eelgrassdeal_control::FleetConfig;
 use eelgrassdeal_routing::{AdmissionQueue, PeerSuspicion, ReplicaLimit, SlotHolder, SlotPolicy};
 use eelgrassdeal_schema::admin::ReplicaStatus;
-use eelgrassdeal_types::{ModelId, NodeId, ReplicaId};
+use eelgrassdeal_types::{Generation, ModelId, NodeId, ReplicaId};
 
 use super::held::HeldSlot;
 use super::replica::{ReplicaEntry, ReplicaTarget};
@@ -107,14 +107,23 @@
             .any(|entry| entry.target == *target && entry.reporters.reporters().contains(node))
     }
 
-    /// Groups that this node reports and that do not serve now.
-    pub(crate) fn closed_groups(&self, now: Instant) -> Vec<ReplicaId> {
-        self.replicas
-            .iter()
-            .filter(|(_, entry)| !entry.members.is_empty())
-            .filter(|(id, _)| self.holder.owner(id).is_some() && !self.holder.is_open(now, id))
-            .map(|(id, _)| id.clone())
-            .collect()
+    /// Groups that this node reports: those that serve, by generation, and those that do not.
+    pub(crate) fn group_readiness(
+        &self,
+        now: Instant,
+    ) -> (Vec<(ReplicaId, Generation)>, Vec<ReplicaId>) {
+        let (mut ready, mut unready) = (Vec::new(), Vec::new());
+        for (id, entry) in &self.replicas {
+            let is_reported = !entry.members.is_empty() && self.holder.owner(id).is_some();
+            match self.holder.open_generation(now, id) {
+                _ if !is_reported => {}
+                Some(generation) if generation == entry.generation => {
+                    ready.push((id.clone(), generation));
+                }
+                _ => unready.push(id.clone()),
+            }
+        }
+        (ready, unready)
     }
 
     /// Tells the owners how much waits here.
--- a/crates/eelgrassdeal_node/tests/at_most_once.rs
+++ b/crates/eelgrassdeal_node/tests/at_most_once.rs
@@ -136,7 +136,7 @@
 async fn the_death_of_the_claiming_node_leaves_the_outcome_unknown() {
     let mut fleet = TestFleet::start_serving(FleetSpec::default()).await;
     for service in &fleet.services {
-        service.faults().set_delay(Duration::from_millis(400));
+        service.faults().set_delay(Duration::from_secs(2));
     }
     let caller = TestCaller::new(&fleet.node_addresses).with_deadline(Duration::from_millis(1_000));
     let key = TestCaller::new_key();
@@ -156,7 +156,7 @@
     drop(first);
     let during = caller.call_service(fleet.node_addresses[1], "book", Some(&key), "{}").await;
     assert_eq!(during.body["kind"], "call_in_progress", "{during:?}");
-    compio::time::sleep(Duration::from_millis(1_100)).await;
+    compio::time::sleep(deadline).await;
     let after = caller.call_service(fleet.node_addresses[1], "book", Some(&key), "{}").await;
     // The dead node's task may still have recorded the result; then it is replayed.
     assert!(after.outcome() == "outcome_unknown" || after.status == 200, "{after:?}");
--- a/crates/eelgrassdeal_routing/src/slot/holder.rs
+++ b/crates/eelgrassdeal_routing/src/slot/holder.rs
@@ -466,9 +466,13 @@
 
     /// Whether the owner grants allowances at `replica`, even if this node's is used up or 0.
     pub fn is_open(&self, now: Instant, replica: &ReplicaId) -> bool {
-        self.replicas
-            .get(replica)
-            .is_some_and(|held| held.valid_allowance(now).is_some() && held.refusal.is_empty())
+        self.open_generation(now, replica).is_some()
+    }
+
+    /// Generation for which the owner grants allowances at `replica`; `None` if it grants none.
+    pub fn open_generation(&self, now: Instant, replica: &ReplicaId) -> Option<Generation> {
+        let held = self.replicas.get(replica).filter(|held| held.refusal.is_empty())?;
+        held.valid_allowance(now).map(|allowance| allowance.target.generation)
     }
 
     /// Why the owner grants nothing at `replica`; empty if it did not say.
