Test daemons as processes under kill, pause and terminate signals

Cause: the tests of failures ran nodes in threads, which cannot be paused and do not end as a process does.

Engines keep the orders that they accepted. Calls between nodes are counted by purpose.

Ruled out: a caller that hangs up at its deadline; the node then drops the call before any check.

--- a/crates/eelgrassdeal_measure/src/capacity/point.rs
+++ b/crates/eelgrassdeal_measure/src/capacity/point.rs
@@ -75,7 +75,7 @@
         let column = match (name.split('{').next(), label("direction").as_deref()) {
             (Some("eelgrassdeal_control_bytes_total"), Some("sent")) => 0,
             (Some("eelgrassdeal_control_bytes_total"), Some("received")) => 1,
-            (Some("eelgrassdeal_control_calls_total"), _) => 2,
+            (Some("eelgrassdeal_control_calls_total" | "eelgrassdeal_peer_calls_total"), _) => 2,
             _ => continue,
         };
         if let (Some(purpose), Ok(value)) = (label("purpose"), value.parse()) {
--- a/crates/eelgrassdeal_node/src/slots/peer.rs
+++ b/crates/eelgrassdeal_node/src/slots/peer.rs
@@ -30,6 +30,7 @@
         let vm = fleet.vm(peer)?;
         PeerAddress { node: peer.clone(), address: vm.peer_address.parse().ok()? }
     };
+    metrics::counter!("eelgrassdeal_peer_calls_total", "purpose" => purpose_of(&body)).increment(1);
     let request = PeerRequest {
         node: state.node.to_string(),
         start_id: state.start_id.to_string(),
@@ -52,6 +53,18 @@
     }
 }
 
+/// What a call is for, as the counters name it.
+fn purpose_of(body: &RequestBody) -> &'static str {
+    match body {
+        RequestBody::Report(_) => "peer_report",
+        RequestBody::Revoke(_) => "peer_revoke",
+        RequestBody::PullConfig(_) => "peer_pull",
+        RequestBody::Strike(_) => "peer_strike",
+        RequestBody::Ping(_) => "peer_ping",
+        RequestBody::Probe(_) => "peer_probe",
+    }
+}
+
 fn note_reply(state: &Rc<NodeState>, peer: &NodeId, sent: Instant, reply: &PeerReply) {
     if reply.revision > state.fleet().revision() {
         pull_config(state, peer);
--- a/crates/eelgrassdeal_standins/src/engine.rs
+++ b/crates/eelgrassdeal_standins/src/engine.rs
@@ -158,6 +158,8 @@
     is_paused: bool,
     crashes: u32,
     runs: Vec<EngineRun>,
+    /// Orders that were accepted, oldest first.
+    orders: Vec<GroupOrder>,
     resume_faults: u32,
     stream_faults: VecDeque<StreamFault>,
 }
@@ -189,6 +191,7 @@
             is_paused: false,
             crashes: 0,
             runs: Vec::new(),
+            orders: Vec::new(),
             resume_faults: 0,
             stream_faults: VecDeque::new(),
         };
@@ -204,6 +207,11 @@
         self.state.borrow().runs.clone()
     }
 
+    /// Orders that the engine accepted, oldest first; a repeated order counts again.
+    pub fn orders(&self) -> Vec<GroupOrder> {
+        self.state.borrow().orders.clone()
+    }
+
     /// Most requests that ran at once.
     pub fn peak_running(&self) -> u32 {
         self.state.borrow().peak_running
@@ -380,6 +388,7 @@
             return json_reply(409, &json!({ "fencing": state.fencing }));
         }
         state.fencing = order.fencing;
+        state.orders.push(order.clone());
         if state.order == order && state.state != MemberState::Failed {
             return empty_reply(200);
         }
--- a/crates/eelgrassdeal_testkit/src/fleet.rs
+++ b/crates/eelgrassdeal_testkit/src/fleet.rs
@@ -9,11 +9,15 @@
 
 use eelgrassdeal_control::FleetConfig;
 use eelgrassdeal_node::with_defaults;
-use eelgrassdeal_platform::{AppendOutcome, ConfigLog, HttpTableStore};
+use eelgrassdeal_platform::{
+    AppendOutcome, ConfigLog, HttpTableStore, RowKey, TableName, TableStore,
+};
 use eelgrassdeal_schema::config::config_entry::Body;
 use eelgrassdeal_schema::config::{
     ClientAccount, ConfigChange, ConfigEntry, DataCentre, Model, ServeRule, Service, Upstream, Vm,
 };
+use eelgrassdeal_schema::decode_message;
+use eelgrassdeal_schema::records::LeaseRecord;
 use eelgrassdeal_schema::settings::{LimitSettings, NodeSettings};
 use eelgrassdeal_standins::{
     CertificateFolder, EngineFake, EngineOptions, ObjectFake, ServerHandle, ServiceFake, TableFake,
@@ -23,6 +27,7 @@
 use sha2::{Digest, Sha256};
 
 use crate::node_thread::NodeThread;
+use crate::process::ChildProcess;
 
 /// Model that every test fleet serves.
 pub const MODEL: &str = "appraiser";
@@ -70,6 +75,8 @@
     pub limits: LimitSettings,
     /// Slot policy of the nodes; empty for the default.
     pub slot_policy: String,
+    /// Binary of the daemon, to run each node as a process; `None` runs them in threads.
+    pub node_binary: Option<PathBuf>,
 }
 
 impl Default for FleetSpec {
@@ -91,6 +98,7 @@
             vm_list_lag: Duration::ZERO,
             limits: LimitSettings { locate_ttl_ms: 300, ..LimitSettings::default() },
             slot_policy: String::new(),
+            node_binary: None,
         }
     }
 }
@@ -113,6 +121,8 @@
     pub services: Vec<ServiceFake>,
     /// Nodes; `None` once killed.
     pub nodes: Vec<Option<NodeThread>>,
+    /// Nodes that run as processes; `None` once killed.
+    pub node_processes: Vec<Option<ChildProcess>>,
     /// HTTP addresses of the nodes.
     pub node_addresses: Vec<SocketAddr>,
     settings: Vec<NodeSettings>,
@@ -151,6 +161,7 @@
             engines: Vec::new(),
             services: Vec::new(),
             nodes: Vec::new(),
+            node_processes: Vec::new(),
             node_addresses: Vec::new(),
             settings: Vec::new(),
             log,
@@ -165,6 +176,7 @@
         fleet.apply(bodies).await;
         for index in 0..fleet.spec.nodes {
             fleet.nodes.push(None);
+            fleet.node_processes.push(None);
             fleet.restart_node(index).await;
         }
         fleet.handles.append(&mut handles);
@@ -255,7 +267,46 @@
     ///
     /// When the node cannot start.
     pub async fn restart_node(&mut self, index: usize) {
-        self.nodes[index] = Some(NodeThread::start(self.settings[index].clone()).await);
+        let settings = &self.settings[index];
+        match &self.spec.node_binary {
+            None => self.nodes[index] = Some(NodeThread::start(settings.clone()).await),
+            Some(binary) => {
+                let path = temp_path("node.toml");
+                let text = toml::to_string(settings).expect("settings");
+                std::fs::write(&path, text).expect("a settings file");
+                let arguments = ["--settings".as_ref(), path.as_os_str()];
+                let process = ChildProcess::spawn(binary, &arguments, None);
+                self.node_processes[index] = Some(process.expect("node starts"));
+            }
+        }
+    }
+
+    /// Process of a node.
+    ///
+    /// # Panics
+    ///
+    /// When the node does not run as a process.
+    pub fn node_process(&self, index: usize) -> &ChildProcess {
+        self.node_processes[index].as_ref().expect("a node that runs as a process")
+    }
+
+    /// Index of the node that the planner lease names.
+    pub async fn planner_node(&self) -> Option<usize> {
+        let client = cyper::Client::new().ok()?;
+        let store = HttpTableStore::new(client, &self.settings[0].table_url);
+        let key = RowKey::new(TableName::Leases, "lease", "planner");
+        let row = store.get(key).await.ok().flatten()?;
+        let record: LeaseRecord = decode_message(&row.body).ok()?;
+        (0..self.spec.nodes).find(|index| record.holder == Self::node_id(*index))
+    }
+
+    /// Every accepted revision, oldest first.
+    ///
+    /// # Panics
+    ///
+    /// When the log cannot be read.
+    pub async fn revisions(&self) -> Vec<ConfigChange> {
+        self.log.changes_after(0).await.expect("log can be read")
     }
 
     /// Newest configuration, read from the log.
