--- a/crates/eelgrassdeal_measure/src/main.rs
+++ b/crates/eelgrassdeal_measure/src/main.rs
@@ -2,6 +2,7 @@
 
 mod capacity;
 mod centre;
+mod failures;
 mod fast_caller;
 mod figures;
 mod front;
@@ -24,6 +25,8 @@
     Front(front::FrontOptions),
     #[options(help = "cost of control against nodes, replicas and configuration changes")]
     Capacity(capacity::CapacityOptions),
+    #[options(help = "failure arithmetic of the planned size")]
+    Failures(failures::FailureOptions),
     #[options(help = "service while a data centre leaves and returns")]
     Centre(centre::CentreOptions),
     #[options(help = "overshoot and traffic of the division of slots among nodes")]
@@ -43,6 +46,7 @@
         Some(MeasureCommand::Capacity(options)) => capacity::run(&options).await,
         Some(MeasureCommand::Centre(options)) => centre::run(&options).await,
         Some(MeasureCommand::Slots(_)) => eelgrassdeal_measure::run_slots(),
+        Some(MeasureCommand::Failures(options)) => failures::run(&options),
         None => {
             eprintln!("{}", MeasureOptions::usage());
             std::process::exit(2);
