Bound what a stopped reader holds, and detach it from its engine

Cause: a queue of 16 KiB did not bound a stream. hyper took as much again, the socket adapter allows 64 MiB, frames had twice the capacity they needed, and hyper read up to 408 KiB ahead from engines. Streams with an empty queue went past the global bound. A detached stream kept its queued bytes. Change: frames count until they are written to the socket; sockets have two buffers of 2 KiB; 8 KiB are read ahead from an upstream; the global bound is strict, and when it is reached streams without progress are detached after 50 ms. A detached stream gives its queued chunks back and fetches them again when the reader has drained what was written. Such a resume does not draw on the retry budget, and a stream has at most 64. Ruled out: a buffer of 4 KiB and frames with spare capacity, 175 KiB resident for each stream. Seen without each mechanism: no detach: the slot is still held after 20 s; no global bound: 63010 bytes where 24576 are allowed; no bound for a stream: 1045966 bytes where 16384 are allowed.

--- a/crates/eelgrassdeal_node/src/answer_queue.rs
+++ b/crates/eelgrassdeal_node/src/answer_queue.rs
@@ -6,6 +6,8 @@
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::task::{Context, Poll, Waker};
 
 use bytes::Bytes;
@@ -17,6 +19,8 @@
     limit: u64,
     held: Cell<u64>,
     peak: Cell<u64>,
+    /// Most bytes that one stream held, written to no socket yet.
+    stream_peak: Cell<usize>,
     /// One place for each queue; filled while the queue waits for room.
     waiting: RefCell<SlotMap<DefaultKey, Option<Waker>>>,
     has_waiting: Cell<bool>,
@@ -28,6 +32,7 @@
             limit,
             held: Cell::new(0),
             peak: Cell::new(0),
+            stream_peak: Cell::new(0),
             waiting: RefCell::new(SlotMap::new()),
             has_waiting: Cell::new(false),
         })
@@ -38,6 +43,16 @@
         self.held.get()
     }
 
+    /// Most bytes that were held at once.
+    pub(crate) fn peak(&self) -> u64 {
+        self.peak.get()
+    }
+
+    /// Most bytes that one stream held at once, with those that hyper had taken.
+    pub(crate) fn stream_peak(&self) -> usize {
+        self.stream_peak.get()
+    }
+
     /// Whether a stream waits for bytes of others to be given back.
     pub(crate) fn is_exhausted(&self) -> bool {
         self.has_waiting.get()
@@ -76,12 +91,40 @@
     text_bytes: usize,
 }
 
+/// A frame that is counted until its last byte was written to the socket.
+struct CountedFrame {
+    bytes: Vec<u8>,
+    /// Atomic only because `Bytes` may be sent to other threads.
+    unwritten: Arc<AtomicUsize>,
+}
+
+impl CountedFrame {
+    fn new(bytes: Vec<u8>, unwritten: &Arc<AtomicUsize>) -> Self {
+        unwritten.fetch_add(bytes.len(), Ordering::Relaxed);
+        Self { bytes, unwritten: unwritten.clone() }
+    }
+}
+
+impl AsRef<[u8]> for CountedFrame {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl Drop for CountedFrame {
+    fn drop(&mut self) {
+        self.unwritten.fetch_sub(self.bytes.len(), Ordering::Relaxed);
+    }
+}
+
 #[derive(Default)]
 struct QueueState {
     chunks: VecDeque<QueuedChunk>,
     bytes: usize,
-    /// Chunks that the connection took.
-    taken: u64,
+    /// Bytes of the queue and those that hyper has taken and not written yet.
+    unwritten: Arc<AtomicUsize>,
+    /// Bytes pushed in all, less those that were removed.
+    pushed: u64,
     is_finished: bool,
     is_cut: bool,
     is_closed: bool,
@@ -115,7 +158,8 @@
     budget: Rc<MemoryBudget>,
 }
 
-/// Makes a queue that holds at most `limit` bytes, or one chunk that is larger.
+/// Makes a queue that holds at most `limit` bytes, or one chunk that is larger. Bytes that hyper has
+/// taken and not yet written count as held.
 pub(crate) fn answer_queue(limit: usize, budget: &Rc<MemoryBudget>) -> (AnswerQueue, AnswerBody) {
     let state = Rc::new(RefCell::new(QueueState::default()));
     let place = budget.waiting.borrow_mut().insert(None);
@@ -131,7 +175,8 @@
             if state.is_closed {
                 return Poll::Ready(Err(CallerGone));
             }
-            let has_own_room = state.bytes == 0 || state.bytes + size <= self.limit;
+            let unwritten = state.unwritten.load(Ordering::Relaxed);
+            let has_own_room = unwritten == 0 || unwritten + size <= self.limit;
             if has_own_room && self.budget.has_room(size as u64) {
                 return Poll::Ready(Ok(()));
             }
@@ -144,11 +189,12 @@
         .await
     }
 
-    /// Waits until the connection has taken all chunks and has room for more.
+    /// Waits until the connection has written all chunks and asks for more.
     pub(crate) async fn wait_for_reader(&self) -> Result<(), CallerGone> {
         poll_fn(|context| {
             let mut state = self.state.borrow_mut();
-            match (state.is_closed, state.reader.is_some()) {
+            let is_drained = state.unwritten.load(Ordering::Relaxed) == 0;
+            match (state.is_closed, state.reader.is_some() && is_drained) {
                 (true, _) => Poll::Ready(Err(CallerGone)),
                 (false, true) => Poll::Ready(Ok(())),
                 (false, false) => {
@@ -162,13 +208,17 @@
 
     /// Queues a chunk that adds `text_bytes` of text. The caller of this function has waited for
     /// room.
-    pub(crate) fn push(&self, frame: Bytes, text_bytes: usize) -> Result<(), CallerGone> {
+    pub(crate) fn push(&self, frame: Vec<u8>, text_bytes: usize) -> Result<(), CallerGone> {
         let mut state = self.state.borrow_mut();
         if state.is_closed {
             return Err(CallerGone);
         }
         self.budget.take(frame.len() as u64);
         state.bytes += frame.len();
+        state.pushed += frame.len() as u64;
+        let frame = Bytes::from_owner(CountedFrame::new(frame, &state.unwritten));
+        let unwritten = state.unwritten.load(Ordering::Relaxed);
+        self.budget.stream_peak.set(self.budget.stream_peak.get().max(unwritten));
         state.chunks.push_back(QueuedChunk { frame, text_bytes });
         wake(&mut state.reader);
         Ok(())
@@ -185,14 +235,16 @@
         // The space of a full queue is given back too.
         state.chunks.shrink_to_fit();
         let bytes = std::mem::take(&mut state.bytes);
+        state.pushed -= bytes as u64;
         drop(state);
         self.budget.give_back(bytes as u64);
         removed
     }
 
-    /// Chunks that the connection has taken.
-    pub(crate) fn taken(&self) -> u64 {
-        self.state.borrow().taken
+    /// Bytes that the connection has written.
+    pub(crate) fn written(&self) -> u64 {
+        let state = self.state.borrow();
+        state.pushed - state.unwritten.load(Ordering::Relaxed) as u64
     }
 
     /// Whether no chunk is queued.
@@ -244,7 +296,6 @@
         match state.chunks.pop_front() {
             Some(QueuedChunk { frame, .. }) => {
                 state.bytes -= frame.len();
-                state.taken += 1;
                 wake(&mut state.writer);
                 drop(state);
                 self.budget.give_back(frame.len() as u64);
--- a/crates/eelgrassdeal_node/src/chat/attempt.rs
+++ b/crates/eelgrassdeal_node/src/chat/attempt.rs
@@ -40,6 +40,9 @@
     failed_attempts: u32,
     /// Whether any byte of the request may have left for an engine.
     has_sent: bool,
+    /// Whether the next attempt continues a stream that its reader had stopped. No replica failed,
+    /// so it does not draw on the retry budget.
+    is_resume_allowed: bool,
     /// Replicas that failed this request, and when.
     avoid: Vec<(ReplicaId, Instant)>,
 }
@@ -47,7 +50,15 @@
 impl AttemptStarter {
     pub(crate) fn new(state: Rc<NodeState>, chat_call: ChatCall) -> Self {
         let target = ReplicaTarget::Model(chat_call.chat.model.clone());
-        Self { state, chat_call, target, failed_attempts: 0, has_sent: false, avoid: Vec::new() }
+        Self {
+            state,
+            chat_call,
+            target,
+            failed_attempts: 0,
+            has_sent: false,
+            is_resume_allowed: false,
+            avoid: Vec::new(),
+        }
     }
 
     /// Starts the next attempt, and tries replicas until one runs the request.
@@ -93,6 +104,11 @@
         self.avoid.push((replica, Instant::now()));
     }
 
+    /// Lets the next attempt start without drawing on the retry budget.
+    pub(crate) fn allow_resume(&mut self) {
+        self.is_resume_allowed = true;
+    }
+
     /// Whether the replica is much slower than others of the model.
     pub(crate) fn is_straggler(&self, replica: &ReplicaId) -> bool {
         self.stragglers().contains(replica)
@@ -142,7 +158,7 @@
                 retries.note_request(&slot.replica, now);
                 return Some(slot);
             }
-            if retries.take_retry(&slot.replica, now) {
+            if self.is_resume_allowed || retries.take_retry(&slot.replica, now) {
                 return Some(slot);
             }
             avoid.push(slot.replica.clone());
@@ -155,6 +171,7 @@
         slot: HeldSlot,
         progress: &AnswerProgress,
     ) -> Result<Option<RunningAttempt>, CallError> {
+        self.is_resume_allowed = false;
         let request = self.engine_request(progress)?;
         let patience = HEAD_PATIENCE.min(self.chat_call.call.time_left());
         let sent = compio::time::timeout(patience, send_request(&slot.address, request)).await;
--- a/crates/eelgrassdeal_node/src/chat/event.rs
+++ b/crates/eelgrassdeal_node/src/chat/event.rs
@@ -99,17 +99,18 @@
 }
 
 /// Frame of one part of an answer.
-pub(crate) fn chunk_frame(offset: u64, data: &str) -> Bytes {
-    Bytes::from(format!("id: {offset}\ndata: {data}\n\n"))
+pub(crate) fn chunk_frame(offset: u64, data: &str) -> Vec<u8> {
+    // Frames are held for slow readers, so they have no spare capacity.
+    [format!("id: {offset}\n").as_bytes(), b"data: ", data.as_bytes(), b"\n\n"].concat()
 }
 
 /// Frame that ends a whole answer.
-pub(crate) fn done_frame() -> Bytes {
-    Bytes::from(format!("data: {DONE_DATA}\n\n"))
+pub(crate) fn done_frame() -> Vec<u8> {
+    format!("data: {DONE_DATA}\n\n").into_bytes()
 }
 
 /// Frame that ends an answer that is not whole.
-pub(crate) fn error_frame(error: &CallError, request_id: &str) -> Bytes {
+pub(crate) fn error_frame(error: &CallError, request_id: &str) -> Vec<u8> {
     let body = serde_json::to_string(&error_body(error, request_id)).unwrap_or_default();
-    Bytes::from(format!("event: error\ndata: {body}\n\n"))
+    format!("event: error\ndata: {body}\n\n").into_bytes()
 }
--- a/crates/eelgrassdeal_node/src/chat/relay.rs
+++ b/crates/eelgrassdeal_node/src/chat/relay.rs
@@ -31,6 +31,8 @@
     Broken,
     /// The caller reads too slowly; the answer goes on when there is room.
     Stalled,
+    /// Other streams need the bytes that this one holds.
+    Evicted,
     /// Another replica is much faster.
     Straggling,
     CallerGone,
@@ -117,8 +119,9 @@
                     let moved = self.starter.start_elsewhere(&replica, &self.progress).await;
                     self.attempt = Some(moved.unwrap_or(attempt));
                 }
-                AttemptEnd::Stalled => {
+                AttemptEnd::Stalled | AttemptEnd::Evicted => {
                     drop(attempt);
+                    self.stall_resumes += u32::from(matches!(end, AttemptEnd::Stalled));
                     if let Err(end) = self.wait_out_stall(sink).await {
                         return end;
                     }
@@ -186,6 +189,7 @@
                         Ok(()) => self.progress.note_delivered(&text, is_last),
                         Err(SinkFailure::CallerGone) => return AttemptEnd::CallerGone,
                         Err(SinkFailure::Stalled) => return AttemptEnd::Stalled,
+                        Err(SinkFailure::Evicted) => return AttemptEnd::Evicted,
                         Err(SinkFailure::TooLarge) => return AttemptEnd::TooLarge,
                     }
                     metrics::counter!("eelgrassdeal_tokens_total").increment(1);
@@ -219,7 +223,6 @@
         let AnswerSink::Stream(queue) = sink else { return Ok(()) };
         self.progress.go_back(queue.remove_queued());
         metrics::counter!("eelgrassdeal_stalled_streams_total").increment(1);
-        self.stall_resumes += 1;
         if self.stall_resumes > MAX_STALL_RESUMES {
             let text = "the caller read too slowly";
             return Err(AnswerEnd::Failed(CallError::new(ErrorKind::AnswerIncomplete, text)));
@@ -229,7 +232,10 @@
             queue.wait_for_room(1).await
         };
         match compio::time::timeout(self.call().time_left(), reader).await {
-            Ok(Ok(())) => Ok(()),
+            Ok(Ok(())) => {
+                self.starter.allow_resume();
+                Ok(())
+            }
             // A reader that has not read until its deadline is cut off.
             Ok(Err(_)) | Err(_) => Err(AnswerEnd::CallerGone),
         }
@@ -253,7 +259,7 @@
     }
 
     /// Queues the frame that ends the stream.
-    async fn push_last(&self, queue: AnswerQueue, frame: Bytes, patience: Duration) {
+    async fn push_last(&self, queue: AnswerQueue, frame: Vec<u8>, patience: Duration) {
         let room = queue.wait_for_room(frame.len());
         if let Ok(Ok(())) = compio::time::timeout(patience, room).await {
             let _ = queue.push(frame, 0);
--- a/crates/eelgrassdeal_node/src/chat/sink.rs
+++ b/crates/eelgrassdeal_node/src/chat/sink.rs
@@ -22,6 +22,8 @@
     CallerGone,
     /// The caller has read nothing for a while.
     Stalled,
+    /// Other streams need the bytes that this one holds.
+    Evicted,
     TooLarge,
 }
 
@@ -80,20 +82,21 @@
     budget: &MemoryBudget,
     patience: Duration,
 ) -> Result<(), SinkFailure> {
-    let (mut taken, mut progress_at) = (queue.taken(), Instant::now());
+    let (mut written, mut progress_at) = (queue.written(), Instant::now());
     loop {
         let room = queue.wait_for_room(size);
         if let Ok(room) = compio::time::timeout(READER_POLL.min(patience), room).await {
             return Ok(room?);
         }
-        if queue.taken() != taken {
-            (taken, progress_at) = (queue.taken(), Instant::now());
+        if queue.written() != written {
+            (written, progress_at) = (queue.written(), Instant::now());
         }
         // Others wait for the bytes of this queue.
         let is_needed = budget.is_exhausted() && !queue.is_empty();
-        let patience = if is_needed { READER_POLL.min(patience) } else { patience };
-        if progress_at.elapsed() >= patience {
-            return Err(SinkFailure::Stalled);
+        match progress_at.elapsed() {
+            waited if waited >= patience => return Err(SinkFailure::Stalled),
+            waited if is_needed && waited >= READER_POLL => return Err(SinkFailure::Evicted),
+            _ => {}
         }
     }
 }
--- a/crates/eelgrassdeal_node/src/http/mod.rs
+++ b/crates/eelgrassdeal_node/src/http/mod.rs
@@ -8,12 +8,13 @@
 use std::time::Duration;
 
 use compio::net::{TcpListener, TcpStream};
-use cyper_core::{CompioTimer, HyperStream};
+use cyper_core::CompioTimer;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request};
 
+use crate::socket::BoundedSocket;
 use crate::state::{NodePhase, NodeState};
 use crate::{admin, call, chat, locate, service_call};
 
@@ -22,6 +23,9 @@
     AnswerReply, error_body, error_reply, json_reply, raw_reply, stream_reply, text_reply,
 };
 
+/// A caller that takes no byte for this long is cut off. It is as long as the longest drain, so
+/// that a caller that stops reading for a while can still read on.
+const WRITE_PATIENCE: Duration = Duration::from_secs(600);
 const SERVICE_PREFIX: &str = "/v1/services/";
 
 /// Accepts connections until the task is dropped.
@@ -42,7 +46,7 @@
 }
 
 async fn serve_connection(state: Rc<NodeState>, stream: TcpStream) {
-    state.connections.set(state.connections.get() + 1);
+    let _open = OpenConnection::new(&state);
     // A token must not wait for the acknowledgement of the one before.
     let _ = stream.set_nodelay(true);
     let limits = state.limits;
@@ -55,11 +59,26 @@
         .timer(CompioTimer)
         .header_read_timeout(Duration::from_millis(u64::from(limits.header_timeout_ms)))
         .max_buf_size(limits.max_header_bytes as usize)
-        .serve_connection(HyperStream::new_plain(stream), service);
+        .serve_connection(BoundedSocket::new_plain(stream, WRITE_PATIENCE), service);
     if let Err(error) = connection.await {
         log::debug!("connection ended: {error}");
     }
-    state.connections.set(state.connections.get() - 1);
+}
+
+/// Counts a connection while it is open.
+struct OpenConnection(Rc<NodeState>);
+
+impl OpenConnection {
+    fn new(state: &Rc<NodeState>) -> Self {
+        state.connections.set(state.connections.get() + 1);
+        Self(state.clone())
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.connections.set(self.0.connections.get().saturating_sub(1));
+    }
 }
 
 async fn route_request(state: Rc<NodeState>, request: Request<Incoming>) -> AnswerReply {
--- a/crates/eelgrassdeal_node/src/lib.rs
+++ b/crates/eelgrassdeal_node/src/lib.rs
@@ -19,6 +19,7 @@
 mod retry_budget;
 mod service_call;
 mod settings;
+mod socket;
 mod state;
 mod trace;
 mod upstream_client;
--- a/crates/eelgrassdeal_node/src/lifecycle.rs
+++ b/crates/eelgrassdeal_node/src/lifecycle.rs
@@ -61,6 +61,26 @@
         self.state.fleet().revision()
     }
 
+    /// Bytes queued for all callers now.
+    pub fn buffered_bytes(&self) -> u64 {
+        self.state.memory.held()
+    }
+
+    /// Most bytes that were queued for all callers at once.
+    pub fn peak_buffered_bytes(&self) -> u64 {
+        self.state.memory.peak()
+    }
+
+    /// Most bytes that were held for one caller at once and not written to its socket.
+    pub fn peak_stream_bytes(&self) -> usize {
+        self.state.memory.stream_peak()
+    }
+
+    /// Requests that hold a slot of a replica now.
+    pub fn in_flight(&self) -> u32 {
+        self.state.in_flight.get()
+    }
+
     /// Leaves the locator, waits until cached answers of it have expired, refuses new work, and
     /// returns when no request is in flight.
     pub async fn shut_down(self) {
--- a/crates/eelgrassdeal_node/src/upstream_client.rs
+++ b/crates/eelgrassdeal_node/src/upstream_client.rs
@@ -9,12 +9,15 @@
 
 use bytes::Bytes;
 use compio::net::TcpStream;
-use cyper_core::HyperStream;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::{Request, Response};
 
+use crate::socket::{BoundedSocket, UPSTREAM_BUFFER_BYTES};
+
+/// An upstream that takes no byte of a request for this long hangs.
+const WRITE_PATIENCE: Duration = Duration::from_secs(10);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Why there is no answer.
@@ -44,8 +47,11 @@
     };
     // Requests are small; waiting to fill a segment only delays them.
     let _ = stream.set_nodelay(true);
-    let (mut sender, connection) =
-        http1::handshake(HyperStream::new_plain(stream)).await.map_err(|_| SendFailure::NotSent)?;
+    let (mut sender, connection) = http1::Builder::new()
+        .max_buf_size(UPSTREAM_BUFFER_BYTES)
+        .handshake(BoundedSocket::new_plain(stream, WRITE_PATIENCE))
+        .await
+        .map_err(|_| SendFailure::NotSent)?;
     compio::runtime::spawn(async move {
         if let Err(error) = connection.await {
             log::debug!("upstream connection ended: {error}");
--- a/crates/eelgrassdeal_standins/src/engine.rs
+++ b/crates/eelgrassdeal_standins/src/engine.rs
@@ -59,6 +59,8 @@
     pub restart_time: Duration,
     /// How often rank 0 checks the other members.
     pub member_check: Duration,
+    /// Bytes added to each event of a stream, so that the buffers of the kernel are full sooner.
+    pub event_padding: usize,
 }
 
 impl Default for EngineOptions {
@@ -77,6 +79,7 @@
             load_lag: Duration::ZERO,
             restart_time: Duration::from_millis(500),
             member_check: Duration::from_millis(100),
+            event_padding: 0,
         }
     }
 }
@@ -498,8 +501,11 @@
         compio::time::sleep(self.options.first_token * self.slowdown.get()).await;
         let total = u64::from(chat.max_tokens);
         let fault = self.state.borrow_mut().stream_faults.pop_front();
-        let token_event =
-            |offset| Ok(Frame::data(chunk_event(chat, offset, Some(&answer_token(chat, offset)))));
+        let padding = self.options.event_padding;
+        let token_event = |offset| {
+            let token = answer_token(chat, offset);
+            Ok(Frame::data(chunk_event(chat, offset, Some(&token), padding)))
+        };
         for offset in from_offset..total {
             if offset > from_offset {
                 compio::time::sleep(self.options.token_interval * self.slowdown.get()).await;
@@ -541,7 +547,7 @@
                 }
             }
         }
-        let end = [chunk_event(chat, total, None), DONE_EVENT];
+        let end = [chunk_event(chat, total, None, 0), DONE_EVENT];
         for frame in end {
             let _ = frames.send(Ok(Frame::data(frame))).await;
         }
@@ -668,15 +674,18 @@
     (bytes as u64).div_ceil(4)
 }
 
-fn chunk_event(chat: &ChatRequest, offset: u64, token: Option<&str>) -> Bytes {
+fn chunk_event(chat: &ChatRequest, offset: u64, token: Option<&str>, padding: usize) -> Bytes {
     let (delta, finish_reason) = match token {
         Some(token) => (json!({ "content": token }), Value::Null),
         None => (json!({}), json!("stop")),
     };
-    let chunk = json!({
+    let mut chunk = json!({
         "object": "chat.completion.chunk",
         "model": chat.model,
         "choices": [{ "index": 0, "delta": delta, "finish_reason": finish_reason }],
     });
+    if padding > 0 {
+        chunk["padding"] = "x".repeat(padding).into();
+    }
     Bytes::from(format!("id: {offset}\ndata: {chunk}\n\n"))
 }
--- a/crates/eelgrassdeal_testkit/src/caller.rs
+++ b/crates/eelgrassdeal_testkit/src/caller.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use cyper::Client;
+use cyper::{Client, Response};
 use eelgrassdeal_schema::engine::{ChatMessage, ChatRequest, ErrorBody, LocateReply};
 use eventsource_stream::Eventsource;
 use futures_util::StreamExt;
@@ -182,52 +182,42 @@
         outcome: &mut ChatOutcome,
     ) -> Option<()> {
         outcome.error = None;
-        let url = format!("http://{address}/v1/chat/completions");
-        let time_left =
-            self.stated_deadline.unwrap_or_else(|| self.deadline.saturating_sub(started.elapsed()));
+        let time_left = self.deadline.saturating_sub(started.elapsed());
+        let response = self.send_chat(address, request, time_left, *next_offset).await?;
+        read_answer(response, started, next_offset, outcome).await
+    }
+
+    /// Starts a stream at one node and reads nothing of it yet.
+    pub async fn open_stream(
+        &self,
+        address: SocketAddr,
+        request: &ChatRequest,
+    ) -> Option<OpenStream> {
+        let started = Instant::now();
+        let response = self.send_chat(address, request, self.deadline, 0).await?;
+        Some(OpenStream { response, started })
+    }
+
+    async fn send_chat(
+        &self,
+        address: SocketAddr,
+        request: &ChatRequest,
+        time_left: Duration,
+        next_offset: u64,
+    ) -> Option<Response> {
+        let stated = self.stated_deadline.unwrap_or(time_left);
         let mut builder = self
             .client
-            .post(url)
+            .post(format!("http://{address}/v1/chat/completions"))
             .ok()?
             .bearer_auth(&self.key)
             .ok()?
-            .header("x-deadline-ms", time_left.as_millis().to_string())
+            .header("x-deadline-ms", stated.as_millis().to_string())
             .ok()?;
-        if *next_offset > 0 {
-            builder = builder.header("last-event-id", (*next_offset - 1).to_string()).ok()?;
-        }
-        let response = builder.json(request).ok()?.send().await.ok()?;
-        let status = response.status().as_u16();
-        if status != 200 {
-            let body = response.json::<ErrorBody>().await.unwrap_or_default();
-            outcome.error = Some(ErrorReply { status, body });
-            return None;
-        }
-        let mut events = Box::pin(response.bytes_stream()).eventsource();
-        let mut last_token = Instant::now();
-        while let Some(Ok(event)) = events.next().await {
-            if event.event == "error" {
-                let body = serde_json::from_str(&event.data).unwrap_or_default();
-                outcome.error = Some(ErrorReply { status, body });
-                return None;
-            }
-            if event.data == "[DONE]" {
-                outcome.is_whole = true;
-                return Some(());
-            }
-            let offset: u64 = event.id.parse().ok()?;
-            assert_eq!(offset, *next_offset, "the stream skips or repeats a token");
-            *next_offset += 1;
-            let chunk: Value = serde_json::from_str(&event.data).ok()?;
-            let text = chunk["choices"][0]["delta"]["content"].as_str().unwrap_or_default();
-            outcome.text.push_str(text);
-            match outcome.first_token {
-                None => outcome.first_token = Some(started.elapsed()),
-                Some(_) => outcome.longest_gap = outcome.longest_gap.max(last_token.elapsed()),
-            }
-            last_token = Instant::now();
+        if next_offset > 0 {
+            builder = builder.header("last-event-id", (next_offset - 1).to_string()).ok()?;
         }
-        None
+        builder.json(request).ok()?.send().await.ok()
     }
 
     /// Sends a chat completion to one node and returns status and body of an answer that is not
@@ -289,3 +279,58 @@
         Uuid::now_v7().to_string()
     }
 }
+
+/// A stream whose caller has not read the answer yet.
+pub struct OpenStream {
+    response: Response,
+    started: Instant,
+}
+
+impl OpenStream {
+    /// Reads the answer up to its end.
+    pub async fn read_on(self) -> ChatOutcome {
+        let mut outcome = ChatOutcome { streams: 1, ..ChatOutcome::default() };
+        read_answer(self.response, self.started, &mut 0, &mut outcome).await;
+        outcome.elapsed = self.started.elapsed();
+        outcome
+    }
+}
+
+async fn read_answer(
+    response: Response,
+    started: Instant,
+    next_offset: &mut u64,
+    outcome: &mut ChatOutcome,
+) -> Option<()> {
+    let status = response.status().as_u16();
+    if status != 200 {
+        let body = response.json::<ErrorBody>().await.unwrap_or_default();
+        outcome.error = Some(ErrorReply { status, body });
+        return None;
+    }
+    let mut events = Box::pin(response.bytes_stream()).eventsource();
+    let mut last_token = Instant::now();
+    while let Some(Ok(event)) = events.next().await {
+        if event.event == "error" {
+            let body = serde_json::from_str(&event.data).unwrap_or_default();
+            outcome.error = Some(ErrorReply { status, body });
+            return None;
+        }
+        if event.data == "[DONE]" {
+            outcome.is_whole = true;
+            return Some(());
+        }
+        let offset: u64 = event.id.parse().ok()?;
+        assert_eq!(offset, *next_offset, "the stream skips or repeats a token");
+        *next_offset += 1;
+        let chunk: Value = serde_json::from_str(&event.data).ok()?;
+        let text = chunk["choices"][0]["delta"]["content"].as_str().unwrap_or_default();
+        outcome.text.push_str(text);
+        match outcome.first_token {
+            None => outcome.first_token = Some(started.elapsed()),
+            Some(_) => outcome.longest_gap = outcome.longest_gap.max(last_token.elapsed()),
+        }
+        last_token = Instant::now();
+    }
+    None
+}
--- a/crates/eelgrassdeal_testkit/src/fleet.rs
+++ b/crates/eelgrassdeal_testkit/src/fleet.rs
@@ -22,6 +22,8 @@
 use eelgrassdeal_types::{new_writer_mark, unix_ms_now};
 use sha2::{Digest, Sha256};
 
+use crate::process::NodeProcess;
+
 /// Model that every test fleet serves.
 pub const MODEL: &str = "appraiser";
 /// Plain service of every test fleet: `price` is idempotent, `book` is not.
@@ -68,6 +70,8 @@
     pub limits: LimitSettings,
     /// Slot policy of the nodes; empty for the default.
     pub slot_policy: String,
+    /// Program of the nodes, which then run as processes of their own.
+    pub node_program: Option<PathBuf>,
 }
 
 impl Default for FleetSpec {
@@ -89,6 +93,7 @@
             vm_list_lag: Duration::ZERO,
             limits: LimitSettings { locate_ttl_ms: 300, ..LimitSettings::default() },
             slot_policy: String::new(),
+            node_program: None,
         }
     }
 }
@@ -109,7 +114,9 @@
     pub engines: Vec<(String, EngineFake)>,
     /// Upstreams of the plain service.
     pub services: Vec<ServiceFake>,
-    /// Nodes; `None` once killed.
+    /// Nodes that run as processes; `None` once stopped.
+    pub processes: Vec<Option<NodeProcess>>,
+    /// Nodes in this process; `None` once killed.
     pub nodes: Vec<Option<NodeHandle>>,
     /// HTTP addresses of the nodes.
     pub node_addresses: Vec<SocketAddr>,
@@ -149,6 +156,7 @@
             engines: Vec::new(),
             services: Vec::new(),
             nodes: Vec::new(),
+            processes: Vec::new(),
             node_addresses: Vec::new(),
             settings: Vec::new(),
             log,
@@ -163,6 +171,7 @@
         fleet.apply(bodies).await;
         for index in 0..fleet.spec.nodes {
             fleet.nodes.push(None);
+            fleet.processes.push(None);
             fleet.restart_node(index).await;
         }
         fleet.handles.append(&mut handles);
@@ -246,6 +255,7 @@
     /// Stops a node at once, as a crash would.
     pub fn kill_node(&mut self, index: usize) {
         self.nodes[index] = None;
+        self.processes[index] = None;
     }
 
     /// Starts a node with empty memory.
@@ -254,6 +264,11 @@
     ///
     /// When the node cannot start.
     pub async fn restart_node(&mut self, index: usize) {
+        if let Some(program) = &self.spec.node_program {
+            let process = NodeProcess::start(program, &self.settings[index]);
+            self.processes[index] = Some(process.expect("the node's process starts"));
+            return;
+        }
         let handle = start_node(self.settings[index].clone()).await.expect("node starts");
         self.nodes[index] = Some(handle);
     }
@@ -499,7 +514,7 @@
     }
 }
 
-fn secret_file(name: &str, secret: &str) -> PathBuf {
+pub(crate) fn secret_file(name: &str, secret: &str) -> PathBuf {
     let path = std::env::temp_dir().join(format!(
         "eelgrassdeal-{}-{name}-{}",
         std::process::id(),
--- a/crates/eelgrassdeal_testkit/src/lib.rs
+++ b/crates/eelgrassdeal_testkit/src/lib.rs
@@ -6,8 +6,10 @@
 
 mod caller;
 mod fleet;
+mod process;
 
-pub use caller::{ChatOutcome, ErrorReply, ServiceOutcome, TestCaller, chat_request};
+pub use caller::{ChatOutcome, ErrorReply, OpenStream, ServiceOutcome, TestCaller, chat_request};
 pub use fleet::{
     ACCOUNT_KEY, ADMIN_TOKEN, FleetSpec, MODEL, SERVICE, TestFleet, free_address, wait_until,
 };
+pub use process::NodeProcess;
