Finish requests in flight before a node ends

Cause: a shutdown waited for slots and queued bytes only, so a refused or unwritten answer was cut; idle connections were cut at the end without notice; a socket closed with unread bytes resets the connection. Change: answers carry "connection: close" from the first phase on; after the refusing phase has lasted 1 s every used connection is told to close after its answer, and the node ends when no connection is left or the drain timeout has passed. What a caller still sends after its last answer is read for up to 1 s. Ruled out: hyper's graceful shutdown for all connections. It closes a new connection whose first request is on the way; a booking got no answer. Seen without each mechanism: no drain: streams are cut; no drain timeout: the caller leaves at 30 s, before the node; SIGTERM without shutdown: the stream is cut without a token. Conclusion: 20 streams, 20 answers in one piece and 10 loops of bookings lose nothing in one process, and the daemon ends its stream on SIGTERM.

--- a/crates/eelgrassdeal_node/src/front.rs
+++ b/crates/eelgrassdeal_node/src/front.rs
@@ -3,7 +3,9 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 
-use futures_util::future::AbortHandle;
+use futures_channel::oneshot;
+use futures_util::FutureExt;
+use futures_util::future::{AbortHandle, Shared};
 use slotmap::{DefaultKey, SlotMap};
 
 use crate::pace::PaceBook;
@@ -15,6 +17,33 @@
     pub(crate) retries: RefCell<RetryBudget>,
     pub(crate) paces: RefCell<PaceBook>,
     pub(crate) tasks: TaskSet,
+    pub(crate) closing: CloseSignal,
+}
+
+/// Tells connections to close when their request is answered.
+pub(crate) struct CloseSignal {
+    sender: RefCell<Option<oneshot::Sender<()>>>,
+    receiver: Shared<oneshot::Receiver<()>>,
+}
+
+impl Default for CloseSignal {
+    fn default() -> Self {
+        let (sender, receiver) = oneshot::channel();
+        Self { sender: RefCell::new(Some(sender)), receiver: receiver.shared() }
+    }
+}
+
+impl CloseSignal {
+    /// Sends the signal to all connections, also to those that are accepted later.
+    pub(crate) fn send(&self) {
+        self.sender.borrow_mut().take();
+    }
+
+    /// Waits for the signal.
+    pub(crate) async fn wait(&self) {
+        // The sender is dropped, so the result says that it is gone.
+        let _ = self.receiver.clone().await;
+    }
 }
 
 /// Tasks that end when the node is dropped.
--- a/crates/eelgrassdeal_node/src/http/mod.rs
+++ b/crates/eelgrassdeal_node/src/http/mod.rs
@@ -3,12 +3,15 @@
 mod body;
 mod reply;
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 
+use compio::io::AsyncRead;
 use compio::net::{TcpListener, TcpStream};
 use cyper_core::CompioTimer;
+use futures_util::future::{Either, select};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -26,6 +29,11 @@
 /// A caller that takes no byte for this long is cut off. It is as long as the longest drain, so
 /// that a caller that stops reading for a while can still read on.
 const WRITE_PATIENCE: Duration = Duration::from_secs(600);
+/// How long, and how much in reads of [`DISCARD_BYTES`], a caller may go on sending after its last
+/// answer.
+const DISCARD_TIME: Duration = Duration::from_secs(1);
+const DISCARD_BYTES: usize = 2 * 1024;
+const MAX_DISCARDS: u32 = 1024;
 const SERVICE_PREFIX: &str = "/v1/services/";
 
 /// Accepts connections until the task is dropped.
@@ -51,20 +59,55 @@
     let _ = stream.set_nodelay(true);
     let limits = state.limits;
     let handler_state = state.clone();
+    let has_served = Rc::new(Cell::new(false));
+    let is_used = has_served.clone();
     let service = service_fn(move |request| {
         let state = handler_state.clone();
+        is_used.set(true);
         async move { Ok::<_, Infallible>(route_request(state, request).await) }
     });
+    let tail = stream.clone();
     let connection = http1::Builder::new()
         .timer(CompioTimer)
         .header_read_timeout(Duration::from_millis(u64::from(limits.header_timeout_ms)))
         .max_buf_size(limits.max_header_bytes as usize)
         .serve_connection(BoundedSocket::new_plain(stream, WRITE_PATIENCE), service);
-    if let Err(error) = connection.await {
-        log::debug!("connection ended: {error}");
+    let mut connection = std::pin::pin!(connection);
+    let closing = std::pin::pin!(state.front.closing.wait());
+    let ended = match select(connection.as_mut(), closing).await {
+        Either::Left((ended, _)) => ended,
+        Either::Right(_) => {
+            // hyper would close a new connection at once, although its first request may be on
+            // the way. That request is refused, which closes the connection too.
+            if has_served.get() {
+                connection.as_mut().graceful_shutdown();
+            }
+            connection.await
+        }
+    };
+    match ended {
+        Ok(()) => discard_rest(tail).await,
+        Err(error) => log::debug!("connection ended: {error}"),
     }
 }
 
+/// Reads what a caller still sends after its last answer. Closing a socket with unread bytes resets
+/// the connection, and the caller could lose an answer that it has not read yet.
+async fn discard_rest(mut tail: TcpStream) {
+    let discard = async {
+        let mut bytes = Vec::with_capacity(DISCARD_BYTES);
+        for _ in 0..MAX_DISCARDS {
+            let (count, buffer) = tail.read(bytes).await.into();
+            match count {
+                Ok(count) if count > 0 => bytes = buffer,
+                _ => return,
+            }
+            bytes.clear();
+        }
+    };
+    let _ = compio::time::timeout(DISCARD_TIME, discard).await;
+}
+
 /// Counts a connection while it is open.
 struct OpenConnection(Rc<NodeState>);
 
@@ -108,7 +151,8 @@
     if let Ok(value) = hyper::header::HeaderValue::from_str(&request_id) {
         reply.headers_mut().insert("x-request-id", value);
     }
-    if state.phase.get() == NodePhase::Draining {
+    // Callers with idle connections learn during the first phase that they must not use them again.
+    if matches!(state.phase.get(), NodePhase::Leaving | NodePhase::Draining) {
         let close = hyper::header::HeaderValue::from_static("close");
         reply.headers_mut().insert("connection", close);
     }
--- a/crates/eelgrassdeal_node/src/lifecycle.rs
+++ b/crates/eelgrassdeal_node/src/lifecycle.rs
@@ -81,22 +81,27 @@
         self.state.in_flight.get()
     }
 
-    /// Leaves the locator, waits until cached answers of it have expired, refuses new work, and
-    /// returns when no request is in flight.
+    /// Leaves the locator, waits until cached answers of it have expired, refuses new work, closes
+    /// each connection when its request is answered, and returns when no connection is left.
     pub async fn shut_down(self) {
         let state = &self.state;
         state.phase.set(NodePhase::Leaving);
         let ttl = Duration::from_millis(u64::from(state.limits.locate_ttl_ms));
         compio::time::sleep(ttl + LEAVE_MARGIN).await;
         state.phase.set(NodePhase::Draining);
+        // Callers that use an idle connection now are answered; after this time idle connections
+        // are closed.
+        compio::time::sleep(LEAVE_MARGIN).await;
+        state.front.closing.send();
         let drain = async {
-            while state.in_flight.get() > 0 || state.memory.held() > 0 {
+            while state.connections.get() > 0 || state.in_flight.get() > 0 {
                 compio::time::sleep(DRAIN_POLL).await;
             }
         };
         let patience = Duration::from_millis(u64::from(state.limits.drain_timeout_ms));
         if compio::time::timeout(patience, drain).await.is_err() {
-            log::warn!("{} requests in flight at the end of the drain", state.in_flight.get());
+            let (requests, connections) = (state.in_flight.get(), state.connections.get());
+            log::warn!("{requests} requests and {connections} connections at the end of the drain");
         }
     }
 }
--- /dev/null
+++ b/crates/eelgrassdeal_node/tests/shutdown.rs
@@ -0,0 +1,112 @@
+//! A graceful shutdown cuts no request in flight.
+
+use std::cell::Cell;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use eelgrassdeal_standins::{EngineOptions, answer_text};
+use eelgrassdeal_testkit::{FleetSpec, TestCaller, TestFleet, chat_request, wait_until};
+use futures_util::future::join_all;
+
+fn slow_engine() -> EngineOptions {
+    EngineOptions { token_interval: Duration::from_millis(20), ..EngineOptions::default() }
+}
+
+/// Guards against streams, answers in one piece and bookings that are cut by a shutdown, and
+/// against refusals in the phase in which callers may still know the node's address.
+#[compio::test]
+async fn a_shutdown_cuts_nothing() {
+    const LOOPS: usize = 10;
+    let mut fleet =
+        TestFleet::start_serving(FleetSpec { engine: slow_engine(), ..FleetSpec::default() }).await;
+    for service in &fleet.services {
+        service.clone().with_work_time(Duration::from_millis(50));
+    }
+    let address = fleet.node_addresses[0];
+    let caller = TestCaller::new(&[address]);
+    let node = fleet.nodes[0].take().expect("the node runs");
+    let is_down = Cell::new(false);
+    let shutdown = async {
+        compio::time::sleep(Duration::from_millis(300)).await;
+        node.shut_down().await;
+        is_down.set(true);
+    };
+    // Longer than all phases before the drain.
+    let requests: Vec<_> = (0..20).map(|lot| chat_request(&format!("lot {lot}"), 250)).collect();
+    let streams = join_all(requests.iter().map(|request| caller.chat_at(address, request)));
+    let texts = join_all(requests.iter().map(|request| caller.chat_text(address, request)));
+    // Keep-alive connections that are used again and again until the node is gone.
+    let bookings = join_all((0..LOOPS).map(async |_| {
+        let caller = TestCaller::new(&[address]);
+        let (mut booked, mut refused) = (0, 0);
+        while !is_down.get() {
+            let key = TestCaller::new_key();
+            let outcome = caller.call_service(address, "book", Some(&key), "{}").await;
+            match outcome.status {
+                200 => booked += 1,
+                503 if outcome.body["kind"] == "draining" => refused += 1,
+                _ if is_down.get() => {}
+                _ => panic!("a booking was cut: {outcome:?}"),
+            }
+            compio::time::sleep(Duration::from_millis(7)).await;
+        }
+        (booked, refused)
+    }));
+    let (streamed, whole, counts, ()) = futures_util::join!(streams, texts, bookings, shutdown);
+    for (request, (outcome, text)) in requests.iter().zip(streamed.iter().zip(&whole)) {
+        assert!(outcome.is_whole, "{outcome:?}");
+        assert_eq!(outcome.text, answer_text(request));
+        assert_eq!(text.status, 200, "{text:?}");
+    }
+    let booked: usize = counts.iter().map(|(booked, _)| booked).sum();
+    let refused: usize = counts.iter().map(|(_, refused)| refused).sum();
+    assert!(booked > LOOPS && refused > 0, "{booked} booked, {refused} refused");
+    let runs: usize = fleet.services.iter().map(|service| service.runs().len()).sum();
+    assert_eq!(runs, booked, "a refused booking ran, or one ran twice");
+}
+
+/// Guards against a drain that never ends.
+#[compio::test]
+async fn a_drain_ends_at_its_timeout() {
+    const CALLER_PATIENCE: Duration = Duration::from_secs(30);
+    let mut spec = FleetSpec { engine: slow_engine(), ..FleetSpec::default() };
+    spec.limits.drain_timeout_ms = 500;
+    let mut fleet = TestFleet::start_serving(spec).await;
+    let caller = TestCaller::new(&fleet.node_addresses).with_deadline(CALLER_PATIENCE);
+    let address = fleet.node_addresses[0];
+    let request = chat_request("a report of hours", 100_000);
+    let node = fleet.nodes[0].take().expect("the node runs");
+    let (outcome, ()) = futures_util::join!(caller.chat_at(address, &request), async {
+        fleet.busy_group().await;
+        node.shut_down().await;
+    });
+    assert!(!outcome.is_whole && !outcome.text.is_empty(), "{outcome:?}");
+    assert!(outcome.elapsed < CALLER_PATIENCE, "the caller left before the node did");
+    let is_free = wait_until(Duration::from_secs(5), async || fleet.running() == 0).await;
+    assert!(is_free, "an engine goes on for a node that has left");
+}
+
+/// Guards against a daemon that ends at once on SIGTERM.
+#[compio::test]
+async fn a_daemon_finishes_its_streams_on_sigterm() {
+    let program = PathBuf::from(env!("CARGO_BIN_EXE_eelgrassdeal-node"));
+    let mut fleet = TestFleet::start_serving(FleetSpec {
+        nodes: 1,
+        engine: slow_engine(),
+        node_program: Some(program),
+        ..FleetSpec::default()
+    })
+    .await;
+    let caller = TestCaller::new(&fleet.node_addresses);
+    let request = chat_request("summaries for the morning", 250);
+    let address = fleet.node_addresses[0];
+    let mut process = fleet.processes[0].take().expect("the node runs");
+    let (outcome, status) = futures_util::join!(caller.chat_at(address, &request), async {
+        fleet.busy_group().await;
+        process.terminate().expect("SIGTERM can be sent");
+        process.wait(Duration::from_secs(30)).await
+    });
+    assert!(outcome.is_whole, "{outcome:?}");
+    assert_eq!(outcome.text, answer_text(&request));
+    assert!(status.is_some_and(|status| status.success()), "{status:?}");
+}
