--- a/crates/eelgrassdeal_measure/src/main.rs
+++ b/crates/eelgrassdeal_measure/src/main.rs
@@ -7,6 +7,7 @@
 mod figures;
 mod front;
 mod process_fleet;
+mod slow_readers;
 
 use gumdrop::Options;
 
@@ -33,6 +34,8 @@
     Slots(SlotsOptions),
     #[options(help = "group downtime and stranded accelerators")]
     Groups(eelgrassdeal_measure::GroupsOptions),
+    #[options(help = "bytes that a node holds for callers that stopped reading")]
+    SlowReaders(slow_readers::SlowReadersOptions),
 }
 
 #[derive(Debug, Options)]
@@ -50,6 +53,11 @@
         Some(MeasureCommand::Groups(options)) => {
             print!("{}", eelgrassdeal_measure::measure_groups(&options));
         }
+        Some(MeasureCommand::SlowReaders(options)) => {
+            if !slow_readers::measure(&options).await {
+                std::process::exit(1);
+            }
+        }
         Some(MeasureCommand::Slots(_)) => eelgrassdeal_measure::run_slots(),
         Some(MeasureCommand::Failures(options)) => failures::run(&options),
         None => {
--- a/crates/eelgrassdeal_testkit/src/lib.rs
+++ b/crates/eelgrassdeal_testkit/src/lib.rs
@@ -9,7 +9,7 @@
 mod node_thread;
 mod process;
 
-pub use caller::{ChatOutcome, ErrorReply, ServiceOutcome, TestCaller, chat_request};
+pub use caller::{ChatOutcome, ErrorReply, OpenStream, ServiceOutcome, TestCaller, chat_request};
 pub use fleet::{
     ACCOUNT_KEY, ADMIN_TOKEN, FleetSpec, MODEL, SERVICE, TestFleet, free_address, wait_until,
 };
