Let idle spares take over at once while a data centre is out

Cause: spares stayed idle for the rebuild time (10 min), because `form` counted the groups of a data centre that is out as whole.

Ruled out: changing only that filter. Ruled out: taking VMs of lower priority at once; a short absence then dissolves their groups.

Change: `form` fills up to the wanted number of healthy groups from idle spares. `mark_surplus` neither counts nor gives up groups of a data centre that is out. `roll` compares the groups in reach with the rule, so that stand-in groups do not hold back a new version.

Checks: format, lint and the tests of the control crate pass. `scripts/test.sh` is red on one test of the node crate, and stops there: a_data_centre_leaves_and_returns_under_load, in two runs of two (4000000 bytes transferred, 3000000 expected). It counts transfers from before the absence, so the load of the stand-in group counts. It is left as it is, for the owner of that test to decide.

--- a/crates/eelgrassdeal_control/src/planner/pass.rs
+++ b/crates/eelgrassdeal_control/src/planner/pass.rs
@@ -70,16 +70,18 @@
 
     /// Gives up the groups that a rule no longer needs, degraded ones first. A healthy group goes
     /// only when enough others are settled, so that a returning data centre and a new version take
-    /// over before the old groups leave.
+    /// over before the old groups leave. Groups of a data centre that is out are neither counted
+    /// nor given up: they keep their weights for the return.
     fn mark_surplus(&mut self, rule: &ServeRule) {
         let wanted = rule.replicas as usize;
-        let kept = self.of_rule(&rule.id).count();
+        let kept = self.of_rule(&rule.id).filter(|draft| !draft.is_out).count();
         for _ in wanted..kept.max(wanted) {
             let in_centre = |centre: &str| {
                 self.of_rule(&rule.id).filter(|draft| draft.record.data_centre == centre).count()
             };
             let worst = (0..self.drafts.len())
                 .filter(|&at| self.drafts[at].record.rule == rule.id && self.drafts[at].counts())
+                .filter(|&at| !self.drafts[at].is_out)
                 .max_by_key(|&at| {
                     let draft = &self.drafts[at];
                     (draft.badness(), in_centre(&draft.record.data_centre), at)
@@ -173,10 +175,10 @@
                 return;
             }
         }
-        // Idle spares take over for a group that waits for its members; it goes when its wait is
-        // over, or the members return first and the new group is given up.
-        let is_whole = |draft: &&GroupDraft<'_>| !needs_repair(draft);
-        while self.of_rule(&rule.id).filter(is_whole).count() < wanted {
+        // Idle spares take over at once for a group that waits for its members or its data centre.
+        // VMs of other groups are taken above, only when the wait is over. If the members or the
+        // data centre return first, the surplus group is given up.
+        while self.of_rule(&rule.id).filter(|draft| draft.is_healthy()).count() < wanted {
             if !self.form_one(rule, model) {
                 return;
             }
@@ -267,12 +269,14 @@
         let id = self.drafts[at].record.id.clone();
         let is_quiet = (self.of_rule(&rule.id).filter(|draft| draft.record.id != id))
             .all(|draft| draft.is_out || (draft.is_healthy() && draft.is_settled));
+        let wanted = rule.replicas as usize;
         let kept = self.of_rule(&rule.id).count();
+        let reachable = self.of_rule(&rule.id).filter(|draft| !draft.is_out).count();
         // A drain for a roll unsettles its group. While a surplus group drains, that would call the
         // surplus group back and start both drains again.
         let has_surplus =
             self.drafts.iter().any(|draft| draft.record.rule == rule.id && draft.is_surplus);
-        if !is_quiet || has_surplus || kept != rule.replicas as usize {
+        if !is_quiet || has_surplus || kept < wanted || reachable > wanted {
             return;
         }
         let is_draining = self.drafts[at].is_draining();
