--- a/crates/eelgrassdeal_node/src/http/mod.rs
+++ b/crates/eelgrassdeal_node/src/http/mod.rs
@@ -41,7 +41,9 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) if state.connections.get() < state.limits.max_connections => {
-                state.front.tasks.spawn(serve_connection(state.clone(), stream));
+                // Counted before the task first runs: many connections may be accepted until then.
+                let open = OpenConnection::new(&state);
+                state.front.tasks.spawn(serve_connection(state.clone(), open, stream));
             }
             Ok((_, address)) => log::warn!("too many connections; closing {address}"),
             Err(error) => {
@@ -53,8 +55,7 @@
     }
 }
 
-async fn serve_connection(state: Rc<NodeState>, stream: TcpStream) {
-    let _open = OpenConnection::new(&state);
+async fn serve_connection(state: Rc<NodeState>, _open: OpenConnection, stream: TcpStream) {
     // A token must not wait for the acknowledgement of the one before.
     let _ = stream.set_nodelay(true);
     let limits = state.limits;
