Serve callers by TLS when settings.tls names files

Cause: settings.tls was read and ignored, so callers could only connect without TLS.

Ruled out: a handshake in the accept loop; one slow caller would stop all others.

Change: the handshake runs in the connection's task and ends after header_timeout_ms. The check of the settings names each certificate, key and token file that does not exist, and a certificate without a key.

The bytes that a TLS connection holds for a slow reader are not measured.

--- a/crates/eelgrassdeal_node/src/http/mod.rs
+++ b/crates/eelgrassdeal_node/src/http/mod.rs
@@ -2,14 +2,17 @@
 
 mod body;
 mod reply;
+mod tls;
 
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
 use compio::io::AsyncRead;
 use compio::net::{TcpListener, TcpStream};
+use compio::tls::TlsAcceptor;
 use cyper_core::CompioTimer;
 use futures_util::future::{Either, select};
 use hyper::body::Incoming;
@@ -25,6 +28,7 @@
 pub(crate) use reply::{
     AnswerReply, error_body, error_reply, json_reply, raw_reply, stream_reply, text_reply,
 };
+pub(crate) use tls::read_acceptor;
 
 /// A caller that takes no byte for this long is cut off. It is as long as the longest drain, so
 /// that a caller that stops reading for a while can still read on.
@@ -36,14 +40,19 @@
 const MAX_DISCARDS: u32 = 1024;
 const SERVICE_PREFIX: &str = "/v1/services/";
 
-/// Accepts connections until the task is dropped.
-pub(crate) async fn accept_connections(state: Rc<NodeState>, listener: TcpListener) {
+/// Accepts connections, by TLS if there is an acceptor for it, until the task is dropped.
+pub(crate) async fn accept_connections(
+    state: Rc<NodeState>,
+    listener: TcpListener,
+    tls: Option<TlsAcceptor>,
+) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) if state.connections.get() < state.limits.max_connections => {
                 // Counted before the task first runs: many connections may be accepted until then.
                 let open = OpenConnection::new(&state);
-                state.front.tasks.spawn(serve_connection(state.clone(), open, stream));
+                let task = serve_connection(state.clone(), open, stream, tls.clone());
+                state.front.tasks.spawn(task);
             }
             Ok((_, address)) => log::warn!("too many connections; closing {address}"),
             Err(error) => {
@@ -55,10 +64,27 @@
     }
 }
 
-async fn serve_connection(state: Rc<NodeState>, _open: OpenConnection, stream: TcpStream) {
+async fn serve_connection(
+    state: Rc<NodeState>,
+    _open: OpenConnection,
+    stream: TcpStream,
+    tls: Option<TlsAcceptor>,
+) {
     // A token must not wait for the acknowledgement of the one before.
     let _ = stream.set_nodelay(true);
     let limits = state.limits;
+    let header_timeout = Duration::from_millis(u64::from(limits.header_timeout_ms));
+    let tail = stream.clone();
+    let socket = match open_socket(stream, tls, header_timeout).await {
+        Ok(socket) => socket,
+        Err(error) => {
+            log::debug!("TLS handshake failed: {error}");
+            if error.kind() != io::ErrorKind::TimedOut {
+                discard_rest(tail).await;
+            }
+            return;
+        }
+    };
     let handler_state = state.clone();
     let has_served = Rc::new(Cell::new(false));
     let is_used = has_served.clone();
@@ -69,12 +95,11 @@
         // only; the memory of the handler is freed before a stream begins.
         async move { Ok::<_, Infallible>(Box::pin(route_request(state, request)).await) }
     });
-    let tail = stream.clone();
     let connection = http1::Builder::new()
         .timer(CompioTimer)
-        .header_read_timeout(Duration::from_millis(u64::from(limits.header_timeout_ms)))
+        .header_read_timeout(header_timeout)
         .max_buf_size(limits.max_header_bytes as usize)
-        .serve_connection(BoundedSocket::new_plain(stream, WRITE_PATIENCE), service);
+        .serve_connection(socket, service);
     let mut connection = std::pin::pin!(connection);
     let closing = std::pin::pin!(state.front.closing.wait());
     let ended = match select(connection.as_mut(), closing).await {
@@ -94,6 +119,21 @@
     }
 }
 
+/// Does the TLS handshake if there is an acceptor for it.
+async fn open_socket(
+    stream: TcpStream,
+    tls: Option<TlsAcceptor>,
+    handshake_timeout: Duration,
+) -> io::Result<BoundedSocket> {
+    let Some(acceptor) = tls else {
+        return Ok(BoundedSocket::new_plain(stream, WRITE_PATIENCE));
+    };
+    let handshake = BoundedSocket::accept_tls(&acceptor, stream, WRITE_PATIENCE);
+    compio::time::timeout(handshake_timeout, handshake)
+        .await
+        .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
+}
+
 /// Reads what a caller still sends after its last answer. Closing a socket with unread bytes resets
 /// the connection, and the caller could lose an answer that it has not read yet.
 async fn discard_rest(mut tail: TcpStream) {
--- a/crates/eelgrassdeal_node/src/lifecycle.rs
+++ b/crates/eelgrassdeal_node/src/lifecycle.rs
@@ -20,7 +20,7 @@
 use crate::fleet_sync::{
     follow_config, follow_vm_list, probe_replicas, run_planner, write_heartbeats,
 };
-use crate::http::accept_connections;
+use crate::http::{accept_connections, read_acceptor};
 use crate::slots::{handle_peer_request, ping_peers, send_reports};
 use crate::state::{NodePhase, NodeState, PlatformAccess, SecretTokens};
 
@@ -115,7 +115,7 @@
 ///
 /// # Errors
 ///
-/// When an address cannot be bound or a secret file cannot be read.
+/// When an address cannot be bound or a file with a secret or certificate cannot be read.
 pub async fn start_node(settings: NodeSettings) -> Result<NodeHandle, Report<NodeError>> {
     install_metrics();
     let secrets = SecretTokens {
@@ -123,6 +123,7 @@
         admin: read_secret(&settings.admin_token_file)?,
         order: read_secret(&settings.order_token_file)?,
     };
+    let tls = read_acceptor(&settings.tls.clone().unwrap_or_default())?;
     let client = Client::new().change_context(NodeError)?;
     let platform = open_platform(&settings, &secrets, &client);
     let listen = settings.listen.clone();
@@ -135,7 +136,7 @@
     let state = Rc::new(NodeState::new(&settings, secrets, platform, client));
     *state.peers.borrow_mut() = Some(endpoint.client());
     let tasks = vec![
-        compio::runtime::spawn(accept_connections(state.clone(), listener)),
+        compio::runtime::spawn(accept_connections(state.clone(), listener, tls)),
         compio::runtime::spawn(follow_config(state.clone())),
         compio::runtime::spawn(probe_replicas(state.clone())),
         compio::runtime::spawn(run_planner(state.clone())),
--- a/crates/eelgrassdeal_node/src/settings/mod.rs
+++ b/crates/eelgrassdeal_node/src/settings/mod.rs
@@ -96,6 +96,22 @@
     let files = [&peer_tls.certificate_file, &peer_tls.key_file, &peer_tls.ca_file];
     let has_peer_tls = files.iter().all(|file| !file.is_empty());
     check(has_peer_tls, "peer_tls: certificate_file, key_file and ca_file are needed");
+    let tls = settings.tls.clone().unwrap_or_default();
+    let is_paired = tls.certificate_file.is_empty() == tls.key_file.is_empty();
+    check(is_paired, "tls: certificate_file and key_file are needed");
+    for (name, path) in [
+        ("tls.certificate_file", &tls.certificate_file),
+        ("tls.key_file", &tls.key_file),
+        ("peer_tls.certificate_file", &peer_tls.certificate_file),
+        ("peer_tls.key_file", &peer_tls.key_file),
+        ("peer_tls.ca_file", &peer_tls.ca_file),
+        ("platform_token_file", &settings.platform_token_file),
+        ("admin_token_file", &settings.admin_token_file),
+        ("order_token_file", &settings.order_token_file),
+    ] {
+        let exists = path.is_empty() || Path::new(path).is_file();
+        check(exists, &format!("{name}: no file {path:?}"));
+    }
     for (name, url) in [
         ("table_url", &settings.table_url),
         ("object_url", &settings.object_url),
--- a/crates/eelgrassdeal_node/src/socket.rs
+++ b/crates/eelgrassdeal_node/src/socket.rs
@@ -7,7 +7,7 @@
 
 use compio::io::compat::AsyncStream;
 use compio::net::TcpStream;
-use compio::tls::MaybeTlsStream;
+use compio::tls::{MaybeTlsStream, TlsAcceptor};
 use futures_util::{AsyncRead, AsyncWrite};
 use hyper::rt::{Read, ReadBufCursor, Write};
 
@@ -35,6 +35,18 @@
         Self { stream: MaybeTlsStream::new_plain_compat(stream), write_patience, write_timer: None }
     }
 
+    /// A connection whose TLS handshake `acceptor` has done.
+    pub(crate) async fn accept_tls(
+        acceptor: &TlsAcceptor,
+        stream: TcpStream,
+        write_patience: Duration,
+    ) -> io::Result<Self> {
+        let limits = SOCKET_BUFFER_BYTES;
+        let stream = AsyncStream::with_limits(limits, limits, stream);
+        let stream = MaybeTlsStream::new_tls(acceptor.accept_compat(stream).await?);
+        Ok(Self { stream, write_patience, write_timer: None })
+    }
+
     /// Passes on the result of a write, and fails when it has waited for too long.
     fn watch<T>(
         &mut self,
