Refuse banned requests and remove expired bans

Cause: the configuration could hold a ban of a request, but no node looked at it, and nothing removed the entry once it had expired.

Ruled out: checking the ban only on arrival. A request that is running would then be retried after its ban, so every attempt checks it.

Change: the fingerprint covers client account, model and body without resume, priority and stream. A request whose fingerprint is banned is answered with request_quarantined, before its first attempt and before each later one. The planner removes bans that have expired.

Conclusion: a ban holds on every node and ends by itself. Nothing records strikes or writes a ban yet.

--- a/crates/eelgrassdeal_control/src/lib.rs
+++ b/crates/eelgrassdeal_control/src/lib.rs
@@ -15,6 +15,6 @@
 pub use file::{FileError, FileProblem, FleetFiles, load_fleet_files};
 pub use fleet::{EntryKind, FleetConfig, entry_key};
 pub use planner::{
-    GroupPlan, GroupPlanner, HeartbeatWatch, plan_absent_nodes, plan_change, plan_groups,
-    plan_loss_removals,
+    GroupPlan, GroupPlanner, HeartbeatWatch, plan_absent_nodes, plan_ban_removals, plan_change,
+    plan_groups, plan_loss_removals,
 };
--- a/crates/eelgrassdeal_control/src/planner/mod.rs
+++ b/crates/eelgrassdeal_control/src/planner/mod.rs
@@ -16,7 +16,7 @@
 use pass::PlanPass;
 
 pub use change::plan_change;
-pub use watch::{HeartbeatWatch, plan_absent_nodes, plan_loss_removals};
+pub use watch::{HeartbeatWatch, plan_absent_nodes, plan_ban_removals, plan_loss_removals};
 
 /// Changes that a planning pass asks for.
 #[derive(Clone, Debug, Default, PartialEq)]
--- a/crates/eelgrassdeal_control/src/planner/watch.rs
+++ b/crates/eelgrassdeal_control/src/planner/watch.rs
@@ -53,6 +53,14 @@
     GroupPlan { upsert: Vec::new(), remove }
 }
 
+/// Plans the removal of `RequestBan` entries that have expired at `now_unix_ms`.
+pub fn plan_ban_removals(fleet: &FleetConfig, now_unix_ms: u64) -> GroupPlan {
+    let remove = (fleet.request_bans().filter(|ban| ban.expires_unix_ms <= now_unix_ms))
+        .map(|ban| entry_key(EntryKind::RequestBan, &ban.id))
+        .collect();
+    GroupPlan { upsert: Vec::new(), remove }
+}
+
 /// What was last seen of a heartbeat row.
 #[derive(Clone, Copy, Debug)]
 struct SeenRow {
--- a/crates/eelgrassdeal_node/src/chat/attempt.rs
+++ b/crates/eelgrassdeal_node/src/chat/attempt.rs
@@ -11,6 +11,7 @@
 use super::ChatCall;
 use super::event::{EngineEvent, EngineEvents};
 use super::progress::AnswerProgress;
+use crate::quarantine::check_ban;
 use crate::slots::{HeldSlot, ReplicaTarget, SlotNeed};
 use crate::state::NodeState;
 use crate::upstream_client::{SendFailure, send_request};
@@ -84,7 +85,10 @@
                 let text = "the answer failed on several replicas";
                 return Err(CallError::new(ErrorKind::AnswerIncomplete, text));
             }
+            check_ban(&self.state.fleet(), self.chat_call.fingerprint)?;
             let slot = self.wait_for_slot(progress).await?;
+            // The ban may have come during the wait.
+            check_ban(&self.state.fleet(), self.chat_call.fingerprint)?;
             // The wait may have taken long, or the process may have been paused.
             self.check_deadline()?;
             if let Some(attempt) = self.send(slot, progress).await? {
--- a/crates/eelgrassdeal_node/src/chat/mod.rs
+++ b/crates/eelgrassdeal_node/src/chat/mod.rs
@@ -9,9 +9,9 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use eelgrassdeal_routing::affinity_key;
+use eelgrassdeal_routing::{RequestFingerprint, affinity_key};
 use eelgrassdeal_schema::engine::{ChatRequest, ResumePoint};
-use eelgrassdeal_types::{CallError, ClientAccountId, ErrorKind};
+use eelgrassdeal_types::{CallError, ClientAccountId, ErrorKind, ModelId};
 use hyper::Request;
 use hyper::body::Incoming;
 use serde::Deserialize;
@@ -20,6 +20,7 @@
 use crate::answer_queue::answer_queue;
 use crate::call::{CallContext, header_number, open_call};
 use crate::http::{AnswerReply, raw_reply, read_body, stream_reply};
+use crate::quarantine::request_fingerprint;
 use crate::slots::largest_request_kv;
 use crate::state::NodeState;
 use relay::AnswerRelay;
@@ -37,6 +38,8 @@
     pub(crate) kv_tokens: u64,
     /// Key of the prompt's prefix, which an engine may have cached.
     pub(crate) affinity: [u8; 32],
+    /// What a ban of the request names.
+    pub(crate) fingerprint: RequestFingerprint,
 }
 
 /// Answers `POST /v1/chat/completions`.
@@ -65,7 +68,8 @@
     }
     let account = ClientAccountId::from(call.account.id.as_str());
     let affinity = affinity_key(&account, prompt_start(&chat).as_bytes());
-    let chat_call = ChatCall { call, chat, body, kv_tokens, affinity };
+    let fingerprint = request_fingerprint(&account, &ModelId::from(chat.model.as_str()), &body);
+    let chat_call = ChatCall { call, chat, body, kv_tokens, affinity, fingerprint };
     let mut relay = AnswerRelay::new(state.clone(), chat_call);
     // The first attempt starts before the head of the answer, so that a refusal has its status.
     relay.start_first().await?;
--- a/crates/eelgrassdeal_node/src/chat/relay.rs
+++ b/crates/eelgrassdeal_node/src/chat/relay.rs
@@ -151,6 +151,9 @@
         started.map(Some).map_err(|error| match error.kind {
             // The request has run, so the answer must not say that it has not.
             ErrorKind::DeadlinePassed => error,
+            // Refused rather than not run, so the kind is true of a request that has run, and it
+            // keeps the caller from sending the request again.
+            ErrorKind::RequestQuarantined => error,
             _ => CallError::new(ErrorKind::AnswerIncomplete, error.message),
         })
     }
--- a/crates/eelgrassdeal_node/src/fleet_sync/plan.rs
+++ b/crates/eelgrassdeal_node/src/fleet_sync/plan.rs
@@ -5,8 +5,8 @@
 use std::time::{Duration, Instant};
 
 use eelgrassdeal_control::{
-    FleetConfig, GroupPlan, GroupPlanner, HeartbeatWatch, plan_absent_nodes, plan_change,
-    plan_loss_removals,
+    FleetConfig, GroupPlan, GroupPlanner, HeartbeatWatch, plan_absent_nodes, plan_ban_removals,
+    plan_change, plan_loss_removals,
 };
 use eelgrassdeal_platform::{AppendOutcome, LeaseKeeper, RowRange, TableName};
 use eelgrassdeal_types::{NodeId, VmId, unix_ms_now};
@@ -80,7 +80,8 @@
         .with_unready(unready)
         .plan()
         .merge(watch.plan_nodes(&fleet))
-        .merge(plan_loss_removals(&fleet, &watch.answering_times()));
+        .merge(plan_loss_removals(&fleet, &watch.answering_times()))
+        .merge(plan_ban_removals(&fleet, now_unix_ms));
     let author = format!("planner on {}", state.node);
     if plan.is_empty() {
         return;
--- a/crates/eelgrassdeal_node/src/lib.rs
+++ b/crates/eelgrassdeal_node/src/lib.rs
@@ -15,6 +15,7 @@
 mod lifecycle;
 mod locate;
 mod pace;
+mod quarantine;
 mod retry_budget;
 mod service_call;
 mod settings;
