--- a/crates/eelgrassdeal_node/src/chat/mod.rs
+++ b/crates/eelgrassdeal_node/src/chat/mod.rs
@@ -88,6 +88,9 @@
         CallError::new(ErrorKind::BadRequest, format!("the body is not a chat request: {error}"))
     };
     let mut body: Value = serde_json::from_slice(bytes).map_err(bad)?;
+    if !body.is_object() {
+        return Err(CallError::new(ErrorKind::BadRequest, "the body is not a JSON object"));
+    }
     let mut chat = ChatRequest::deserialize(&body).map_err(bad)?;
     if chat.messages.is_empty() {
         return Err(CallError::new(ErrorKind::BadRequest, "messages: at least one is needed"));
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -24,8 +24,10 @@
 echo "== tests"
 # Each line `test: NAME` of KNOWN-RED.txt names a test that fails because of a known fault.
 known_red=()
-while read -r name; do
-    echo "known red, passed over: $name"
-    known_red+=(--skip "$name")
-done < <(sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null)
+if [ -f KNOWN-RED.txt ]; then
+    while read -r name; do
+        echo "known red, passed over: $name"
+        known_red+=(--skip "$name")
+    done < <(sed -n 's/^test: //p' KNOWN-RED.txt)
+fi
 cargo test --quiet --workspace -- "${known_red[@]}"
