Make three tests of stopped work sensitive to their mechanism

Cause: with the owner's health check, the VM list or the register's leaving state ignored, the tests still passed: the leader noticed the loss itself, and the planner replaced the leaving worker before the bound. Ruled out: shorter bounds; they come from the target. Change: the leader of the lost-member test notices nothing, and the leaving tests have no spare VM. Conclusion: the checks are the same, the set-up leaves nothing else to stop work.

--- a/crates/eelgrassdeal_node/tests/data_centre.rs
+++ b/crates/eelgrassdeal_node/tests/data_centre.rs
@@ -64,10 +64,11 @@
     assert_eq!(fleet.weights.transferred(), transferred, "the return needs no transfer");
 }
 
-/// Guards against new work for a worker that the platform lists as leaving.
+/// Guards against new work for a worker that the platform lists as leaving. No spare is left, so
+/// that the group is not replaced before the limits must take effect.
 #[compio::test]
 async fn a_leaving_worker_gets_no_new_work() {
-    let fleet = TestFleet::start_serving(FleetSpec::default()).await;
+    let fleet = TestFleet::start_serving(FleetSpec { workers: 2, ..FleetSpec::default() }).await;
     let config = fleet.config().await;
     let group = config.groups().next().cloned().expect("a group");
     fleet.vm_list.set(&group.members[1], Some("leaving"));
@@ -82,11 +83,11 @@
     assert_eq!(late, 0, "new work went to a group with a leaving member");
 }
 
-/// Guards against new work for a worker that operators mark as leaving in the register, while the
-/// store goes down right after the change.
+/// Guards against new work for a worker that operators mark as leaving in the register, when no
+/// spare is left.
 #[compio::test]
 async fn a_worker_marked_as_leaving_gets_no_new_work() {
-    let fleet = TestFleet::start_serving(FleetSpec::default()).await;
+    let fleet = TestFleet::start_serving(FleetSpec { workers: 2, ..FleetSpec::default() }).await;
     let config = fleet.config().await;
     let group = config.groups().next().cloned().expect("a group");
     let vm = config.vm(&group.members[0]).cloned().expect("a VM");
--- a/crates/eelgrassdeal_node/tests/groups.rs
+++ b/crates/eelgrassdeal_node/tests/groups.rs
@@ -27,7 +27,10 @@
 /// repaired although the domain has spares.
 #[compio::test]
 async fn a_lost_member_stops_its_group_and_is_replaced() {
-    let fleet = TestFleet::start_serving(FleetSpec::default()).await;
+    // The leader itself does not notice the loss; only the probes of the owner do.
+    let engine =
+        EngineOptions { member_check: Duration::from_secs(600), ..EngineOptions::default() };
+    let fleet = TestFleet::start_serving(FleetSpec { engine, ..FleetSpec::default() }).await;
     let caller = TestCaller::new(&fleet.node_addresses).with_deadline(Duration::from_secs(10));
     let config = fleet.config().await;
     let group = config.groups().next().cloned().expect("a group");
