Give each TLS test an authority of its own

Ruled out: the node's TLS; its certificate was signed by the other authority. Change: a folder for each test. Conclusion: a fault of the test alone.

--- a/crates/eelgrassdeal_node/tests/caller_tls.rs
+++ b/crates/eelgrassdeal_node/tests/caller_tls.rs
@@ -14,6 +14,7 @@
 use eelgrassdeal_testkit::{
     ACCOUNT_KEY, FleetSpec, TestFleet, chat_request, free_address, wait_until,
 };
+use eelgrassdeal_types::new_writer_mark;
 use rustls::pki_types::CertificateDer;
 use rustls::pki_types::pem::PemObject;
 use rustls::{ClientConfig, RootCertStore};
@@ -109,8 +110,10 @@
     TlsConnector::from(Arc::new(config))
 }
 
+/// A folder for each test: they run at the same time, and each has an authority of its own.
 fn temp_folder() -> PathBuf {
-    std::env::temp_dir().join(format!("eelgrassdeal-{}-caller-tls", std::process::id()))
+    let name = format!("eelgrassdeal-{}-caller-tls-{}", std::process::id(), new_writer_mark());
+    std::env::temp_dir().join(name)
 }
 
 /// Guards against an answer that is cut or altered on its way through TLS.
