Test that a group without a member gets no new work, without other help

Cause: the lost-member test passed with the owner's health check off, because the planner replaced the member and the leader noticed the loss itself. Change: a test without spares and with a leader that notices nothing, after the group has served.

--- a/crates/eelgrassdeal_node/tests/groups.rs
+++ b/crates/eelgrassdeal_node/tests/groups.rs
@@ -57,6 +57,34 @@
     check_groups(&fleet).await;
 }
 
+/// Guards against new work for a group that lost a member, when no spare is left to replace it and
+/// its leader does not notice the loss.
+#[compio::test]
+async fn a_group_without_a_member_gets_no_new_work() {
+    let engine =
+        EngineOptions { member_check: Duration::from_secs(600), ..EngineOptions::default() };
+    let spec = FleetSpec { engine, workers: 2, ..FleetSpec::default() };
+    let fleet = TestFleet::start_serving(spec).await;
+    let caller = TestCaller::new(&fleet.node_addresses).with_deadline(Duration::from_secs(10));
+    let group = fleet.config().await.groups().next().cloned().expect("a group");
+    let leader = fleet.engine(&group.members[0]).clone();
+    let mut answers = 0;
+    while leader.runs().len() < 3 {
+        let outcome = caller.chat(&chat_request(&format!("lot {answers}"), 5)).await;
+        assert!(outcome.is_whole && answers < 500, "{outcome:?}");
+        answers += 1;
+    }
+    fleet.engine(&group.members[1]).kill();
+    let killed = Instant::now();
+    while killed.elapsed() < Duration::from_secs(5) {
+        let outcome = caller.chat(&chat_request(&format!("lot {answers}"), 5)).await;
+        assert!(outcome.is_whole, "{outcome:?}");
+        answers += 1;
+    }
+    let late = leader.runs().into_iter().filter(|run| run.at > killed + STOP_BOUND).count();
+    assert_eq!(late, 0, "new work went to the group after the bound");
+}
+
 /// Guards against two planners, spare VMs that die, and engines that ignore fencing numbers.
 #[compio::test]
 async fn members_that_die_one_after_the_other_leave_no_vm_in_two_groups() {
