Start the ramp over before anything is granted to a data centre that returns

Ruled out: the nodes' reports of the old limit (a reset is not undone by them, tests/ramp.rs). Change: the owner follows the state of the data centre before it answers a report.

--- a/crates/eelgrassdeal_node/src/lib.rs
+++ b/crates/eelgrassdeal_node/src/lib.rs
@@ -22,7 +22,6 @@
 mod slots;
 mod socket;
 mod state;
-mod trace;
 mod upstream_client;
 
 pub use lifecycle::{NodeError, NodeHandle, run_node, start_node};
--- a/crates/eelgrassdeal_node/src/slots/owner.rs
+++ b/crates/eelgrassdeal_node/src/slots/owner.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use eelgrassdeal_control::FleetConfig;
 use eelgrassdeal_platform::VmState;
 use eelgrassdeal_routing::{LoadReport, ServePermission};
 use eelgrassdeal_schema::peer::{AllowanceBatch, ReportBatch, RevokeNotice};
@@ -49,18 +50,13 @@
     let fleet = state.fleet();
     let mut slots = state.slots.borrow_mut();
     let entry = slots.replicas.get_mut(id).filter(|entry| entry.generation == result.generation)?;
-    let is_out = fleet.is_centre_out(&entry.data_centre);
-    let has_returned = entry.was_out && !is_out;
-    entry.was_out = is_out;
+    follow_centre(&fleet, entry, now);
     match result.found {
         Ok((load, start)) => {
             entry.health.healthy_at = Some(result.sent);
             entry.health.reason.clear();
             if let Some(owner) = &mut entry.owner {
-                match has_returned {
-                    true => owner.ramp_mut().return_to_service(now, &start),
-                    false => owner.ramp_mut().observe_start(now, &start),
-                }
+                owner.ramp_mut().observe_start(now, &start);
                 owner.observe_load(now, load);
             }
             None
@@ -74,6 +70,16 @@
     }
 }
 
+/// Starts the ramp over when the data centre of a replica is back in service. Called before
+/// anything is granted, so that nothing is granted by the limit of before the absence.
+fn follow_centre(fleet: &FleetConfig, entry: &mut ReplicaEntry, now: Instant) {
+    let is_out = fleet.is_centre_out(&entry.data_centre);
+    let has_returned = std::mem::replace(&mut entry.was_out, is_out) && !is_out;
+    if let Some(owner) = entry.owner.as_mut().filter(|_| has_returned) {
+        owner.ramp_mut().return_to_service(now);
+    }
+}
+
 /// Why the owner may grant nothing at this replica now; `None` if it may.
 fn refusal_now(state: &NodeState, entry: &ReplicaEntry) -> Option<String> {
     let fleet = state.fleet();
@@ -108,6 +114,7 @@
     batch: &ReportBatch,
 ) -> AllowanceBatch {
     let now = Instant::now();
+    let fleet = state.fleet();
     let mut answer = AllowanceBatch::default();
     let mut slots = state.slots.borrow_mut();
     for report in &batch.report {
@@ -115,6 +122,7 @@
         // A replica that is not known here yet comes with a revision that is on its way.
         let Some(entry) = slots.replicas.get_mut(&id) else { continue };
         entry.reported_at = Some(now);
+        follow_centre(&fleet, entry, now);
         let refusal = refusal_now(state, entry).or_else(|| upstream_refusal(state, &id, entry));
         let (generation, address) = (entry.generation, entry.address.clone());
         let voters = entry.reporters.voters(now);
--- a/crates/eelgrassdeal_node/src/trace.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Spans of a request, one for each hop.
--- a/crates/eelgrassdeal_node/tests/data_centre.rs
+++ b/crates/eelgrassdeal_node/tests/data_centre.rs
@@ -4,7 +4,7 @@
 
 use eelgrassdeal_schema::config::Vm;
 use eelgrassdeal_schema::config::config_entry::Body;
-use eelgrassdeal_standins::{EngineRun, answer_text};
+use eelgrassdeal_standins::{EngineOptions, EngineRun, answer_text};
 use eelgrassdeal_testkit::{FleetSpec, TestCaller, TestFleet, chat_request, wait_until};
 use futures_util::future::join_all;
 
@@ -103,3 +103,31 @@
         .count();
     assert_eq!(late, 0, "new work went to a leaving worker");
 }
+
+/// Guards against engines that fall over because their data centre returns while they are cold.
+#[compio::test]
+async fn a_data_centre_that_returns_cold_is_ramped() {
+    let engine = EngineOptions {
+        cold_limit: 2,
+        warm_limit: 16,
+        warm_after: Duration::from_millis(400),
+        ..EngineOptions::default()
+    };
+    let spec =
+        FleetSpec { engine, slots: 16, cold_slots: 2, ramp_step_ms: 600, ..FleetSpec::default() };
+    let fleet = TestFleet::start_serving(spec).await;
+    let end = Instant::now() + Duration::from_secs(16);
+    let lanes = join_all((0..24).map(|lane| keep_calling(&fleet, lane, end)));
+    let operate = async {
+        compio::time::sleep(Duration::from_secs(5)).await;
+        fleet.set_centre(0, "out").await;
+        compio::time::sleep(Duration::from_secs(5)).await;
+        for (_, engine) in fleet.engines.iter().filter(|(vm, _)| vm.starts_with("dc0")) {
+            engine.turn_cold();
+        }
+        fleet.set_centre(0, "in").await;
+    };
+    futures_util::join!(lanes, operate);
+    let crashes: u32 = fleet.engines.iter().map(|(_, engine)| engine.crashes()).sum();
+    assert_eq!(crashes, 0, "an engine got more than it bears");
+}
--- a/crates/eelgrassdeal_routing/src/ramp.rs
+++ b/crates/eelgrassdeal_routing/src/ramp.rs
@@ -131,8 +131,7 @@
     /// Sets the cold limit for an engine whose data centre came back into service.
     ///
     /// It may have turned cold while it got no requests, also without a new start identity.
-    pub fn return_to_service(&mut self, now: Instant, start: &StartId) {
-        self.start = Some(start.clone());
+    pub fn return_to_service(&mut self, now: Instant) {
         self.reset(now);
     }
 
--- a/crates/eelgrassdeal_routing/tests/ramp.rs
+++ b/crates/eelgrassdeal_routing/tests/ramp.rs
@@ -105,8 +105,9 @@
     let mut ramp = ramp(now);
     run_steps(&mut ramp, &mut now, 3, TARGET);
     assert_eq!(ramp.limit(), 12);
-    ramp.return_to_service(now, &StartId::from("s1"));
+    ramp.return_to_service(now);
     assert_eq!(ramp.limit(), 2);
-    ramp.return_to_service(now, &StartId::from("s2"));
+    // Nodes still tell the limit of before the absence.
+    ramp.adopt(now, 12, "s1");
     assert_eq!(ramp.limit(), 2);
 }
