Require the test of the global bound to come near the bound

Cause: while the count of held bytes was changed, the test's check that the bound was near had become a check that anything was queued.

--- a/crates/eelgrassdeal_node/tests/slow_readers.rs
+++ b/crates/eelgrassdeal_node/tests/slow_readers.rs
@@ -91,7 +91,7 @@
     assert_eq!(outcome.text, answer_text(&request), "{:?}", outcome.error);
     assert_detached(&fleet).await;
     let peak = fleet.nodes[0].as_ref().expect("the node runs").peak_buffered_bytes();
-    assert!(peak > 0, "nothing was queued");
+    assert!(peak > TOTAL / 2, "the bound was never near: {peak}");
     assert!(peak <= TOTAL, "{peak} bytes were queued");
     assert_whole(streams).await;
     assert_eq!(fleet.resume_faults(), 0);
