--- a/crates/eelgrassdeal_cli/src/apply.rs
+++ b/crates/eelgrassdeal_cli/src/apply.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use eelgrassdeal_control::{EntryDiff, FleetConfig, check_fleet, diff_fleet};
-use eelgrassdeal_platform::AppendOutcome;
+use eelgrassdeal_store::AppendOutcome;
 use eelgrassdeal_schema::config::ConfigChange;
 use eelgrassdeal_types::{ErrorKind, Revision};
 
--- a/crates/eelgrassdeal_cli/tests/commands.rs
+++ b/crates/eelgrassdeal_cli/tests/commands.rs
@@ -313,11 +313,11 @@
         .map(|body| ConfigEntry { body: Some(body) })
         .to_vec();
     let change = ConfigChange { revision: 2, upsert, ..ConfigChange::default() };
-    let store = eelgrassdeal_platform::HttpTableStore::new(
+    let store = eelgrassdeal_store::HttpTableStore::new(
         cyper::Client::new().expect("client"),
         format!("http://{}", fixture.handle.address()),
     );
-    eelgrassdeal_platform::ConfigLog::new(Rc::new(store)).append(&change).await;
+    eelgrassdeal_store::ConfigLog::new(Rc::new(store)).append(&change).await;
     let mut text = String::new();
     for id in ["carob-70b", "worker-02", "worker-50", "desk-1", "entry-1"] {
         text.push_str(&fixture.run("why", &[id]).await.text);
--- a/crates/eelgrassdeal_codegen/src/main.rs
+++ b/crates/eelgrassdeal_codegen/src/main.rs
@@ -9,10 +9,11 @@
 
 const SCHEMA_DIR: &str = "schema";
 const DEFAULT_OUT_DIR: &str = "crates/eelgrassdeal_schema/src/generated";
-const FILES: [&str; 6] = [
+const FILES: [&str; 7] = [
     "admin.proto",
     "config.proto",
     "engine.proto",
+    "gateway.proto",
     "peer.proto",
     "records.proto",
     "settings.proto",
--- a/crates/eelgrassdeal_control/src/planner/mod.rs
+++ b/crates/eelgrassdeal_control/src/planner/mod.rs
@@ -8,7 +8,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use eelgrassdeal_platform::VmState;
+use eelgrassdeal_store::VmState;
 use eelgrassdeal_schema::config::{ConfigEntry, EntryKey, GroupRecord};
 use eelgrassdeal_types::{Generation, GroupId, VmId};
 
--- a/crates/eelgrassdeal_control/src/planner/placement.rs
+++ b/crates/eelgrassdeal_control/src/planner/placement.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use eelgrassdeal_platform::VmState;
+use eelgrassdeal_store::VmState;
 use eelgrassdeal_schema::config::{GroupRecord, ServeRule, Vm};
 use eelgrassdeal_types::VmId;
 
--- a/crates/eelgrassdeal_control/tests/planner.rs
+++ b/crates/eelgrassdeal_control/tests/planner.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use eelgrassdeal_control::{FleetConfig, GroupPlanner, plan_change};
-use eelgrassdeal_platform::{AppendOutcome, ConfigLog, MemoryTable, VmState};
+use eelgrassdeal_store::{AppendOutcome, ConfigLog, MemoryTable, VmState};
 use eelgrassdeal_schema::config::config_entry::Body;
 use eelgrassdeal_schema::config::{ConfigChange, ConfigEntry, GroupRecord, Model, ServeRule};
 use fixture::PlanFixture;
--- a/crates/eelgrassdeal_control/tests/planner_properties.rs
+++ b/crates/eelgrassdeal_control/tests/planner_properties.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeSet;
 
 use eelgrassdeal_control::check_fleet;
-use eelgrassdeal_platform::VmState;
+use eelgrassdeal_store::VmState;
 use eelgrassdeal_schema::config::config_entry::Body;
 use fixture::PlanFixture;
 use proptest::collection::vec;
--- /dev/null
+++ b/crates/eelgrassdeal_dispatch/src/lib.rs
@@ -0,0 +1,33 @@
+//! Decisions of the gateway, without a network and without a clock of their own.
+//!
+//! - What operators declare: [`ServiceConfig`], its routes, services and client accounts.
+//! - What the fleet reports: [`UpstreamRecord`], [`GroupRecord`], gathered in a [`FleetView`].
+//! - Replicas: [`GroupPlanner`] forms, watches and repairs groups of upstreams.
+//! - Placement: [`LoadBook`] chooses the upstream of a request.
+//! - Limits over all nodes: [`RateShare`] and [`RetryAllowance`].
+//! - Nodes: [`NodeDirectory`] knows the others by their heartbeats.
+//!
+//! The caller passes the time to every decision.
+
+mod config;
+mod directory;
+mod fleet;
+mod limit;
+mod placement;
+mod planner;
+mod settings;
+
+pub use config::{
+    AccountEntry, CallerLimits, EngineSpec, ModelSpec, RouteKind, RouteRule, ServiceConfig,
+    ServiceSpec, ServiceSplit,
+};
+pub use directory::{NodeBeat, NodeDirectory, NodeStage};
+pub use fleet::{
+    FleetView, GroupMembership, GroupRecord, GroupState, Replica, UpstreamRecord, UpstreamState,
+};
+pub use limit::{RateShare, RetryAllowance};
+pub use placement::{LoadBook, PlacementNeed, PlacementRefusal};
+pub use planner::{
+    GroupPlanner, OrderKind, OrderOutcome, PlanStep, PlannerSettings, UpstreamOrder,
+};
+pub use settings::{GatewaySettings, ListenAddresses, LimitBounds, StoreAddress};
--- /dev/null
+++ b/crates/eelgrassdeal_dispatch/src/limit.rs
@@ -0,0 +1,82 @@
+//! Limits that hold over all nodes: each node uses an equal share.
+
+use std::time::{Duration, Instant};
+
+/// A rate limit of which every node uses an equal share.
+#[derive(Clone, Debug)]
+pub struct RateShare {
+    saved: f64,
+    refilled_at: Instant,
+}
+
+impl RateShare {
+    /// Starts with one request.
+    pub fn new(now: Instant) -> Self {
+        Self { saved: 1.0, refilled_at: now }
+    }
+
+    /// Takes one request of `per_s` over `nodes` nodes; false if the share is used up.
+    ///
+    /// At most one request is saved, so that the nodes together never send more than one each
+    /// beyond the rate.
+    pub fn try_take(&mut self, now: Instant, per_s: f64, nodes: usize) -> bool {
+        let share = per_s / nodes.max(1) as f64;
+        let elapsed = now.saturating_duration_since(self.refilled_at).as_secs_f64();
+        self.refilled_at = now;
+        self.saved = (self.saved + elapsed * share).min(1.0);
+        let is_allowed = self.saved >= 1.0;
+        if is_allowed {
+            self.saved -= 1.0;
+        }
+        is_allowed
+    }
+}
+
+/// Share of the retries of one service that this node may use.
+#[derive(Clone, Debug)]
+pub struct RetryAllowance {
+    saved: f64,
+    refilled_at: Instant,
+}
+
+impl RetryAllowance {
+    /// Part of the demanded bound that the nodes use together.
+    const USED_PART: f64 = 0.8;
+
+    /// Starts with the node's part of the retries that need no requests.
+    pub fn new(now: Instant, slack: f64, nodes: usize) -> Self {
+        Self { saved: Self::capacity(slack, nodes), refilled_at: now }
+    }
+
+    /// Counts a request that a caller sent.
+    pub fn note_request(&mut self, ratio: f64) {
+        self.saved += ratio * Self::USED_PART;
+    }
+
+    /// Takes one retry. In a window the nodes together get `slack` retries and those that their
+    /// requests allow.
+    pub fn try_retry(
+        &mut self,
+        now: Instant,
+        slack: f64,
+        window: Duration,
+        nodes: usize,
+    ) -> bool {
+        // Half of the slack is saved up at most and half refilled over a window, so that no
+        // window sees more than the whole.
+        let capacity = Self::capacity(slack, nodes);
+        let elapsed = now.saturating_duration_since(self.refilled_at).as_secs_f64();
+        self.refilled_at = now;
+        self.saved += elapsed * capacity / window.as_secs_f64().max(0.001);
+        self.saved = self.saved.min(capacity * 2.0);
+        let is_allowed = self.saved >= 1.0;
+        if is_allowed {
+            self.saved -= 1.0;
+        }
+        is_allowed
+    }
+
+    fn capacity(slack: f64, nodes: usize) -> f64 {
+        slack * Self::USED_PART / 2.0 / nodes.max(1) as f64
+    }
+}
--- /dev/null
+++ b/crates/eelgrassdeal_dispatch/src/placement.rs
@@ -0,0 +1,199 @@
+//! Choice of the upstream that runs a request.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use eelgrassdeal_types::{NodeId, UpstreamId};
+
+use crate::fleet::UpstreamRecord;
+
+/// Peers' counts older than this are not added: the peer is gone or cut off.
+const PEER_COUNT_LIFETIME: Duration = Duration::from_millis(1_500);
+/// Time in which an upstream that failed is used only when no other is left.
+const AVOID_TIME: Duration = Duration::from_millis(1_000);
+/// Weight of the newest answer in the moving failure share.
+const FAILURE_WEIGHT: f64 = 0.15;
+/// Requests that count as waiting for each unit of failure share when upstreams are compared.
+const FAILURE_PENALTY: f64 = 2.0;
+
+/// What a request needs.
+#[derive(Clone, Copy, Debug)]
+pub struct PlacementNeed<'a> {
+    /// Upstreams that this request must not go to again.
+    pub excluded: &'a [UpstreamId],
+    /// Most requests per slot at an upstream, over all nodes.
+    pub max_per_slot: f64,
+}
+
+/// Why no upstream was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PlacementRefusal {
+    /// No upstream takes requests.
+    NoneServing,
+    /// Every upstream that may be used is full.
+    AllFull,
+}
+
+#[derive(Clone, Debug, Default)]
+struct UpstreamLoad {
+    own: u32,
+    /// Requests of this node whose answer has begun.
+    writing: u32,
+    peers: HashMap<NodeId, (u32, Instant)>,
+    failure_share: f64,
+    avoid_until: Option<Instant>,
+    /// Last sign of life while requests ran there.
+    last_progress: Option<Instant>,
+}
+
+/// Requests at each upstream, as far as this node knows.
+#[derive(Clone, Debug, Default)]
+pub struct LoadBook {
+    loads: HashMap<UpstreamId, UpstreamLoad>,
+}
+
+impl LoadBook {
+    /// Knows of no requests.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Counts a request that this node sends.
+    pub fn start(&mut self, upstream: &UpstreamId, now: Instant) {
+        let load = self.loads.entry(upstream.clone()).or_default();
+        if load.own == 0 {
+            load.last_progress = Some(now);
+        }
+        load.own += 1;
+    }
+
+    /// Notes that the answer to one of the requests has begun.
+    pub fn start_writing(&mut self, upstream: &UpstreamId) {
+        if let Some(load) = self.loads.get_mut(upstream) {
+            load.writing += 1;
+        }
+    }
+
+    /// Counts the end of a request of this node, whose answer had begun if `is_writing`.
+    pub fn end(&mut self, upstream: &UpstreamId, is_writing: bool) {
+        if let Some(load) = self.loads.get_mut(upstream) {
+            load.own = load.own.saturating_sub(1);
+            load.writing = load.writing.saturating_sub(u32::from(is_writing));
+        }
+    }
+
+    /// Counts no silence up to `now`: this process stood still and could read nothing.
+    pub fn forgive_silence(&mut self, now: Instant) {
+        for load in self.loads.values_mut() {
+            load.last_progress = load.last_progress.map(|_| now);
+        }
+    }
+
+    /// Notes that bytes came from an upstream.
+    pub fn note_progress(&mut self, upstream: &UpstreamId, now: Instant) {
+        if let Some(load) = self.loads.get_mut(upstream) {
+            load.last_progress = Some(now);
+        }
+    }
+
+    /// Time since an upstream that writes answers to this node last sent anything.
+    pub fn silence(&self, upstream: &str, now: Instant) -> Option<Duration> {
+        let load = self.loads.get(upstream).filter(|load| load.writing > 0)?;
+        load.last_progress.map(|at| now.saturating_duration_since(at))
+    }
+
+    /// Notes how an answer ended, and whether the upstream was at fault.
+    pub fn note_outcome(&mut self, upstream: &UpstreamId, is_failure: bool) {
+        let load = self.loads.entry(upstream.clone()).or_default();
+        let outcome = f64::from(u8::from(is_failure));
+        load.failure_share += (outcome - load.failure_share) * FAILURE_WEIGHT;
+    }
+
+    /// Uses the upstream only when no other is left, for a while.
+    pub fn avoid(&mut self, upstream: &UpstreamId, now: Instant) {
+        self.avoid_for(upstream, now, AVOID_TIME);
+    }
+
+    /// Uses the upstream only when no other is left, for `time`.
+    pub fn avoid_for(&mut self, upstream: &UpstreamId, now: Instant, time: Duration) {
+        let load = self.loads.entry(upstream.clone()).or_default();
+        load.avoid_until = Some(now + time);
+    }
+
+    /// Takes over a peer's counts, which replace its earlier ones.
+    pub fn set_peer(&mut self, peer: &NodeId, counts: &[(UpstreamId, u32)], now: Instant) {
+        for load in self.loads.values_mut() {
+            load.peers.remove(peer);
+        }
+        for (upstream, count) in counts {
+            let load = self.loads.entry(upstream.clone()).or_default();
+            load.peers.insert(peer.clone(), (*count, now));
+        }
+    }
+
+    /// This node's requests by upstream.
+    pub fn own_counts(&self) -> Vec<(UpstreamId, u32)> {
+        self.loads
+            .iter()
+            .filter(|(_, load)| load.own > 0)
+            .map(|(upstream, load)| (upstream.clone(), load.own))
+            .collect()
+    }
+
+    /// Requests at an upstream from all nodes.
+    pub fn total(&self, upstream: &str, now: Instant) -> u32 {
+        let Some(load) = self.loads.get(upstream) else { return 0 };
+        let is_fresh = |at: Instant| now.saturating_duration_since(at) < PEER_COUNT_LIFETIME;
+        let peers: u32 =
+            load.peers.values().filter(|(_, at)| is_fresh(*at)).map(|(count, _)| count).sum();
+        load.own + peers
+    }
+
+    /// The upstream with the fewest requests per slot; `draw` in 0..1 breaks ties.
+    ///
+    /// # Errors
+    ///
+    /// See [`PlacementRefusal`].
+    pub fn choose(
+        &self,
+        candidates: &[Arc<UpstreamRecord>],
+        need: PlacementNeed<'_>,
+        draw: f64,
+        now: Instant,
+    ) -> Result<Arc<UpstreamRecord>, PlacementRefusal> {
+        let usable: Vec<_> = candidates
+            .iter()
+            .filter(|record| !need.excluded.contains(&record.upstream))
+            .collect();
+        if usable.is_empty() {
+            return Err(PlacementRefusal::NoneServing);
+        }
+        let first = (draw * usable.len() as f64) as usize;
+        let in_turn = usable.iter().cycle().skip(first).take(usable.len());
+        let has_room = |record: &&&Arc<UpstreamRecord>| {
+            let total = f64::from(self.total(&record.upstream, now));
+            total < need.max_per_slot * f64::from(record.slots)
+        };
+        in_turn
+            .filter(has_room)
+            .min_by(|left, right| self.cost(left, now).total_cmp(&self.cost(right, now)))
+            .map(|record| (*record).clone())
+            .ok_or(PlacementRefusal::AllFull)
+    }
+
+    /// Forgets upstreams without requests that `is_known` does not know.
+    pub fn retain(&mut self, is_known: impl Fn(&UpstreamId) -> bool) {
+        self.loads.retain(|upstream, load| load.own > 0 || is_known(upstream));
+    }
+
+    fn cost(&self, record: &UpstreamRecord, now: Instant) -> f64 {
+        let total = f64::from(self.total(&record.upstream, now));
+        let load = self.loads.get(&record.upstream);
+        let failures = load.map_or(0.0, |load| load.failure_share);
+        let is_avoided = load.and_then(|load| load.avoid_until).is_some_and(|until| now < until);
+        let slots = f64::from(record.slots.max(1));
+        let avoided = if is_avoided { 1_000.0 } else { 0.0 };
+        total / slots + failures * FAILURE_PENALTY + avoided
+    }
+}
--- /dev/null
+++ b/crates/eelgrassdeal_dispatch/src/planner/dismantle.rs
@@ -0,0 +1,87 @@
+//! Taking a group apart, head first.
+
+use std::time::{Duration, Instant};
+
+use crate::fleet::{FleetView, GroupRecord, GroupState, UpstreamState};
+
+use super::{GroupPlanner, OrderKind, PlanStep, UpstreamOrder};
+
+/// Added to the stall time of the engines before a head that cannot be reached counts as ended.
+const STALL_MARGIN: Duration = Duration::from_millis(500);
+
+impl GroupPlanner {
+    /// Marks a group as closing; its orders follow once the mark is stored.
+    pub(super) fn begin_dismantle(
+        &mut self,
+        group: &GroupRecord,
+        now: Instant,
+        steps: &mut Vec<PlanStep>,
+    ) {
+        // A write whose answer was lost is repeated.
+        if self.memory.try_close_mark(&group.group, now) {
+            steps.push(PlanStep::Write(GroupRecord { is_closing: true, ..group.clone() }));
+        }
+    }
+
+    /// Closes the head, lets it leave, and removes the group once the head has left or ended.
+    pub(super) fn dismantle(
+        &mut self,
+        view: &FleetView,
+        group: &GroupRecord,
+        now: Instant,
+        steps: &mut Vec<PlanStep>,
+    ) {
+        let Some((head_id, head_born)) = group.members.first() else {
+            steps.push(PlanStep::Remove(group.group.clone()));
+            return;
+        };
+        let record = view.upstreams.get(head_id);
+        let is_reborn = record.is_some_and(|record| record.born != *head_born);
+        let state =
+            record.and_then(|record| record.state_in(&group.group, group.generation));
+        let has_left = record.is_some() && state.is_none();
+        let is_unreachable = record.is_none()
+            && self.memory.unreachable.get(&group.group).is_some_and(|since| {
+                now.saturating_duration_since(*since) > self.settings.stall + STALL_MARGIN
+            });
+        let is_released = record.is_none() && self.memory.released.contains(&group.group);
+        if is_reborn || has_left || is_unreachable || is_released {
+            if self.memory.try_remove_mark(&group.group, now) {
+                steps.push(PlanStep::Remove(group.group.clone()));
+            }
+            return;
+        }
+        let kind = match state {
+            Some(GroupState::Open) | None => {
+                OrderKind::Close { is_cut: self.is_cut_needed(view, group) }
+            }
+            Some(GroupState::Closing) => return,
+            Some(GroupState::Ready | GroupState::Joining | GroupState::Broken) => OrderKind::Leave,
+        };
+        let address = record.map_or(&group.head_address, |record| &record.address);
+        let order = UpstreamOrder {
+            upstream: head_id.clone(),
+            address: address.clone(),
+            group: Some((group.group.clone(), group.generation)),
+            kind,
+        };
+        if record.is_none() {
+            // The head may run behind a cut from the store: both orders in turn.
+            let leave = UpstreamOrder { kind: OrderKind::Leave, ..order.clone() };
+            if self.memory.has_outcome(&order) {
+                self.push_order(leave, now, steps);
+            }
+        }
+        self.push_order(order, now, steps);
+    }
+
+    /// Work is finished when every member is there, and cut off when one is lost: it stands still.
+    fn is_cut_needed(&self, view: &FleetView, group: &GroupRecord) -> bool {
+        view.present_members(group).iter().any(|member| {
+            member.is_none_or(|record| {
+                record.state == UpstreamState::Ready
+                    && record.state_in(&group.group, group.generation).is_none()
+            })
+        })
+    }
+}
--- /dev/null
+++ b/crates/eelgrassdeal_dispatch/src/planner/form.rs
@@ -0,0 +1,361 @@
+//! Forming new groups and preparing spares.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use eelgrassdeal_types::{ModelId, ServiceId};
+
+use crate::config::{EngineSpec, ModelSpec};
+use crate::fleet::{FleetView, GroupRecord, GroupState, UpstreamRecord};
+
+use super::memory::LoadEntry;
+use super::{GroupPlanner, OrderKind, PlanStep, UpstreamOrder, grouped_upstreams};
+
+/// Part of the permitted load starts that the planner uses.
+const LOAD_RATE_PART: f64 = 0.8;
+/// Before the first request, loads that run together beyond those at full speed: the next ones
+/// begin without waiting for the reports of the ones before.
+const EARLY_LOADS_FACTOR: usize = 2;
+/// Before the first request a load takes this part of its time.
+const EARLY_LOAD_PART: f64 = 0.1;
+
+/// How an upstream would get a model.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum JoinCost {
+    /// It has loaded the model since its start.
+    Loaded,
+    /// Its host holds the model.
+    Staged,
+    /// Its host is loading the model.
+    Loading,
+    /// The weight store has to send the model.
+    Missing,
+}
+
+/// Upstreams of one fabric domain that are in no group.
+type DomainPool = Vec<Arc<UpstreamRecord>>;
+
+impl GroupPlanner {
+    /// Forms the groups that are possible without a load, then those worth one, then stages models
+    /// on the spares.
+    pub(super) fn form_groups(
+        &mut self,
+        view: &FleetView,
+        service: &ServiceId,
+        engine: &EngineSpec,
+        has_traffic: bool,
+        now: Instant,
+        steps: &mut Vec<PlanStep>,
+    ) {
+        if !self.memory.pending_groups.is_empty() {
+            // The members of a group that is being written must not be used twice.
+            return;
+        }
+        self.note_finished_loads(view, now);
+        let mut pools = free_pools(view, service);
+        let mut counts = group_counts(view, service);
+        loop {
+            let best = self.best_group(&pools, engine, &counts, has_traffic, now);
+            let Some((domain, model, members)) = best else { break };
+            let Some(spec) = engine.model(&model) else { break };
+            let loads = self.count_loads(&members, &model, now);
+            self.note_loads(&members, spec, has_traffic, now);
+            if let Some(pool) = pools.get_mut(&domain) {
+                pool.retain(|record| {
+                    !members.iter().any(|member| member.upstream == record.upstream)
+                });
+            }
+            *counts.entry(model.clone()).or_default() += 1;
+            let group = self.new_group(service, &model, &members);
+            self.memory.pending_groups.insert(group.group.clone());
+            steps.push(PlanStep::Write(group));
+            if loads > 0 && has_traffic {
+                break;
+            }
+        }
+        self.stage_spares(view, service, engine, &pools, has_traffic, now, steps);
+    }
+
+    /// The group to form next: the one with the fewest loads, then of the model that lacks most.
+    fn best_group(
+        &self,
+        pools: &BTreeMap<Arc<str>, DomainPool>,
+        engine: &EngineSpec,
+        counts: &HashMap<ModelId, usize>,
+        has_traffic: bool,
+        now: Instant,
+    ) -> Option<(Arc<str>, ModelId, DomainPool)> {
+        let mut best: Option<(f64, Arc<str>, ModelId, DomainPool)> = None;
+        for (domain, pool) in pools {
+            for spec in &engine.models {
+                let Some(members) = self.cheapest_members(pool, spec, now) else { continue };
+                let loads = self.count_loads(&members, &spec.model, now);
+                // With requests to serve, spares load while the others stay free to regroup.
+                if loads > 0 && (has_traffic || !self.may_load(engine, loads, has_traffic, now)) {
+                    continue;
+                }
+                let is_loading = members.iter().any(|record| {
+                    self.join_cost(record, &spec.model, now) == JoinCost::Loading
+                });
+                if is_loading {
+                    continue;
+                }
+                let spares_left = pool.len() as f64;
+                let urgency = self.model_need(spec, counts);
+                let rank = -(loads as f64) * 0.01 + urgency * 100.0 + spares_left * 0.1;
+                if best.as_ref().is_none_or(|(known, ..)| rank > *known) {
+                    best = Some((rank, domain.clone(), spec.model.clone(), members));
+                }
+            }
+        }
+        best.map(|(_, domain, model, members)| (domain, model, members))
+    }
+
+    /// How much a model lacks groups: its share of the work for each group that it would have.
+    fn model_need(&self, spec: &ModelSpec, counts: &HashMap<ModelId, usize>) -> f64 {
+        let groups = counts.get(&spec.model).copied().unwrap_or(0);
+        spec.share / spec.size.max(1) as f64 / (groups as f64 + 1.0)
+    }
+
+    fn cheapest_members(
+        &self,
+        pool: &DomainPool,
+        spec: &ModelSpec,
+        now: Instant,
+    ) -> Option<DomainPool> {
+        if pool.len() < spec.size {
+            return None;
+        }
+        let mut sorted = pool.clone();
+        sorted.sort_by_key(|record| {
+            (self.join_cost(record, &spec.model, now), record.upstream.clone())
+        });
+        sorted.truncate(spec.size);
+        Some(sorted)
+    }
+
+    fn join_cost(&self, record: &UpstreamRecord, model: &ModelId, now: Instant) -> JoinCost {
+        match self.memory.loading(&record.upstream, now) {
+            _ if record.loaded.as_ref() == Some(model) => JoinCost::Loaded,
+            _ if record.staged.contains(model) => JoinCost::Staged,
+            Some(loading) if loading == model => JoinCost::Loading,
+            _ => JoinCost::Missing,
+        }
+    }
+
+    fn count_loads(&self, members: &DomainPool, model: &ModelId, now: Instant) -> usize {
+        members
+            .iter()
+            .filter(|record| self.join_cost(record, model, now) == JoinCost::Missing)
+            .count()
+    }
+
+    /// Whether `loads` more may begin now.
+    fn may_load(
+        &self,
+        engine: &EngineSpec,
+        loads: usize,
+        has_traffic: bool,
+        now: Instant,
+    ) -> bool {
+        let at_once = (engine.loads_at_once as usize).max(1);
+        let under_way = self.memory.loads_under_way(now);
+        if !has_traffic {
+            return under_way < at_once * EARLY_LOADS_FACTOR;
+        }
+        let window = self.settings.load_window;
+        let recent = self
+            .memory
+            .load_starts
+            .iter()
+            .filter(|start| now.saturating_duration_since(**start) < window)
+            .count();
+        let permitted = engine.loads_per_s * window.as_secs_f64() * LOAD_RATE_PART;
+        under_way + loads <= at_once && (recent + loads) as f64 <= permitted
+    }
+
+    fn note_loads(
+        &mut self,
+        members: &DomainPool,
+        spec: &ModelSpec,
+        has_traffic: bool,
+        now: Instant,
+    ) {
+        for record in members {
+            if self.join_cost(record, &spec.model, now) == JoinCost::Missing {
+                self.note_load(record, spec, has_traffic, now);
+            }
+        }
+    }
+
+    fn note_load(
+        &mut self,
+        record: &UpstreamRecord,
+        spec: &ModelSpec,
+        has_traffic: bool,
+        now: Instant,
+    ) {
+        let part = if has_traffic { 1.0 } else { EARLY_LOAD_PART };
+        // Loads that share the weight store take longer; a report ends the entry earlier.
+        let longest = spec.load_time.mul_f64(part * 2.0) + Duration::from_secs(1);
+        let entry = LoadEntry { model: spec.model.clone(), ends_at: now + longest };
+        self.memory.loads.insert(record.upstream.clone(), entry);
+        self.memory.load_starts.push_back(now);
+        while self.memory.load_starts.len() > 1_000 {
+            self.memory.load_starts.pop_front();
+        }
+    }
+
+    /// Ends the entries of loads whose upstream reports the model, or is gone.
+    fn note_finished_loads(&mut self, view: &FleetView, now: Instant) {
+        self.memory.loads.retain(|upstream, load| {
+            let is_done = view.upstreams.get(upstream).is_none_or(|record| {
+                record.staged.contains(&load.model) || record.loaded.as_ref() == Some(&load.model)
+            });
+            !is_done && now < load.ends_at
+        });
+    }
+
+    fn new_group(
+        &mut self,
+        service: &ServiceId,
+        model: &ModelId,
+        members: &DomainPool,
+    ) -> GroupRecord {
+        let generation = self.next_generation;
+        self.next_generation += 1;
+        GroupRecord {
+            group: Arc::from(format!("g{generation}")),
+            generation,
+            service: service.clone(),
+            model: model.clone(),
+            members: members.iter().map(|record| (record.upstream.clone(), record.born)).collect(),
+            head_address: members.first().map_or(Arc::from(""), |head| head.address.clone()),
+            is_closing: false,
+        }
+    }
+
+    /// Stages models on upstreams that no group uses, so that they can replace lost members.
+    fn stage_spares(
+        &mut self,
+        view: &FleetView,
+        service: &ServiceId,
+        engine: &EngineSpec,
+        pools: &BTreeMap<Arc<str>, DomainPool>,
+        has_traffic: bool,
+        now: Instant,
+        steps: &mut Vec<PlanStep>,
+    ) {
+        let mut choices: Vec<(f64, Arc<UpstreamRecord>, ModelSpec)> = Vec::new();
+        for (domain, pool) in pools {
+            choices.extend(self.spare_choices(view, service, engine, domain, pool, now));
+        }
+        choices.sort_by(|left, right| right.0.total_cmp(&left.0));
+        for (_, record, spec) in choices {
+            if !self.may_load(engine, 1, has_traffic, now) {
+                return;
+            }
+            self.note_load(&record, &spec, has_traffic, now);
+            let order = UpstreamOrder {
+                upstream: record.upstream.clone(),
+                address: record.address.clone(),
+                group: None,
+                kind: OrderKind::Stage { model: spec.model.clone() },
+            };
+            self.push_order(order, now, steps);
+        }
+    }
+
+    /// The model to stage on each empty spare of a domain, with the value of doing so.
+    fn spare_choices(
+        &self,
+        view: &FleetView,
+        service: &ServiceId,
+        engine: &EngineSpec,
+        domain: &Arc<str>,
+        pool: &DomainPool,
+        now: Instant,
+    ) -> Vec<(f64, Arc<UpstreamRecord>, ModelSpec)> {
+        let holds = |record: &Arc<UpstreamRecord>, model: &ModelId| {
+            self.join_cost(record, model, now) < JoinCost::Missing
+        };
+        let holds_any =
+            |record: &Arc<UpstreamRecord>| engine.models.iter().any(|spec| holds(record, &spec.model));
+        let mut held: HashMap<ModelId, usize> = engine
+            .models
+            .iter()
+            .map(|spec| {
+                let count = pool.iter().filter(|record| holds(record, &spec.model)).count();
+                (spec.model.clone(), count)
+            })
+            .collect();
+        let mut choices = Vec::new();
+        for record in pool.iter().filter(|record| !holds_any(record)) {
+            let value = |spec: &ModelSpec| {
+                let held = held.get(&spec.model).copied().unwrap_or(0);
+                let missing = spec.size - held % spec.size.max(1);
+                let exposed = exposed_members(view, service, domain, &spec.model) as f64;
+                // Completing a group comes first, then cover for the members that may be lost.
+                let completion = if held > 0 { 100.0 / missing as f64 } else { 0.0 };
+                completion + exposed / (held as f64 + 1.0) + spec.share
+            };
+            let best = engine.models.iter().max_by(|a, b| value(a).total_cmp(&value(b)));
+            let Some(spec) = best else { continue };
+            choices.push((value(spec), record.clone(), spec.clone()));
+            *held.entry(spec.model.clone()).or_default() += 1;
+        }
+        choices
+    }
+}
+
+/// Members of groups of `model` in a domain.
+fn exposed_members(
+    view: &FleetView,
+    service: &ServiceId,
+    domain: &Arc<str>,
+    model: &ModelId,
+) -> usize {
+    view.groups
+        .values()
+        .filter(|group| group.service == *service && group.model == *model && !group.is_closing)
+        .flat_map(|group| view.present_members(group))
+        .flatten()
+        .filter(|record| record.domain.as_ref() == Some(domain))
+        .count()
+}
+
+/// Groups by model that serve or form.
+fn group_counts(view: &FleetView, service: &ServiceId) -> HashMap<ModelId, usize> {
+    let mut counts = HashMap::new();
+    for group in view.groups.values() {
+        if group.service == *service && !group.is_closing {
+            *counts.entry(group.model.clone()).or_default() += 1;
+        }
+    }
+    counts
+}
+
+/// Upstreams of a service that are ready and in no group, by domain.
+fn free_pools(view: &FleetView, service: &ServiceId) -> BTreeMap<Arc<str>, DomainPool> {
+    let grouped = grouped_upstreams(view);
+    let mut pools: BTreeMap<Arc<str>, DomainPool> = BTreeMap::new();
+    for record in view.upstreams.values() {
+        let is_free = record.service == *service
+            && view.may_place(record)
+            && !grouped.contains(&(&record.upstream, record.born))
+            && !may_serve_alone(record);
+        if let (true, Some(domain)) = (is_free, &record.domain) {
+            pools.entry(domain.clone()).or_default().push(record.clone());
+        }
+    }
+    pools
+}
+
+/// Whether an upstream reports that it heads a group, although no such group is stored.
+fn may_serve_alone(record: &UpstreamRecord) -> bool {
+    matches!(
+        record.membership.as_ref().map(|membership| membership.state),
+        Some(GroupState::Open | GroupState::Closing)
+    )
+}
--- /dev/null
+++ b/crates/eelgrassdeal_dispatch/src/planner/memory.rs
@@ -0,0 +1,175 @@
+//! What a planner remembers between two plans.
+
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::time::{Duration, Instant};
+
+use eelgrassdeal_types::{GroupId, ModelId, UpstreamId};
+
+use super::{OrderKind, OrderOutcome, UpstreamOrder};
+
+/// An order whose effect does not show is given again after this time. Longer than the delay with
+/// which reports are seen.
+const REPEAT_TIME: Duration = Duration::from_millis(900);
+/// An order without an outcome counts as lost after this time.
+const OUTCOME_TIME: Duration = Duration::from_secs(4);
+/// Nothing is remembered for longer.
+const MEMORY_TIME: Duration = Duration::from_secs(120);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum OrderTag {
+    Join,
+    Open,
+    Close,
+    Leave,
+    Stage,
+    /// The write that marks the group as closing.
+    CloseMark,
+    /// The removal of the group.
+    RemoveMark,
+}
+
+impl OrderTag {
+    fn of(kind: &OrderKind) -> Self {
+        match kind {
+            OrderKind::Join { .. } => Self::Join,
+            OrderKind::Open => Self::Open,
+            OrderKind::Close { .. } => Self::Close,
+            OrderKind::Leave => Self::Leave,
+            OrderKind::Stage { .. } => Self::Stage,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct SentOrder {
+    sent_at: Instant,
+    outcome: Option<OrderOutcome>,
+}
+
+/// A load from the weight store that was ordered.
+#[derive(Clone, Debug)]
+pub(super) struct LoadEntry {
+    pub(super) model: ModelId,
+    pub(super) ends_at: Instant,
+}
+
+type OrderKey = (UpstreamId, Option<GroupId>, OrderTag);
+
+#[derive(Debug, Default)]
+pub(super) struct PlannerMemory {
+    orders: HashMap<OrderKey, SentOrder>,
+    first_seen: HashMap<GroupId, Instant>,
+    /// Since when the head of a group could not be reached.
+    pub(super) unreachable: HashMap<GroupId, Instant>,
+    /// Heads that are known to have left their group or ended.
+    pub(super) released: HashSet<GroupId>,
+    /// Groups whose head was told to open.
+    pub(super) opened: HashSet<GroupId>,
+    /// Groups whose write has not shown yet.
+    pub(super) pending_groups: HashSet<GroupId>,
+    pub(super) loads: HashMap<UpstreamId, LoadEntry>,
+    pub(super) load_starts: VecDeque<Instant>,
+}
+
+impl PlannerMemory {
+    /// Whether the order is due; if so, it counts as sent.
+    pub(super) fn try_send(&mut self, order: &UpstreamOrder, now: Instant) -> bool {
+        let key = order_key(order);
+        let is_due = self.orders.get(&key).is_none_or(|sent| {
+            let age = now.saturating_duration_since(sent.sent_at);
+            match sent.outcome {
+                Some(_) => age > REPEAT_TIME,
+                None => age > OUTCOME_TIME,
+            }
+        });
+        if is_due {
+            self.orders.insert(key, SentOrder { sent_at: now, outcome: None });
+        }
+        is_due
+    }
+
+    /// Whether the mark of a group as closing is due; if so, it counts as sent.
+    pub(super) fn try_close_mark(&mut self, group: &GroupId, now: Instant) -> bool {
+        self.try_mark(group, OrderTag::CloseMark, now)
+    }
+
+    /// Whether the removal of a group is due; if so, it counts as sent.
+    pub(super) fn try_remove_mark(&mut self, group: &GroupId, now: Instant) -> bool {
+        self.try_mark(group, OrderTag::RemoveMark, now)
+    }
+
+    fn try_mark(&mut self, group: &GroupId, tag: OrderTag, now: Instant) -> bool {
+        let key = (group.clone(), Some(group.clone()), tag);
+        let is_due = self.orders.get(&key).is_none_or(|sent| {
+            now.saturating_duration_since(sent.sent_at) > REPEAT_TIME
+        });
+        if is_due {
+            self.orders.insert(key, SentOrder { sent_at: now, outcome: None });
+        }
+        is_due
+    }
+
+    /// Whether an order that was given has an outcome.
+    pub(super) fn has_outcome(&self, order: &UpstreamOrder) -> bool {
+        self.orders.get(&order_key(order)).is_some_and(|sent| sent.outcome.is_some())
+    }
+
+    pub(super) fn note_outcome(
+        &mut self,
+        order: &UpstreamOrder,
+        outcome: OrderOutcome,
+        now: Instant,
+    ) {
+        if let Some(sent) = self.orders.get_mut(&order_key(order)) {
+            sent.outcome = Some(outcome);
+        }
+        let Some((group, _)) = &order.group else { return };
+        match (&order.kind, outcome) {
+            (OrderKind::Close { .. } | OrderKind::Leave, OrderOutcome::Gone)
+            | (OrderKind::Leave, OrderOutcome::Accepted | OrderOutcome::Conflict) => {
+                self.released.insert(group.clone());
+            }
+            (
+                OrderKind::Close { .. } | OrderKind::Leave,
+                OrderOutcome::Unreachable | OrderOutcome::Unknown,
+            ) => {
+                self.unreachable.entry(group.clone()).or_insert(now);
+            }
+            (OrderKind::Close { .. }, OrderOutcome::Accepted) => {
+                self.unreachable.remove(group);
+            }
+            _ => {}
+        }
+    }
+
+    /// Time since the planner first saw a group.
+    pub(super) fn age(&mut self, group: &GroupId, now: Instant) -> Duration {
+        now.saturating_duration_since(*self.first_seen.entry(group.clone()).or_insert(now))
+    }
+
+    pub(super) fn loads_under_way(&self, now: Instant) -> usize {
+        self.loads.values().filter(|load| now < load.ends_at).count()
+    }
+
+    /// The model that is being loaded at an upstream.
+    pub(super) fn loading(&self, upstream: &UpstreamId, now: Instant) -> Option<&ModelId> {
+        self.loads.get(upstream).filter(|load| now < load.ends_at).map(|load| &load.model)
+    }
+
+    pub(super) fn forget_old(&mut self, now: Instant) {
+        self.orders.retain(|_, sent| now.saturating_duration_since(sent.sent_at) < MEMORY_TIME);
+        self.loads.retain(|_, load| now < load.ends_at + MEMORY_TIME);
+    }
+
+    pub(super) fn forget_group(&mut self, group: &GroupId) {
+        self.first_seen.remove(group);
+        self.unreachable.remove(group);
+        self.released.remove(group);
+        self.opened.remove(group);
+    }
+}
+
+fn order_key(order: &UpstreamOrder) -> OrderKey {
+    let group = order.group.as_ref().map(|(group, _)| group.clone());
+    (order.upstream.clone(), group, OrderTag::of(&order.kind))
+}
--- /dev/null
+++ b/crates/eelgrassdeal_dispatch/src/planner/mod.rs
@@ -0,0 +1,238 @@
+//! Forms, watches and repairs groups of upstreams.
+//!
+//! A group is written to the store before its first order. Its members are joined, its head is
+//! opened once every member is ready, and a group that lost a member is taken apart from its head:
+//! the head is closed and leaves before any other member may join another group. So a worker never
+//! joins a group while the head of its former group may still serve.
+
+mod dismantle;
+mod form;
+mod memory;
+
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use eelgrassdeal_types::{FencingNumber, Generation, GroupId, ModelId, UpstreamId};
+
+use crate::config::{EngineSpec, ServiceConfig};
+use crate::fleet::{FleetView, GroupRecord, GroupState, UpstreamState};
+use memory::PlannerMemory;
+
+/// Generations that one planner may use before the next fencing number begins.
+const GENERATIONS_PER_TERM: u64 = 1_000_000;
+/// A group that has not formed within this multiple of the load time is taken apart. Loads share
+/// the weight store, so a load can take several times as long as alone.
+const FORM_PATIENCE_FACTOR: u32 = 6;
+
+/// Settings of the planner.
+#[derive(Clone, Copy, Debug)]
+pub struct PlannerSettings {
+    /// Time after which an engine gives up work that depends on a lost member.
+    pub stall: Duration,
+    /// Window in which loads from the weight store are counted.
+    pub load_window: Duration,
+}
+
+/// What an order asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OrderKind {
+    /// Join the group; the first member is the head.
+    Join {
+        /// Model of the group.
+        model: ModelId,
+        /// All members.
+        members: Vec<UpstreamId>,
+    },
+    /// Begin to serve.
+    Open,
+    /// Stop to serve.
+    Close {
+        /// Whether work in progress is cut off.
+        is_cut: bool,
+    },
+    /// Leave the group.
+    Leave,
+    /// Load a model onto the host.
+    Stage {
+        /// Model.
+        model: ModelId,
+    },
+}
+
+/// An order to an upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UpstreamOrder {
+    /// Upstream.
+    pub upstream: UpstreamId,
+    /// Its address.
+    pub address: Arc<str>,
+    /// Group and generation that the order is about; not for staging.
+    pub group: Option<(GroupId, Generation)>,
+    /// What it asks for.
+    pub kind: OrderKind,
+}
+
+/// How an order ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderOutcome {
+    /// Done, or begun.
+    Accepted,
+    /// Does not fit the state of the upstream.
+    Conflict,
+    /// Another planner or a newer generation came before.
+    Outdated,
+    /// Another upstream has the address now, or nothing listens there.
+    Gone,
+    /// No connection was made.
+    Unreachable,
+    /// No answer; it may be carried out later.
+    Unknown,
+}
+
+/// A step of the plan.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PlanStep {
+    /// Store a group.
+    Write(GroupRecord),
+    /// Remove a group.
+    Remove(GroupId),
+    /// Give an order.
+    Order(UpstreamOrder),
+}
+
+/// Plans the groups of all services.
+#[derive(Debug)]
+pub struct GroupPlanner {
+    settings: PlannerSettings,
+    memory: PlannerMemory,
+    next_generation: Generation,
+}
+
+impl GroupPlanner {
+    /// Plans under a lease with the fencing number `fencing`.
+    pub fn new(settings: PlannerSettings, fencing: FencingNumber) -> Self {
+        let next_generation = fencing * GENERATIONS_PER_TERM;
+        Self { settings, memory: PlannerMemory::default(), next_generation }
+    }
+
+    /// The steps that are due at `now`. Orders without an outcome are not repeated.
+    ///
+    /// Until callers send requests, loads are fast and groups are loaded in place.
+    pub fn plan(
+        &mut self,
+        view: &FleetView,
+        config: &ServiceConfig,
+        has_traffic: bool,
+        now: Instant,
+    ) -> Vec<PlanStep> {
+        self.memory.forget_old(now);
+        let mut steps = Vec::new();
+        for group in view.groups.values() {
+            let engine = config.services.get(&group.service).and_then(|spec| spec.engine.as_ref());
+            self.tend_group(view, group, engine, now, &mut steps);
+        }
+        for spec in config.services.values() {
+            if let Some(engine) = &spec.engine {
+                self.form_groups(view, &spec.service, engine, has_traffic, now, &mut steps);
+            }
+        }
+        steps
+    }
+
+    /// Notes how an order ended.
+    pub fn note_outcome(&mut self, order: &UpstreamOrder, outcome: OrderOutcome, now: Instant) {
+        self.memory.note_outcome(order, outcome, now);
+    }
+
+    /// Notes that a write was not carried out, so that it is planned anew.
+    pub fn note_write_failure(&mut self, group: &GroupId) {
+        self.memory.pending_groups.remove(group);
+    }
+
+    /// Loads that are under way, as far as this planner knows.
+    pub fn loads_under_way(&self, now: Instant) -> usize {
+        self.memory.loads_under_way(now)
+    }
+
+    fn tend_group(
+        &mut self,
+        view: &FleetView,
+        group: &GroupRecord,
+        engine: Option<&EngineSpec>,
+        now: Instant,
+        steps: &mut Vec<PlanStep>,
+    ) {
+        self.memory.pending_groups.remove(&group.group);
+        let spec = engine.and_then(|engine| engine.model(&group.model));
+        if group.is_closing {
+            self.dismantle(view, group, now, steps);
+            return;
+        }
+        let Some(spec) = spec else {
+            self.begin_dismantle(group, now, steps);
+            return;
+        };
+        let members = view.present_members(group);
+        let is_lost = members.iter().any(|member| {
+            member.is_none_or(|record| record.state == UpstreamState::Draining)
+        });
+        let states: Vec<_> = members
+            .iter()
+            .map(|member| {
+                member.and_then(|record| record.state_in(&group.group, group.generation))
+            })
+            .collect();
+        let was_open = self.memory.opened.contains(&group.group)
+            || matches!(states.first(), Some(Some(GroupState::Open | GroupState::Closing)));
+        let is_broken = states.contains(&Some(GroupState::Broken))
+            || (was_open && states.contains(&None))
+            || states.first() == Some(&Some(GroupState::Closing));
+        let patience = spec.load_time * FORM_PATIENCE_FACTOR;
+        let is_late = !was_open && self.memory.age(&group.group, now) > patience;
+        if is_lost || is_broken || is_late {
+            self.begin_dismantle(group, now, steps);
+            return;
+        }
+        let is_ready = |state: &Option<GroupState>| {
+            matches!(state, Some(GroupState::Ready | GroupState::Open))
+        };
+        let all_ready = states.iter().all(is_ready);
+        for (index, (member, state)) in members.iter().zip(&states).enumerate() {
+            let Some(record) = member else { continue };
+            let kind = match state {
+                None => OrderKind::Join {
+                    model: group.model.clone(),
+                    members: group.members.iter().map(|(id, _)| id.clone()).collect(),
+                },
+                Some(GroupState::Ready) if index == 0 && all_ready => OrderKind::Open,
+                _ => continue,
+            };
+            if kind == OrderKind::Open {
+                self.memory.opened.insert(group.group.clone());
+            }
+            let order = UpstreamOrder {
+                upstream: record.upstream.clone(),
+                address: record.address.clone(),
+                group: Some((group.group.clone(), group.generation)),
+                kind,
+            };
+            self.push_order(order, now, steps);
+        }
+    }
+
+    /// Adds an order unless the same one was given lately.
+    fn push_order(&mut self, order: UpstreamOrder, now: Instant, steps: &mut Vec<PlanStep>) {
+        if self.memory.try_send(&order, now) {
+            steps.push(PlanStep::Order(order));
+        }
+    }
+}
+
+/// Upstreams that belong to a group.
+fn grouped_upstreams(view: &FleetView) -> HashSet<(&UpstreamId, u64)> {
+    view.groups
+        .values()
+        .flat_map(|group| group.members.iter().map(|(upstream, born)| (upstream, *born)))
+        .collect()
+}
--- /dev/null
+++ b/crates/eelgrassdeal_dispatch/src/settings.rs
@@ -0,0 +1,70 @@
+//! Settings of a gateway process.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use eelgrassdeal_types::{DataCentreId, NodeId};
+
+/// Addresses that a process listens on. A role that does not serve one has `None` there.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ListenAddresses {
+    /// Requests of callers.
+    pub front: Option<Arc<str>>,
+    /// Readiness checks.
+    pub readiness: Option<Arc<str>>,
+    /// Locator.
+    pub locator: Option<Arc<str>>,
+    /// Other nodes.
+    pub peers: Arc<str>,
+}
+
+/// Address and rates of the platform's store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoreAddress {
+    /// `IP:PORT`.
+    pub address: Arc<str>,
+}
+
+/// Bounds that the operators demand.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LimitBounds {
+    /// Time from SIGTERM to SIGKILL.
+    pub grace: Duration,
+    /// Retries allowed per request of a service, over all nodes.
+    pub retry_ratio: f64,
+    /// Retries allowed in a window without any requests, over all nodes.
+    pub retry_slack: f64,
+    /// Window of the retry bound.
+    pub retry_window: Duration,
+    /// Time after which an engine gives up work that depends on a lost member.
+    pub stall: Duration,
+    /// Window in which loads from the weight store are counted.
+    pub load_window: Duration,
+    /// Longest lifetime of a locator answer that callers respect.
+    pub max_locator_lifetime: Duration,
+    /// Whether engines refuse orders with an old fencing number.
+    pub is_fenced: bool,
+}
+
+/// Settings of a gateway process.
+#[derive(Clone, Debug, PartialEq)]
+pub struct GatewaySettings {
+    /// Id of this node.
+    pub node: NodeId,
+    /// Data centre of this node.
+    pub data_centre: DataCentreId,
+    /// Region of this node.
+    pub region: Arc<str>,
+    /// Addresses to listen on.
+    pub listen: ListenAddresses,
+    /// Peer addresses of a few other nodes, possibly stale.
+    pub seeds: Vec<Arc<str>>,
+    /// Store of the platform.
+    pub store: StoreAddress,
+    /// Bounds that the operators demand.
+    pub bounds: LimitBounds,
+    /// Memory limit of the process in bytes.
+    pub memory_bytes: u64,
+    /// Limit of open files and sockets.
+    pub max_descriptors: u64,
+}
--- /dev/null
+++ b/crates/eelgrassdeal_gateway/src/front/call.rs
@@ -0,0 +1,125 @@
+//! A caller's request, once its route and account are known.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use eelgrassdeal_dispatch::{RouteRule, ServiceConfig};
+use eelgrassdeal_platform::CallerRequest;
+use eelgrassdeal_types::{ClientAccountId, ErrorKind, ServiceId};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::header::HeaderMap;
+use hyper::{Method, Request};
+
+use super::refusal::CallRefusal;
+use crate::lifecycle::LEAVE_TIME;
+use crate::state::GatewayState;
+
+/// A caller that does not finish its body within this time is refused.
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+/// A node without a configuration gets one within about this time after its start.
+const CONFIG_WAIT: Duration = Duration::from_millis(500);
+
+/// A caller's request.
+pub(super) struct GatewayCall {
+    pub(super) caller: CallerRequest,
+    pub(super) request_id: Arc<str>,
+    pub(super) method: Method,
+    pub(super) path: String,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+    pub(super) route: Arc<RouteRule>,
+    pub(super) service: ServiceId,
+    pub(super) account: Option<ClientAccountId>,
+    pub(super) priority: u32,
+    pub(super) received: Instant,
+    /// When the caller no longer waits, or the route's time is over.
+    pub(super) deadline: Instant,
+}
+
+impl GatewayCall {
+    /// Finds the route and the account, and reads the body.
+    pub(super) async fn read(
+        state: &Rc<GatewayState>,
+        request: Request<Incoming>,
+        received: Instant,
+    ) -> Result<Self, CallRefusal> {
+        let (head, body) = request.into_parts();
+        let caller = CallerRequest::read(&head.headers);
+        let request_id = caller.request_id.clone().unwrap_or_else(|| Arc::from("-"));
+        let refuse = |kind, message: &str| CallRefusal::new(kind, message, &request_id);
+        let Some(config) = state.config() else {
+            let refusal = refuse(ErrorKind::NotReady, "no configuration was read yet");
+            return Err(refusal.with_retry_after(CONFIG_WAIT));
+        };
+        if state.leaving_since.get().is_some_and(|since| since.elapsed() > LEAVE_TIME) {
+            let refusal = refuse(ErrorKind::Draining, "the node is shutting down");
+            return Err(refusal.with_retry_after(Duration::ZERO));
+        }
+        let path = head.uri.path();
+        let Some(route) = config.find_route(&caller.host, path).cloned() else {
+            return Err(refuse(ErrorKind::UnknownService, "no route for this host and path"));
+        };
+        let (account, priority) = find_account(&config, &route, &caller)
+            .ok_or_else(|| refuse(ErrorKind::Unauthorized, "the key belongs to no account"))?;
+        let Some(service) = route.pick_service(rand::random()).cloned() else {
+            return Err(refuse(ErrorKind::NoCapacity, "the route names no service"));
+        };
+        let body = read_body(body, config.limits.max_body_bytes)
+            .await
+            .map_err(|(kind, message)| refuse(kind, message))?;
+        let longest = caller.deadline.unwrap_or(route.timeout).min(route.timeout);
+        let path = head.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
+        Ok(Self {
+            request_id,
+            method: head.method,
+            path,
+            headers: head.headers,
+            body,
+            route,
+            service,
+            account,
+            priority,
+            received,
+            deadline: received + longest,
+            caller,
+        })
+    }
+
+    /// Time until the deadline.
+    pub(super) fn time_left(&self, now: Instant) -> Duration {
+        self.deadline.saturating_duration_since(now)
+    }
+
+    pub(super) fn refuse(&self, kind: ErrorKind, message: impl Into<String>) -> CallRefusal {
+        CallRefusal::new(kind, message, &self.request_id)
+    }
+}
+
+/// The account that holds the caller's key, and the priority of the request. `None` if a key is
+/// needed and no account holds it.
+fn find_account(
+    config: &ServiceConfig,
+    route: &RouteRule,
+    caller: &CallerRequest,
+) -> Option<(Option<ClientAccountId>, u32)> {
+    let accounts = match &config.accounts {
+        Some(accounts) if !route.is_public => accounts,
+        _ => return Some((None, route.priority)),
+    };
+    let entry = accounts.get(caller.key.as_ref()?)?;
+    Some((Some(entry.account.clone()), entry.priority.unwrap_or(route.priority)))
+}
+
+async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, (ErrorKind, &'static str)> {
+    match compio::time::timeout(BODY_TIMEOUT, Limited::new(body, limit).collect()).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            Err((ErrorKind::BodyTooLarge, "the body is larger than the limit"))
+        }
+        Ok(Err(_)) => Err((ErrorKind::BadRequest, "the body broke off")),
+        Err(_) => Err((ErrorKind::RequestTimeout, "the body did not arrive in time")),
+    }
+}
--- /dev/null
+++ b/crates/eelgrassdeal_gateway/src/front/mod.rs
@@ -0,0 +1,71 @@
+//! Requests of callers: intake, attempts at upstreams, and the relay of answers.
+
+mod attempt;
+mod call;
+mod plain;
+mod refusal;
+mod stream;
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use eelgrassdeal_dispatch::{CallerLimits, NodeStage};
+use hyper::Request;
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
+
+use crate::server::{Reply, RequestHandler};
+use crate::state::{CountGuard, GatewayState};
+use call::GatewayCall;
+
+/// Answers callers.
+pub(crate) struct FrontHandler {
+    state: Rc<GatewayState>,
+}
+
+impl FrontHandler {
+    pub(crate) fn new(state: Rc<GatewayState>) -> Self {
+        Self { state }
+    }
+
+    async fn serve(&self, request: Request<Incoming>) -> Reply {
+        let received = Instant::now();
+        let state = &self.state;
+        state.has_traffic.set(true);
+        let call = match GatewayCall::read(state, request, received).await {
+            Ok(call) => Rc::new(call),
+            Err(refusal) => return refusal.reply(),
+        };
+        state.note_request(&call.service, received);
+        let result = match call.route.kind.is_stream() {
+            true => stream::answer(state, &call).await,
+            false => plain::answer(state, &call).await,
+        };
+        let (outcome, reply) = match result {
+            Ok(reply) => ("answered", reply),
+            Err(refusal) => (refusal.kind().name(), refusal.reply()),
+        };
+        metrics::counter!("eelgrassdeal_requests_total", "outcome" => outcome).increment(1);
+        metrics::histogram!("eelgrassdeal_head_seconds").record(received.elapsed().as_secs_f64());
+        reply
+    }
+}
+
+impl RequestHandler for FrontHandler {
+    async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Reply {
+        let _in_flight = CountGuard::new(&self.state.in_flight);
+        let mut reply = self.serve(request).await;
+        if self.state.stage.get() == NodeStage::Leaving {
+            // Callers must not use this connection again.
+            reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        reply
+    }
+
+    fn head_limits(&self) -> (Duration, usize) {
+        let limits = self.state.config().map_or_else(CallerLimits::default, |config| config.limits);
+        // hyper counts the time for a head from the end of the request before, so a shorter time
+        // would close connections that callers keep.
+        (limits.idle_timeout, limits.max_header_bytes)
+    }
+}
--- /dev/null
+++ b/crates/eelgrassdeal_gateway/src/front/refusal.rs
@@ -0,0 +1,63 @@
+//! Answers that no upstream gave.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use eelgrassdeal_platform::RETRY_AFTER;
+use eelgrassdeal_types::{CallError, ErrorKind};
+use hyper::StatusCode;
+use hyper::header::HeaderValue;
+
+use crate::server::{Reply, whole_reply};
+
+const TEXT: &str = "text/plain";
+
+/// The final answer to a request that no upstream answered.
+#[derive(Clone, Debug)]
+pub(super) struct CallRefusal {
+    error: CallError,
+    /// When the caller may come back.
+    retry_after: Option<Duration>,
+    request_id: Arc<str>,
+}
+
+impl CallRefusal {
+    pub(super) fn new(kind: ErrorKind, message: impl Into<String>, request_id: &Arc<str>) -> Self {
+        let error = CallError::new(kind, message);
+        Self { error, retry_after: None, request_id: request_id.clone() }
+    }
+
+    pub(super) fn with_retry_after(mut self, retry_after: Duration) -> Self {
+        self.retry_after = Some(retry_after);
+        self
+    }
+
+    pub(super) fn kind(&self) -> ErrorKind {
+        self.error.kind
+    }
+
+    /// Logs the refusal and makes its answer.
+    pub(super) fn reply(self) -> Reply {
+        let answer = self.error.kind.answer();
+        log::info!(
+            "event=refused request_id={} kind={} status={} outcome={} retry_after_ms={} reason=\"{}\"",
+            self.request_id,
+            answer.name,
+            answer.status,
+            answer.outcome.name(),
+            self.retry_after.unwrap_or_default().as_millis(),
+            self.error.message
+        );
+        let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+        let body = Bytes::from(format!("{}\n", self.error));
+        let mut reply = whole_reply(status, TEXT, body);
+        if let Some(retry_after) = self.retry_after {
+            let seconds = format!("{:.2}", retry_after.as_secs_f64());
+            if let Ok(value) = HeaderValue::from_str(&seconds) {
+                reply.headers_mut().insert(RETRY_AFTER, value);
+            }
+        }
+        reply
+    }
+}
--- /dev/null
+++ b/crates/eelgrassdeal_gateway/src/front/stream.rs
@@ -0,0 +1,213 @@
+//! Answers that are passed on event by event, and continued at another upstream when they break.
+
+use std::io;
+use std::rc::Rc;
+
+use bytes::{Bytes, BytesMut};
+use eelgrassdeal_platform::UpstreamAnswer;
+use futures_util::StreamExt;
+use futures_util::stream::unfold;
+use http_body_util::BodyExt;
+
+use super::attempt::{AttemptRunner, RunningAttempt, WaitEnd};
+use super::call::GatewayCall;
+use super::plain;
+use super::refusal::CallRefusal;
+use crate::server::{Reply, stream_reply};
+use crate::state::{CountGuard, GatewayState};
+
+/// Largest event. An upstream that sends more without an end of event sends no events.
+const MAX_EVENT_BYTES: usize = 1024 * 1024;
+const EVENT_END: &[u8] = b"\n\n";
+const EVENT_ID_FIELD: &[u8] = b"id:";
+
+/// Answers a request whose answer is a stream.
+pub(super) async fn answer(
+    state: &Rc<GatewayState>,
+    call: &Rc<GatewayCall>,
+) -> Result<Reply, CallRefusal> {
+    let mut runner = AttemptRunner::new(state, call);
+    loop {
+        let attempt = runner.start(call.caller.last_event).await?;
+        let is_stream = attempt.answer.response.status().is_success() && attempt.facts.is_signed;
+        if is_stream {
+            let headers = UpstreamAnswer::forwarded(attempt.answer.response.headers());
+            let relay = StreamRelay::new(runner, attempt);
+            let mut reply = stream_reply(relay.into_stream());
+            *reply.headers_mut() = headers;
+            return Ok(reply);
+        }
+        let upstream = attempt.load.upstream.clone();
+        if let Some(whole) = plain::collect(&mut runner, attempt).await? {
+            return plain::pass_on(&runner, &upstream, whole);
+        }
+    }
+}
+
+/// What reading from an upstream gave.
+enum ReadResult {
+    Bytes(Bytes),
+    End,
+    Broken(&'static str),
+    Deadline,
+}
+
+/// One stream to a caller. Dropping it cancels the request at the upstream.
+struct StreamRelay {
+    runner: AttemptRunner,
+    attempt: Option<RunningAttempt>,
+    /// Bytes of an event that is not complete.
+    partial: BytesMut,
+    last_event: Option<u64>,
+    events: u64,
+    is_over: bool,
+}
+
+impl StreamRelay {
+    fn new(runner: AttemptRunner, attempt: RunningAttempt) -> Self {
+        let last_event = runner.call.caller.last_event;
+        let (attempt, partial) = (Some(attempt), BytesMut::new());
+        Self { runner, attempt, partial, last_event, events: 0, is_over: false }
+    }
+
+    fn into_stream(self) -> futures_util::stream::LocalBoxStream<'static, io::Result<Bytes>> {
+        unfold(self, |mut relay| async move {
+            let state = relay.runner.state.clone();
+            let _in_flight = CountGuard::new(&state.in_flight);
+            let item = relay.next().await;
+            item.map(|item| (item, relay))
+        })
+        .boxed_local()
+    }
+
+    /// The next whole events, or `None` after the last one.
+    async fn next(&mut self) -> Option<io::Result<Bytes>> {
+        while !self.is_over {
+            match self.read().await {
+                ReadResult::Bytes(bytes) => {
+                    self.partial.extend_from_slice(&bytes);
+                    if let Some(events) = self.take_events() {
+                        return Some(Ok(events));
+                    }
+                    if self.partial.len() > MAX_EVENT_BYTES {
+                        return self.fail("an event is too large");
+                    }
+                }
+                ReadResult::End => return self.finish(),
+                ReadResult::Broken(reason) => {
+                    if let Err(reason) = self.resume(reason).await {
+                        return self.fail(&reason);
+                    }
+                }
+                ReadResult::Deadline => return self.fail("the deadline passed"),
+            }
+        }
+        None
+    }
+
+    async fn read(&mut self) -> ReadResult {
+        let Some(attempt) = &mut self.attempt else { return ReadResult::Broken("no attempt") };
+        let upstream = attempt.load.upstream.clone();
+        let frame = attempt.answer.response.body_mut().frame();
+        let silence = Some(attempt.silence);
+        match self.runner.wait_for_bytes(&upstream, silence, frame).await {
+            Ok(Some(Ok(frame))) => {
+                attempt.load.note_progress();
+                ReadResult::Bytes(frame.into_data().unwrap_or_default())
+            }
+            Ok(Some(Err(_))) => ReadResult::Broken("broke off"),
+            Ok(None) => ReadResult::End,
+            Err(WaitEnd::Silent) => {
+                self.runner.note_silent(&upstream);
+                ReadResult::Broken("silent")
+            }
+            Err(WaitEnd::Deadline) => ReadResult::Deadline,
+        }
+    }
+
+    /// Takes the complete events that were read, and notes the id of the last one.
+    fn take_events(&mut self) -> Option<Bytes> {
+        let end = find_last(&self.partial, EVENT_END)? + EVENT_END.len();
+        let events = self.partial.split_to(end).freeze();
+        let ids = events.split(|byte| *byte == b'\n').filter_map(event_id);
+        if let Some(id) = ids.last() {
+            self.last_event = Some(id);
+        }
+        self.events += 1;
+        Some(events)
+    }
+
+    /// Continues the stream at another upstream.
+    async fn resume(&mut self, reason: &'static str) -> Result<(), String> {
+        self.partial.clear();
+        if let Some(attempt) = self.attempt.take() {
+            self.runner.note_failed_run(&attempt.load.upstream, reason);
+        }
+        loop {
+            if !self.runner.may_run_again() {
+                return Err(format!("{reason}, and no further attempt is allowed"));
+            }
+            let attempt = match self.runner.start(self.last_event).await {
+                Ok(attempt) => attempt,
+                Err(refusal) => return Err(format!("{reason}, then {}", refusal.kind())),
+            };
+            let upstream = attempt.load.upstream.clone();
+            let status = attempt.answer.response.status();
+            if status.is_success() && attempt.facts.is_signed {
+                log::info!(
+                    "event=resumed request_id={} upstream={upstream} last_event={:?} reason=\"{reason}\"",
+                    self.runner.call.request_id,
+                    self.last_event
+                );
+                self.attempt = Some(attempt);
+                return Ok(());
+            }
+            self.runner.note_failed_run(&upstream, status.as_str());
+        }
+    }
+
+    fn finish(&mut self) -> Option<io::Result<Bytes>> {
+        self.is_over = true;
+        if let Some(attempt) = self.attempt.take() {
+            self.runner.state.loads.borrow_mut().note_outcome(&attempt.load.upstream, false);
+            let call = &self.runner.call;
+            log::info!(
+                "event=answered request_id={} route={} upstream={} runs={} last_event={:?} took_ms={}",
+                call.request_id,
+                call.route.name,
+                attempt.load.upstream,
+                self.runner.runs,
+                self.last_event,
+                call.received.elapsed().as_millis()
+            );
+            attempt.answer.finish();
+        }
+        let rest = self.partial.split().freeze();
+        (!rest.is_empty()).then_some(Ok(rest))
+    }
+
+    fn fail(&mut self, reason: &str) -> Option<io::Result<Bytes>> {
+        self.is_over = true;
+        self.attempt = None;
+        let call = &self.runner.call;
+        log::info!(
+            "event=cut request_id={} route={} last_event={:?} took_ms={} reason=\"{reason}\"",
+            call.request_id,
+            call.route.name,
+            self.last_event,
+            call.received.elapsed().as_millis()
+        );
+        metrics::counter!("eelgrassdeal_cut_streams_total").increment(1);
+        Some(Err(io::Error::other(reason.to_owned())))
+    }
+}
+
+/// Position of the last occurrence of `needle`.
+fn find_last(bytes: &[u8], needle: &[u8]) -> Option<usize> {
+    bytes.windows(needle.len()).rposition(|window| window == needle)
+}
+
+fn event_id(line: &[u8]) -> Option<u64> {
+    let value = line.strip_prefix(EVENT_ID_FIELD)?;
+    std::str::from_utf8(value).ok()?.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/eelgrassdeal_gateway/src/lifecycle.rs
@@ -0,0 +1,194 @@
+//! Start and shutdown of a gateway.
+
+use std::fmt;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use compio::net::TcpListener;
+use eelgrassdeal_dispatch::{GatewaySettings, NodeStage};
+use eelgrassdeal_platform::{SharedTable, load_settings};
+use error_stack::{Report, ResultExt};
+
+use crate::entry::EntryHandler;
+use crate::follow::{follow_table, register_node};
+use crate::front::FrontHandler;
+use crate::observe::install_metrics;
+use crate::peers::{PeerHandler, announce, exchange_messages};
+use crate::plan::run_planner;
+use crate::server::{RequestHandler, accept_connections};
+use crate::state::GatewayState;
+
+/// How long a leaving node takes the requests of callers that still hold its address.
+pub(crate) const LEAVE_TIME: Duration = Duration::from_millis(2_500);
+/// Kept of the time until SIGKILL, to end connections.
+const KILL_MARGIN: Duration = Duration::from_millis(400);
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+/// Pause between two looks at the settings file, which may change without a signal.
+const SETTINGS_PAUSE: Duration = Duration::from_secs(2);
+const HOUSEKEEPING_PAUSE: Duration = Duration::from_millis(100);
+/// A pause that took this much longer means that the process stood still.
+const STANDSTILL: Duration = Duration::from_millis(100);
+/// Load counts of upstreams that are gone are removed after so many rounds of housekeeping.
+const FORGET_ROUNDS: u32 = 50;
+
+/// The gateway cannot run.
+#[derive(Debug)]
+pub struct GatewayError;
+
+impl fmt::Display for GatewayError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("the gateway cannot run")
+    }
+}
+
+impl std::error::Error for GatewayError {}
+
+/// Runs a gateway until SIGTERM or SIGINT, and shuts it down gracefully. `path` is read again when
+/// the settings change.
+///
+/// # Errors
+///
+/// When an address cannot be bound.
+pub async fn run_gateway(
+    settings: GatewaySettings,
+    path: PathBuf,
+) -> Result<(), Report<GatewayError>> {
+    install_metrics();
+    let state = Rc::new(GatewayState::new(settings));
+    let settings = state.settings();
+    let front = Rc::new(FrontHandler::new(state.clone()));
+    let entry = Rc::new(EntryHandler::new(state.clone()));
+    let peers = Rc::new(PeerHandler::new(state.clone()));
+    listen(&state, Some(&settings.listen.peers), peers).await?;
+    listen(&state, settings.listen.front.as_ref(), front).await?;
+    listen(&state, settings.listen.locator.as_ref(), entry.clone()).await?;
+    listen(&state, settings.listen.readiness.as_ref(), entry).await?;
+    log::info!(
+        "event=start node={} data_centre={} version={} listen={:?}",
+        settings.node,
+        settings.data_centre,
+        env!("CARGO_PKG_VERSION"),
+        settings.listen
+    );
+    for table in SharedTable::ALL {
+        compio::runtime::spawn(follow_table(state.clone(), table)).detach();
+    }
+    compio::runtime::spawn(register_node(state.clone())).detach();
+    compio::runtime::spawn(exchange_messages(state.clone())).detach();
+    compio::runtime::spawn(run_planner(state.clone())).detach();
+    compio::runtime::spawn(keep_house(state.clone())).detach();
+    compio::runtime::spawn(state.pool.clone().sweep()).detach();
+    compio::runtime::spawn(state.control_pool.clone().sweep()).detach();
+    compio::runtime::spawn(reload_on_signal(state.clone(), path.clone())).detach();
+    compio::runtime::spawn(reload_on_change(state.clone(), path)).detach();
+    wait_for_stop().await;
+    shut_down(&state).await;
+    Ok(())
+}
+
+async fn listen<H: RequestHandler>(
+    state: &Rc<GatewayState>,
+    address: Option<&Arc<str>>,
+    handler: Rc<H>,
+) -> Result<(), Report<GatewayError>> {
+    let Some(address) = address else { return Ok(()) };
+    let listener = TcpListener::bind(&**address)
+        .await
+        .change_context(GatewayError)
+        .attach_with(|| format!("listen address {address}"))?;
+    compio::runtime::spawn(accept_connections(state.clone(), listener, handler)).detach();
+    Ok(())
+}
+
+async fn wait_for_stop() {
+    use compio::signal::unix::signal;
+    const SIGINT: i32 = 2;
+    const SIGTERM: i32 = 15;
+    let terminate = std::pin::pin!(signal(SIGTERM));
+    let interrupt = std::pin::pin!(signal(SIGINT));
+    futures_util::future::select(terminate, interrupt).await;
+}
+
+/// Leaves the locator's answers at once, takes requests while callers still hold the address, and
+/// returns when no request is in progress.
+async fn shut_down(state: &Rc<GatewayState>) {
+    let started = Instant::now();
+    log::info!("event=leaving in_flight={}", state.in_flight.get());
+    state.stage.set(NodeStage::Leaving);
+    state.leaving_since.set(Some(started));
+    announce(state).await;
+    let longest = state.settings().bounds.grace.saturating_sub(KILL_MARGIN);
+    while started.elapsed() < longest {
+        if started.elapsed() > LEAVE_TIME && state.in_flight.get() == 0 {
+            break;
+        }
+        compio::time::sleep(DRAIN_POLL).await;
+    }
+    log::info!(
+        "event=stop in_flight={} took_ms={}",
+        state.in_flight.get(),
+        started.elapsed().as_millis()
+    );
+}
+
+/// Ends graces, forgets what is gone, and becomes ready.
+async fn keep_house(state: Rc<GatewayState>) {
+    let mut rounds = 0;
+    loop {
+        state.mirror.borrow_mut().end_grace(Instant::now());
+        if state.stage.get() == NodeStage::Starting && state.mirror.borrow().is_loaded() {
+            state.stage.set(NodeStage::Serving);
+            log::info!("event=ready");
+            announce(&state).await;
+        }
+        rounds += 1;
+        if rounds % FORGET_ROUNDS == 0 {
+            let view = state.view();
+            state.loads.borrow_mut().retain(|upstream| view.upstreams.contains_key(upstream));
+            let mut shares = state.cold_shares.borrow_mut();
+            shares.retain(|upstream, _| view.upstreams.contains_key(upstream));
+        }
+        let slept_at = Instant::now();
+        compio::time::sleep(HOUSEKEEPING_PAUSE).await;
+        if slept_at.elapsed() > HOUSEKEEPING_PAUSE + STANDSTILL {
+            state.loads.borrow_mut().forgive_silence(Instant::now());
+        }
+    }
+}
+
+async fn reload_on_signal(state: Rc<GatewayState>, path: PathBuf) {
+    use compio::signal::unix::signal;
+    const SIGHUP: i32 = 1;
+    loop {
+        if let Err(error) = signal(SIGHUP).await {
+            log::warn!("event=signal_unavailable signal=SIGHUP reason=\"{error}\"");
+            return;
+        }
+        reload(&state, &path);
+    }
+}
+
+async fn reload_on_change(state: Rc<GatewayState>, path: PathBuf) {
+    let mut known = std::fs::read(&path).ok();
+    loop {
+        compio::time::sleep(SETTINGS_PAUSE).await;
+        let current = std::fs::read(&path).ok();
+        if current.is_some() && current != known {
+            reload(&state, &path);
+            known = current;
+        }
+    }
+}
+
+/// Takes over changed settings. Addresses stay as they were bound.
+fn reload(state: &GatewayState, path: &Path) {
+    match load_settings(path) {
+        Ok(settings) => {
+            log::info!("event=reload file={} changed={}", path.display(), settings != *state.settings());
+            state.set_settings(settings);
+        }
+        Err(report) => log::error!("event=reload_failed reason=\"{report:?}\""),
+    }
+}
--- /dev/null
+++ b/crates/eelgrassdeal_gateway/src/main.rs
@@ -0,0 +1,64 @@
+//! `eelgrassdeal-gateway`: the daemon of an entry VM on the users' platform.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use eelgrassdeal_gateway::run_gateway;
+use eelgrassdeal_platform::{SETTINGS_VARIABLE, load_settings};
+use gumdrop::Options;
+use log::LevelFilter;
+use simplelog::{ConfigBuilder, SimpleLogger};
+
+/// Exit code for settings that cannot be used.
+const EXIT_SETTINGS: u8 = 2;
+
+/// Serves callers in front of model workers and plain services.
+#[derive(Debug, Options)]
+struct GatewayOptions {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "print the version")]
+    version: bool,
+    #[options(help = "settings file; EELGRASSDEAL_SETTINGS names it otherwise", meta = "FILE")]
+    settings: Option<PathBuf>,
+    #[options(help = "check the settings and exit")]
+    check: bool,
+    #[options(help = "least severe level of log lines: error, warn, info, debug", meta = "LEVEL")]
+    log_level: Option<LevelFilter>,
+}
+
+#[compio::main]
+async fn main() -> ExitCode {
+    let options = GatewayOptions::parse_args_default_or_exit();
+    if options.version {
+        println!("eelgrassdeal-gateway {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let named = std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from);
+    let Some(path) = options.settings.or(named) else {
+        eprintln!("--settings is missing\n\n{}", GatewayOptions::usage());
+        return ExitCode::from(EXIT_SETTINGS);
+    };
+    let settings = match load_settings(&path) {
+        Ok(settings) => settings,
+        Err(report) => {
+            eprintln!("{report:?}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if options.check {
+        println!("{}: ok", path.display());
+        return ExitCode::SUCCESS;
+    }
+    let config = ConfigBuilder::new().set_time_format_rfc3339().build();
+    if let Err(error) = SimpleLogger::init(options.log_level.unwrap_or(LevelFilter::Info), config) {
+        eprintln!("no log lines: {error}");
+    }
+    match run_gateway(settings, path).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            log::error!("event=stop reason=\"{report:?}\"");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/eelgrassdeal_gateway/src/mirror.rs
@@ -0,0 +1,248 @@
+//! Copies of the store's tables, and the fleet and configuration that they show.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use eelgrassdeal_dispatch::{FleetView, ServiceConfig};
+use eelgrassdeal_platform::{
+    RowChange, SharedTable, TableChanges, decode_config, decode_group, decode_upstream,
+    evacuated_zone,
+};
+use eelgrassdeal_types::UpstreamId;
+
+/// After an outage of the store the rows of upstreams that lapsed meanwhile are written again
+/// within about two seconds. Until then a missing row does not mean that its upstream is gone.
+const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
+
+/// A table as it was last read.
+#[derive(Debug, Default)]
+pub(crate) struct TableMirror {
+    /// Version of the store that the rows show; `None` until the table was read once.
+    pub(crate) version: Option<u64>,
+    rows: BTreeMap<Arc<str>, (u64, Bytes)>,
+}
+
+impl TableMirror {
+    /// Version of a row.
+    pub(crate) fn row_version(&self, key: &str) -> Option<u64> {
+        self.rows.get(key).map(|(version, _)| *version)
+    }
+
+    /// All rows.
+    pub(crate) fn rows(&self) -> impl Iterator<Item = (&Arc<str>, u64, &Bytes)> {
+        self.rows.iter().map(|(key, (version, value))| (key, *version, value))
+    }
+
+    /// Replaces all rows. Returns the rows that differ.
+    fn replace(&mut self, all: TableChanges) -> Vec<RowChange> {
+        let mut rows = BTreeMap::new();
+        for row in all.rows {
+            if let Some(value) = row.value {
+                rows.insert(row.key, (row.version, value));
+            }
+        }
+        let removed = self.rows.keys().filter(|key| !rows.contains_key(*key)).map(|key| {
+            RowChange { key: key.clone(), version: all.version, value: None }
+        });
+        let changed = rows
+            .iter()
+            .filter(|(key, row)| self.rows.get(*key).map(|known| known.0) != Some(row.0))
+            .map(|(key, row)| RowChange {
+                key: key.clone(),
+                version: row.0,
+                value: Some(row.1.clone()),
+            });
+        let differences = removed.chain(changed).collect();
+        self.rows = rows;
+        self.version = Some(all.version);
+        differences
+    }
+
+    /// Applies changes. Returns those that are newer than the known rows.
+    fn apply(&mut self, changes: TableChanges) -> Vec<RowChange> {
+        let is_newer = |row: &RowChange| {
+            self.rows.get(&row.key).is_none_or(|(version, _)| *version < row.version)
+                || row.value.is_none()
+        };
+        let newer: Vec<_> = changes.rows.into_iter().filter(is_newer).collect();
+        for row in &newer {
+            match &row.value {
+                Some(value) => {
+                    self.rows.insert(row.key.clone(), (row.version, value.clone()));
+                }
+                None => {
+                    self.rows.remove(&row.key);
+                }
+            }
+        }
+        self.version = self.version.max(Some(changes.version));
+        newer
+    }
+}
+
+/// All tables, and what they show.
+#[derive(Debug, Default)]
+pub(crate) struct StoreMirror {
+    tables: BTreeMap<SharedTable, TableMirror>,
+    config: Option<Arc<ServiceConfig>>,
+    view: Arc<FleetView>,
+    /// Upstreams whose rows are missing since an outage, and when they count as gone.
+    lapsed: BTreeMap<UpstreamId, Instant>,
+    /// End of the grace after the last outage.
+    grace_until: Option<Instant>,
+}
+
+impl StoreMirror {
+    /// The newest configuration, if any was read.
+    pub(crate) fn config(&self) -> Option<Arc<ServiceConfig>> {
+        self.config.clone()
+    }
+
+    /// The fleet.
+    pub(crate) fn view(&self) -> Arc<FleetView> {
+        self.view.clone()
+    }
+
+    /// A table.
+    pub(crate) fn table(&self, table: SharedTable) -> Option<&TableMirror> {
+        self.tables.get(&table)
+    }
+
+    /// Version up to which a table is known.
+    pub(crate) fn version(&self, table: SharedTable) -> Option<u64> {
+        self.tables.get(&table).and_then(|mirror| mirror.version)
+    }
+
+    /// Whether the tables that serving needs were read.
+    pub(crate) fn is_loaded(&self) -> bool {
+        let needed = [SharedTable::Operators, SharedTable::Upstreams, SharedTable::Groups];
+        self.config.is_some() && needed.iter().all(|table| self.version(*table).is_some())
+    }
+
+    /// Notes that the store answers again after an outage.
+    pub(crate) fn note_store_return(&mut self, now: Instant) {
+        self.grace_until = Some(now + LAPSE_GRACE);
+    }
+
+    /// Takes over all rows of a table, unless a newer state is known.
+    pub(crate) fn replace(&mut self, table: SharedTable, all: TableChanges, now: Instant) {
+        if self.version(table).is_some_and(|known| known > all.version) {
+            return;
+        }
+        let changes = self.tables.entry(table).or_default().replace(all);
+        self.show(table, &changes, now);
+    }
+
+    /// Takes over changes of a table.
+    pub(crate) fn apply(&mut self, table: SharedTable, changes: TableChanges, now: Instant) {
+        let changes = self.tables.entry(table).or_default().apply(changes);
+        self.show(table, &changes, now);
+    }
+
+    /// Removes the upstreams whose grace is over.
+    pub(crate) fn end_grace(&mut self, now: Instant) {
+        if !self.lapsed.values().any(|until| *until <= now) {
+            return;
+        }
+        let view = Arc::make_mut(&mut self.view);
+        self.lapsed.retain(|upstream, until| {
+            let is_over = *until <= now;
+            if is_over {
+                log::info!("event=upstream_gone upstream={upstream} reason=\"not back after outage\"");
+                view.upstreams.remove(upstream);
+            }
+            !is_over
+        });
+    }
+
+    fn show(&mut self, table: SharedTable, changes: &[RowChange], now: Instant) {
+        if changes.is_empty() {
+            return;
+        }
+        match table {
+            SharedTable::Operators => self.show_operators(changes),
+            SharedTable::Upstreams => self.show_upstreams(changes, now),
+            SharedTable::Groups => self.show_groups(changes),
+            SharedTable::Nodes => {}
+        }
+    }
+
+    fn show_operators(&mut self, changes: &[RowChange]) {
+        for row in changes {
+            match (&row.value, evacuated_zone(&row.key)) {
+                (value, Some(zone)) => {
+                    let view = Arc::make_mut(&mut self.view);
+                    let is_out = value.is_some();
+                    log::info!("event=data_centre data_centre={zone} out={is_out} version={}", row.version);
+                    match is_out {
+                        true => view.evacuated.insert(zone),
+                        false => view.evacuated.remove(&zone),
+                    };
+                }
+                (Some(value), None) if &*row.key == SharedTable::CONFIG_KEY => {
+                    self.show_config(value);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn show_config(&mut self, value: &[u8]) {
+        match decode_config(value) {
+            Ok(config) => {
+                let known = self.config.as_ref().map_or(0, |config| config.revision);
+                if config.revision >= known {
+                    log::info!("event=config revision={} previous={known}", config.revision);
+                    self.config = Some(Arc::new(config));
+                }
+            }
+            Err(error) => log::error!("event=config_unreadable reason=\"{error}\""),
+        }
+    }
+
+    fn show_upstreams(&mut self, changes: &[RowChange], now: Instant) {
+        let grace = self.grace_until.filter(|until| now < *until);
+        let view = Arc::make_mut(&mut self.view);
+        for row in changes {
+            let record = row.value.as_ref().map(|value| decode_upstream(&row.key, value, now));
+            match (record, grace) {
+                (Some(Ok(record)), _) => {
+                    self.lapsed.remove(&row.key);
+                    view.upstreams.insert(row.key.clone(), Arc::new(record));
+                }
+                (Some(Err(reason)), _) => {
+                    log::warn!("event=upstream_unreadable upstream={} reason=\"{reason}\"", row.key);
+                    view.upstreams.remove(&row.key);
+                }
+                (None, Some(until)) => {
+                    self.lapsed.insert(row.key.clone(), until);
+                }
+                (None, None) => {
+                    if view.upstreams.remove(&row.key).is_some() {
+                        log::info!("event=upstream_gone upstream={} version={}", row.key, row.version);
+                    }
+                }
+            }
+        }
+    }
+
+    fn show_groups(&mut self, changes: &[RowChange]) {
+        let view = Arc::make_mut(&mut self.view);
+        for row in changes {
+            let group = row.value.as_ref().map(|value| decode_group(&row.key, value));
+            match group {
+                Some(Ok(group)) => {
+                    view.groups.insert(row.key.clone(), Arc::new(group));
+                }
+                Some(Err(error)) => {
+                    log::warn!("event=group_unreadable group={} reason=\"{error}\"", row.key);
+                }
+                None => {
+                    view.groups.remove(&row.key);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/eelgrassdeal_gateway/src/peers/serve.rs
@@ -0,0 +1,92 @@
+//! Answers to other nodes, and metrics.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use eelgrassdeal_platform::SharedTable;
+use eelgrassdeal_schema::gateway::{SyncMessage, TableCopy};
+use eelgrassdeal_schema::{decode_message, encode_message};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::{Request, StatusCode};
+
+use super::{MAX_ANSWER_BYTES, SYNC_PATH, TABLE_PATH, message};
+use crate::observe::render_metrics;
+use crate::server::{Reply, RequestHandler, whole_reply};
+use crate::state::GatewayState;
+
+const METRICS_PATH: &str = "/metrics";
+const MAX_HEAD_BYTES: usize = 8 * 1024;
+/// Other nodes keep their connections.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
+const BINARY: &str = "application/x-protobuf";
+const TEXT: &str = "text/plain";
+
+/// Answers other nodes.
+pub(crate) struct PeerHandler {
+    state: Rc<GatewayState>,
+}
+
+impl PeerHandler {
+    pub(crate) fn new(state: Rc<GatewayState>) -> Self {
+        Self { state }
+    }
+
+    async fn sync(&self, body: Incoming) -> Reply {
+        let Ok(collected) = Limited::new(body, MAX_ANSWER_BYTES).collect().await else {
+            return refusal(StatusCode::BAD_REQUEST, "the message broke off");
+        };
+        match decode_message::<SyncMessage>(&collected.to_bytes()) {
+            Ok(sync) => {
+                message::take_message(&self.state, sync);
+                binary_reply(encode_message(&message::own_message(&self.state)))
+            }
+            Err(error) => {
+                log::warn!("event=peer_unreadable reason=\"{error}\"");
+                refusal(StatusCode::BAD_REQUEST, "the message cannot be read")
+            }
+        }
+    }
+
+    fn table(&self, index: &str, query: &str) -> Reply {
+        let table = index.parse::<usize>().ok().and_then(|index| SharedTable::ALL.get(index));
+        let since = query.strip_prefix("since=").and_then(|since| since.parse().ok()).unwrap_or(0);
+        match table {
+            Some(table) if self.state.mirror.borrow().version(*table) > Some(since) => {
+                binary_reply(encode_message(&message::table_copy(&self.state, *table)))
+            }
+            Some(_) => binary_reply(encode_message(&TableCopy::default())),
+            None => refusal(StatusCode::NOT_FOUND, "no such table"),
+        }
+    }
+}
+
+impl RequestHandler for PeerHandler {
+    async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Reply {
+        let path = request.uri().path().to_owned();
+        let query = request.uri().query().unwrap_or_default().to_owned();
+        match path.as_str() {
+            SYNC_PATH => self.sync(request.into_body()).await,
+            METRICS_PATH => {
+                whole_reply(StatusCode::OK, TEXT, Bytes::from(render_metrics(&self.state)))
+            }
+            path => match path.strip_prefix(TABLE_PATH) {
+                Some(index) => self.table(index, &query),
+                None => refusal(StatusCode::NOT_FOUND, "no such path"),
+            },
+        }
+    }
+
+    fn head_limits(&self) -> (Duration, usize) {
+        (HEAD_TIMEOUT, MAX_HEAD_BYTES)
+    }
+}
+
+fn binary_reply(body: Bytes) -> Reply {
+    whole_reply(StatusCode::OK, BINARY, body)
+}
+
+fn refusal(status: StatusCode, text: &'static str) -> Reply {
+    whole_reply(status, TEXT, Bytes::from_static(text.as_bytes()))
+}
--- /dev/null
+++ b/crates/eelgrassdeal_gateway/src/state.rs
@@ -0,0 +1,184 @@
+//! State that all tasks of a gateway share.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use eelgrassdeal_dispatch::{
+    FleetView, GatewaySettings, LoadBook, NodeBeat, NodeDirectory, NodeStage, RateShare,
+    RetryAllowance, ServiceConfig, UpstreamRecord,
+};
+use eelgrassdeal_http::ConnectionPool;
+use eelgrassdeal_platform::{PlatformStore, UpstreamCalls};
+use eelgrassdeal_types::{ServiceId, UpstreamId};
+
+use crate::mirror::StoreMirror;
+
+/// A store that did not answer for this long counts as lost.
+const STORE_PATIENCE: Duration = Duration::from_millis(1_500);
+
+/// Whether the store answers this node.
+#[derive(Debug, Default)]
+pub(crate) struct StoreContact {
+    last_answer: Cell<Option<Instant>>,
+    is_lost: Cell<bool>,
+}
+
+impl StoreContact {
+    /// Notes an answer; true if the store was lost before.
+    pub(crate) fn note_answer(&self, now: Instant) -> bool {
+        self.last_answer.set(Some(now));
+        let was_lost = self.is_lost.replace(false);
+        if was_lost {
+            log::info!("event=store_regained");
+        }
+        was_lost
+    }
+
+    /// Notes a call without an answer.
+    pub(crate) fn note_failure(&self, now: Instant) {
+        if !self.is_reached(now) && !self.is_lost.replace(true) {
+            log::warn!("event=store_lost");
+        }
+    }
+
+    /// Whether the store answered lately.
+    pub(crate) fn is_reached(&self, now: Instant) -> bool {
+        self.last_answer
+            .get()
+            .is_some_and(|at| now.saturating_duration_since(at) < STORE_PATIENCE)
+    }
+}
+
+/// State that all tasks of a gateway share.
+pub(crate) struct GatewayState {
+    settings: RefCell<Arc<GatewaySettings>>,
+    /// Connections to upstreams.
+    pub(crate) pool: ConnectionPool,
+    /// Connections to the store and to other nodes.
+    pub(crate) control_pool: ConnectionPool,
+    pub(crate) store: PlatformStore,
+    pub(crate) orders: UpstreamCalls,
+    pub(crate) contact: StoreContact,
+    pub(crate) mirror: RefCell<StoreMirror>,
+    pub(crate) directory: RefCell<NodeDirectory>,
+    pub(crate) loads: RefCell<LoadBook>,
+    pub(crate) cold_shares: RefCell<HashMap<UpstreamId, RateShare>>,
+    pub(crate) retries: RefCell<HashMap<ServiceId, RetryAllowance>>,
+    pub(crate) stage: Cell<NodeStage>,
+    /// When SIGTERM came.
+    pub(crate) leaving_since: Cell<Option<Instant>>,
+    pub(crate) has_traffic: Cell<bool>,
+    pub(crate) in_flight: Cell<u32>,
+    pub(crate) connections: Cell<u32>,
+}
+
+impl GatewayState {
+    pub(crate) fn new(settings: GatewaySettings) -> Self {
+        let (pool, control_pool) = (ConnectionPool::new(), ConnectionPool::new());
+        let own = NodeBeat {
+            node: settings.node.clone(),
+            beat: 0,
+            stage: NodeStage::Starting,
+            has_store: false,
+            front: settings.listen.front.clone().unwrap_or_else(|| Arc::from("")),
+            peer: settings.listen.peers.clone(),
+            data_centre: settings.data_centre.clone(),
+        };
+        Self {
+            store: PlatformStore::new(control_pool.clone(), settings.store.address.clone()),
+            orders: UpstreamCalls::new(control_pool.clone()),
+            pool,
+            control_pool,
+            contact: StoreContact::default(),
+            mirror: RefCell::default(),
+            directory: RefCell::new(NodeDirectory::new(own)),
+            loads: RefCell::default(),
+            cold_shares: RefCell::default(),
+            retries: RefCell::default(),
+            stage: Cell::new(NodeStage::Starting),
+            leaving_since: Cell::new(None),
+            has_traffic: Cell::new(false),
+            in_flight: Cell::new(0),
+            connections: Cell::new(0),
+            settings: RefCell::new(Arc::new(settings)),
+        }
+    }
+
+    pub(crate) fn settings(&self) -> Arc<GatewaySettings> {
+        self.settings.borrow().clone()
+    }
+
+    pub(crate) fn set_settings(&self, settings: GatewaySettings) {
+        *self.settings.borrow_mut() = Arc::new(settings);
+    }
+
+    pub(crate) fn config(&self) -> Option<Arc<ServiceConfig>> {
+        self.mirror.borrow().config()
+    }
+
+    pub(crate) fn view(&self) -> Arc<FleetView> {
+        self.mirror.borrow().view()
+    }
+
+    /// Number of nodes that share the limits.
+    pub(crate) fn sharing_nodes(&self) -> usize {
+        self.directory.borrow().sharing_nodes(Instant::now())
+    }
+
+    /// Takes one request of the rate that a cold upstream bears; true for a warm one.
+    pub(crate) fn take_cold_share(&self, record: &UpstreamRecord, now: Instant) -> bool {
+        if !record.is_cold(now) {
+            return true;
+        }
+        let config = self.config();
+        let spec = config.as_ref().and_then(|config| config.services.get(&record.service));
+        let per_s = spec.map_or(0.0, |spec| spec.cold_per_s);
+        if per_s <= 0.0 {
+            return true;
+        }
+        let nodes = self.sharing_nodes();
+        let mut shares = self.cold_shares.borrow_mut();
+        let share = shares.entry(record.upstream.clone()).or_insert_with(|| RateShare::new(now));
+        share.try_take(now, per_s, nodes)
+    }
+
+    /// Counts a caller's request for the retry budget of `service`.
+    pub(crate) fn note_request(&self, service: &ServiceId, now: Instant) {
+        let bounds = &self.settings().bounds;
+        let nodes = self.sharing_nodes();
+        let mut retries = self.retries.borrow_mut();
+        let allowance = retries
+            .entry(service.clone())
+            .or_insert_with(|| RetryAllowance::new(now, bounds.retry_slack, nodes));
+        allowance.note_request(bounds.retry_ratio);
+    }
+
+    /// Takes one retry of the budget of `service`.
+    pub(crate) fn take_retry(&self, service: &ServiceId, now: Instant) -> bool {
+        let bounds = &self.settings().bounds;
+        let nodes = self.sharing_nodes();
+        let mut retries = self.retries.borrow_mut();
+        let allowance = retries
+            .entry(service.clone())
+            .or_insert_with(|| RetryAllowance::new(now, bounds.retry_slack, nodes));
+        allowance.try_retry(now, bounds.retry_slack, bounds.retry_window, nodes)
+    }
+}
+
+/// Counts something while it lasts.
+pub(crate) struct CountGuard<'a>(&'a Cell<u32>);
+
+impl<'a> CountGuard<'a> {
+    pub(crate) fn new(count: &'a Cell<u32>) -> Self {
+        count.set(count.get() + 1);
+        Self(count)
+    }
+}
+
+impl Drop for CountGuard<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
--- a/crates/eelgrassdeal_node/src/socket.rs
+++ b/crates/eelgrassdeal_http/src/socket.rs
@@ -15,13 +15,13 @@
 const SOCKET_BUFFER_BYTES: usize = 2 * 1024;
 
 /// Bytes that hyper reads from an upstream before they are taken: its smallest buffer.
-pub(crate) const UPSTREAM_BUFFER_BYTES: usize = 8 * 1024;
+pub const UPSTREAM_BUFFER_BYTES: usize = 8 * 1024;
 
 type WriteTimer = Pin<Box<dyn Future<Output = ()>>>;
 
 /// A connection whose buffers are bounded, and which fails when the other side takes no byte for
 /// too long.
-pub(crate) struct BoundedSocket {
+pub struct BoundedSocket {
     stream: MaybeTlsStream<TcpStream>,
     write_patience: Duration,
     write_timer: Option<WriteTimer>,
@@ -29,14 +29,14 @@
 
 impl BoundedSocket {
     /// A connection without TLS.
-    pub(crate) fn new_plain(stream: TcpStream, write_patience: Duration) -> Self {
+    pub fn new_plain(stream: TcpStream, write_patience: Duration) -> Self {
         let limits = SOCKET_BUFFER_BYTES;
         let stream = AsyncStream::with_limits(limits, limits, stream);
         Self { stream: MaybeTlsStream::new_plain_compat(stream), write_patience, write_timer: None }
     }
 
     /// A connection whose TLS handshake `acceptor` has done.
-    pub(crate) async fn accept_tls(
+    pub async fn accept_tls(
         acceptor: &TlsAcceptor,
         stream: TcpStream,
         write_patience: Duration,
--- a/crates/eelgrassdeal_measure/src/capacity/fleet.rs
+++ b/crates/eelgrassdeal_measure/src/capacity/fleet.rs
@@ -9,7 +9,7 @@
 
 use cyper::Client;
 use eelgrassdeal_node::with_defaults;
-use eelgrassdeal_platform::{AppendOutcome, ConfigLog, HttpTableStore};
+use eelgrassdeal_store::{AppendOutcome, ConfigLog, HttpTableStore};
 use eelgrassdeal_schema::config::config_entry::Body;
 use eelgrassdeal_schema::config::{ConfigChange, ConfigEntry, DataCentre, Model, ServeRule, Vm};
 use eelgrassdeal_schema::settings::{LogSettings, NodeSettings};
--- a/crates/eelgrassdeal_measure/src/process_fleet.rs
+++ b/crates/eelgrassdeal_measure/src/process_fleet.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use eelgrassdeal_platform::{AppendOutcome, ConfigLog, HttpTableStore};
+use eelgrassdeal_store::{AppendOutcome, ConfigLog, HttpTableStore};
 use eelgrassdeal_schema::config::config_entry::Body;
 use eelgrassdeal_schema::config::{
     ClientAccount, ConfigChange, ConfigEntry, DataCentre, Model, ServeRule, Service, Upstream, Vm,
--- a/crates/eelgrassdeal_node/src/fleet_sync/append.rs
+++ b/crates/eelgrassdeal_node/src/fleet_sync/append.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use eelgrassdeal_control::{FleetConfig, GroupPlan, plan_change};
-use eelgrassdeal_platform::AppendOutcome;
+use eelgrassdeal_store::AppendOutcome;
 use eelgrassdeal_types::unix_ms_now;
 
 use super::follow::{apply_changes, catch_up};
--- a/crates/eelgrassdeal_node/src/fleet_sync/follow.rs
+++ b/crates/eelgrassdeal_node/src/fleet_sync/follow.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use eelgrassdeal_control::FleetConfig;
-use eelgrassdeal_platform::LogError;
+use eelgrassdeal_store::LogError;
 use eelgrassdeal_schema::config::ConfigChange;
 use eelgrassdeal_types::Revision;
 use error_stack::Report;
--- a/crates/eelgrassdeal_node/src/fleet_sync/heartbeat.rs
+++ b/crates/eelgrassdeal_node/src/fleet_sync/heartbeat.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use eelgrassdeal_platform::{RowCondition, RowKey, RowWrite, StoreError, TableName};
+use eelgrassdeal_store::{RowCondition, RowKey, RowWrite, StoreError, TableName};
 use eelgrassdeal_schema::encode_message;
 use eelgrassdeal_schema::records::HeartbeatRecord;
 
--- a/crates/eelgrassdeal_node/src/fleet_sync/plan.rs
+++ b/crates/eelgrassdeal_node/src/fleet_sync/plan.rs
@@ -8,7 +8,7 @@
     FleetConfig, GroupPlan, GroupPlanner, HeartbeatWatch, plan_absent_nodes, plan_ban_removals,
     plan_change, plan_loss_removals,
 };
-use eelgrassdeal_platform::{AppendOutcome, LeaseKeeper, RowRange, TableName};
+use eelgrassdeal_store::{AppendOutcome, LeaseKeeper, RowRange, TableName};
 use eelgrassdeal_types::{NodeId, Revision, VmId, unix_ms_now};
 use futures_util::future::join_all;
 
--- a/crates/eelgrassdeal_node/src/fleet_sync/probe.rs
+++ b/crates/eelgrassdeal_node/src/fleet_sync/probe.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use eelgrassdeal_control::FleetConfig;
-use eelgrassdeal_platform::{count_control, request_size, response_head_size};
+use eelgrassdeal_store::{count_control, request_size, response_head_size};
 use eelgrassdeal_routing::LoadReport;
 use eelgrassdeal_schema::config::{GroupRecord, Vm};
 use eelgrassdeal_schema::engine::{EngineStatus, GroupOrder};
--- a/crates/eelgrassdeal_node/src/http/mod.rs
+++ b/crates/eelgrassdeal_node/src/http/mod.rs
@@ -20,7 +20,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request};
 
-use crate::socket::BoundedSocket;
+use eelgrassdeal_http::BoundedSocket;
 use crate::state::{NodePhase, NodeState};
 use crate::{admin, call, chat, locate, service_call};
 
--- a/crates/eelgrassdeal_node/src/lib.rs
+++ b/crates/eelgrassdeal_node/src/lib.rs
@@ -20,7 +20,6 @@
 mod service_call;
 mod settings;
 mod slots;
-mod socket;
 mod state;
 mod upstream_client;
 
--- a/crates/eelgrassdeal_node/src/lifecycle.rs
+++ b/crates/eelgrassdeal_node/src/lifecycle.rs
@@ -10,7 +10,7 @@
 use compio::runtime::JoinHandle;
 use cyper::Client;
 use eelgrassdeal_peers::{PeerEndpoint, PeerSettings};
-use eelgrassdeal_platform::{
+use eelgrassdeal_store::{
     CallLedger, ConfigLog, HttpObjectStore, HttpTableStore, HttpVmList, ObjectStore, TableStore,
 };
 use eelgrassdeal_schema::settings::NodeSettings;
--- a/crates/eelgrassdeal_node/src/service_call.rs
+++ b/crates/eelgrassdeal_node/src/service_call.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use eelgrassdeal_platform::{ClaimOutcome, ClaimedCall, StoredResult};
+use eelgrassdeal_store::{ClaimOutcome, ClaimedCall, StoredResult};
 use eelgrassdeal_types::{CallError, ErrorKind, ReplicaId, unix_ms_now};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
--- a/crates/eelgrassdeal_node/src/state.rs
+++ b/crates/eelgrassdeal_node/src/state.rs
@@ -8,7 +8,7 @@
 use cyper::Client;
 use eelgrassdeal_control::FleetConfig;
 use eelgrassdeal_peers::PeerClient;
-use eelgrassdeal_platform::{CallLedger, ConfigLog, TableStore, VmList, VmState};
+use eelgrassdeal_store::{CallLedger, ConfigLog, TableStore, VmList, VmState};
 use eelgrassdeal_routing::{ConfirmationState, ServePermission, SlotPolicy};
 use eelgrassdeal_schema::config::ConfigChange;
 use eelgrassdeal_schema::settings::{LimitSettings, NodeSettings};
--- a/crates/eelgrassdeal_node/src/upstream_client.rs
+++ b/crates/eelgrassdeal_node/src/upstream_client.rs
@@ -14,7 +14,7 @@
 use hyper::client::conn::http1;
 use hyper::{Request, Response};
 
-use crate::socket::{BoundedSocket, UPSTREAM_BUFFER_BYTES};
+use eelgrassdeal_http::{BoundedSocket, UPSTREAM_BUFFER_BYTES};
 
 /// An upstream that takes no byte of a request for this long hangs.
 const WRITE_PATIENCE: Duration = Duration::from_secs(10);
--- a/crates/eelgrassdeal_schema/src/lib.rs
+++ b/crates/eelgrassdeal_schema/src/lib.rs
@@ -32,6 +32,11 @@
     include!("generated/eelgrassdeal.engine.rs");
 }
 
+/// Messages between gateway nodes.
+pub mod gateway {
+    include!("generated/eelgrassdeal.gateway.rs");
+}
+
 /// Messages between nodes.
 pub mod peer {
     include!("generated/eelgrassdeal.peer.rs");
--- a/crates/eelgrassdeal_platform/examples/claim_writes.rs
+++ b/crates/eelgrassdeal_store/examples/claim_writes.rs
@@ -1,7 +1,7 @@
 //! Prints the number of store writes that concurrent calls cost, with and without shared
 //! transactions.
 //!
-//! Run with `cargo run -p eelgrassdeal_platform --example claim_writes`.
+//! Run with `cargo run -p eelgrassdeal_store --example claim_writes`.
 
 use std::error::Error;
 use std::net::SocketAddr;
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use cyper::Client;
-use eelgrassdeal_platform::{CallLedger, ClaimOutcome, ClaimedCall, HttpTableStore, StoredResult};
+use eelgrassdeal_store::{CallLedger, ClaimOutcome, ClaimedCall, HttpTableStore, StoredResult};
 use eelgrassdeal_standins::TableFake;
 use eelgrassdeal_types::unix_ms_now;
 use futures_util::future::join_all;
--- a/crates/eelgrassdeal_platform/src/lease.rs
+++ b/crates/eelgrassdeal_store/src/lease.rs
@@ -12,7 +12,8 @@
     RowCondition, RowKey, RowWrite, StoreError, StoreResult, StoredRow, TableName, TableStore,
 };
 
-const LEASE_PARTITION: &str = "lease";
+/// Partition of the rows that one transaction checks together with a lease.
+pub const CONTROL_PARTITION: &str = "control";
 /// The holder gives up this part of the duration, so that clocks whose rates differ by up to 5% do
 /// not let two processes hold the lease.
 const RATE_MARGIN_DIVISOR: u32 = 20;
@@ -61,7 +62,7 @@
 impl LeaseKeeper {
     /// Competes for the lease `name` on behalf of `holder`.
     pub fn new(store: Rc<dyn TableStore>, name: &str, holder: NodeId, duration: Duration) -> Self {
-        let key = RowKey::new(TableName::Leases, LEASE_PARTITION, name);
+        let key = RowKey::new(TableName::Leases, CONTROL_PARTITION, name);
         let mark = new_writer_mark();
         let wall_clock = Rc::new(SystemTime::now);
         Self { store, key, holder, mark, duration, wall_clock, seen: None, granted: None }
--- a/crates/eelgrassdeal_platform/src/lib.rs
+++ b/crates/eelgrassdeal_store/src/lib.rs
@@ -16,7 +16,7 @@
 mod write_batch;
 
 pub use config_log::{AppendOutcome, ConfigLog, LoadedConfig, LogError};
-pub use lease::{HeldLease, LeaseKeeper};
+pub use lease::{CONTROL_PARTITION, HeldLease, LeaseKeeper};
 pub use ledger::{CallLedger, ClaimOutcome, ClaimedCall, LedgerError, LedgerStats, StoredResult};
 pub use object::{HttpObjectStore, ObjectStore};
 pub use table::{
--- a/crates/eelgrassdeal_platform/src/table/memory.rs
+++ b/crates/eelgrassdeal_store/src/table/memory.rs
@@ -17,7 +17,7 @@
 ///
 /// ```
 /// use bytes::Bytes;
-/// use eelgrassdeal_platform::{MemoryTable, RowCondition, RowKey, RowWrite, TableName};
+/// use eelgrassdeal_store::{MemoryTable, RowCondition, RowKey, RowWrite, TableName};
 ///
 /// let table = MemoryTable::new();
 /// let key = RowKey::new(TableName::Leases, "lease", "planner");
--- a/crates/eelgrassdeal_platform/src/table/mod.rs
+++ b/crates/eelgrassdeal_store/src/table/mod.rs
@@ -26,12 +26,20 @@
     Claims,
     /// Requests suspected of crashing upstreams.
     Suspects,
+    /// Groups of the gateway's planner.
+    Groups,
 }
 
 impl TableName {
     /// Every table.
-    pub const ALL: [Self; 5] =
-        [Self::Config, Self::Leases, Self::Nodes, Self::Claims, Self::Suspects];
+    pub const ALL: [Self; 6] = [
+        Self::Config,
+        Self::Leases,
+        Self::Nodes,
+        Self::Claims,
+        Self::Suspects,
+        Self::Groups,
+    ];
 
     /// Name at the table service.
     pub fn name(self) -> &'static str {
@@ -41,6 +49,7 @@
             Self::Nodes => "nodes",
             Self::Claims => "claims",
             Self::Suspects => "suspects",
+            Self::Groups => "groups",
         }
     }
 }
@@ -68,7 +77,7 @@
 pub struct StoredRow {
     /// Name of the row.
     pub key: RowKey,
-    /// Rises by 1 with every write.
+    /// Rises with every write.
     pub version: u64,
     /// Encoded record.
     pub body: Bytes,
--- a/crates/eelgrassdeal_platform/tests/call_history.rs
+++ b/crates/eelgrassdeal_store/tests/call_history.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use common::{any_port, await_late_writes, await_until, new_client, serve_table, url_of};
 use cyper::Client;
-use eelgrassdeal_platform::{CallLedger, ClaimOutcome, HttpTableStore, StoredResult};
+use eelgrassdeal_store::{CallLedger, ClaimOutcome, HttpTableStore, StoredResult};
 use eelgrassdeal_schema::decode_message;
 use eelgrassdeal_schema::records::CallRecord;
 use eelgrassdeal_standins::{AppliedPut, FaultMix, ServiceFake, ServiceRun, TableFake};
--- a/crates/eelgrassdeal_platform/tests/common/mod.rs
+++ b/crates/eelgrassdeal_store/tests/common/mod.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use cyper::Client;
-use eelgrassdeal_platform::HttpTableStore;
+use eelgrassdeal_store::HttpTableStore;
 use eelgrassdeal_schema::config::{ConfigChange, EntryKey};
 use eelgrassdeal_standins::{ServerHandle, TableFake};
 
--- a/crates/eelgrassdeal_platform/tests/config_history.rs
+++ b/crates/eelgrassdeal_store/tests/config_history.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use common::{await_late_writes, new_change, serve_table};
-use eelgrassdeal_platform::{AppendOutcome, ConfigLog};
+use eelgrassdeal_store::{AppendOutcome, ConfigLog};
 use eelgrassdeal_schema::config::ConfigChange;
 use eelgrassdeal_schema::decode_message;
 use eelgrassdeal_schema::records::HeadRecord;
--- a/crates/eelgrassdeal_platform/tests/config_log.rs
+++ b/crates/eelgrassdeal_store/tests/config_log.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use common::{any_port, await_late_writes, new_change, new_client, serve_table, url_of};
-use eelgrassdeal_platform::{
+use eelgrassdeal_store::{
     AppendOutcome, ConfigLog, HttpObjectStore, HttpTableStore, LogError, RowCondition, RowKey,
     RowWrite, TableName, TableStore,
 };
--- a/crates/eelgrassdeal_platform/tests/http_adapters.rs
+++ b/crates/eelgrassdeal_store/tests/http_adapters.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use common::{any_port, new_client, serve_table, url_of};
-use eelgrassdeal_platform::{
+use eelgrassdeal_store::{
     HttpObjectStore, HttpTableStore, HttpVmList, ObjectStore, RowCondition, RowKey, RowRange,
     RowWrite, StoreError, StoreResult, TableName, TableStore, VmList, VmState,
 };
--- a/crates/eelgrassdeal_platform/tests/ledger.rs
+++ b/crates/eelgrassdeal_store/tests/ledger.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use common::{await_late_writes, await_until, serve_table};
-use eelgrassdeal_platform::{
+use eelgrassdeal_store::{
     CallLedger, ClaimOutcome, ClaimedCall, LedgerError, RowCondition, RowKey, RowWrite,
     StoredResult, TableName, TableStore,
 };
--- a/crates/eelgrassdeal_testkit/src/fleet.rs
+++ b/crates/eelgrassdeal_testkit/src/fleet.rs
@@ -9,7 +9,7 @@
 
 use eelgrassdeal_control::FleetConfig;
 use eelgrassdeal_node::with_defaults;
-use eelgrassdeal_platform::{
+use eelgrassdeal_store::{
     AppendOutcome, ConfigLog, HttpTableStore, RowKey, TableName, TableStore,
 };
 use eelgrassdeal_schema::config::config_entry::Body;
@@ -294,7 +294,7 @@
     pub async fn planner_node(&self) -> Option<usize> {
         let client = cyper::Client::new().ok()?;
         let store = HttpTableStore::new(client, &self.settings[0].table_url);
-        let key = RowKey::new(TableName::Leases, "lease", "planner");
+        let key = RowKey::new(TableName::Leases, CONTROL_PARTITION, "planner");
         let row = store.get(key).await.ok().flatten()?;
         let record: LeaseRecord = decode_message(&row.body).ok()?;
         (0..self.spec.nodes).find(|index| record.holder == Self::node_id(*index))
