Repair groups from the silence of their heads

Cause: a lost member showed only when its record lapsed, 3.5 s after the crash; 26 requests of this node's neighbours had seen the head's silence 0.17 s after it. Change: nodes tell each other which heads are silent; the planner probes the members of such a group and takes it apart at once when one does not answer. Domains hold one model each, so that spares replace each other; all loads run before the first request.

--- a/crates/eelgrassdeal_dispatch/src/fleet.rs
+++ b/crates/eelgrassdeal_dispatch/src/fleet.rs
@@ -118,6 +118,21 @@
     pub head: Arc<UpstreamRecord>,
 }
 
+/// Groups and spares of a model.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct FleetSummary {
+    /// Groups that take requests.
+    pub serving: usize,
+    /// Groups that do not take requests yet, or no more.
+    pub forming: usize,
+    /// Groups that are taken apart.
+    pub closing: usize,
+    /// Upstreams in no group whose host holds the model.
+    pub spares: usize,
+    /// Upstreams in no group whose host holds no model.
+    pub empty: usize,
+}
+
 /// Everything known of the fleet.
 #[derive(Clone, Debug, Default)]
 pub struct FleetView {
@@ -170,6 +185,31 @@
             .collect()
     }
 
+    /// Counts the groups and spares of a model.
+    pub fn summarize(&self, service: &str, model: &str) -> FleetSummary {
+        let mut summary = FleetSummary::default();
+        let groups = self.groups.values().filter(|group| &*group.service == service);
+        for group in groups.clone().filter(|group| &*group.model == model) {
+            match (group.is_closing, self.replica(group)) {
+                (true, _) => summary.closing += 1,
+                (false, Some(_)) => summary.serving += 1,
+                (false, None) => summary.forming += 1,
+            }
+        }
+        let grouped: BTreeSet<_> = groups
+            .flat_map(|group| group.members.iter().map(|(upstream, born)| (upstream, *born)))
+            .collect();
+        let is_spare = |record: &&Arc<UpstreamRecord>| {
+            &*record.service == service && !grouped.contains(&(&record.upstream, record.born))
+        };
+        for record in self.upstreams.values().filter(is_spare) {
+            let is_held = record.staged.iter().any(|staged| &**staged == model);
+            summary.spares += usize::from(is_held);
+            summary.empty += usize::from(record.staged.is_empty());
+        }
+        summary
+    }
+
     /// Upstreams of a plain service that take requests.
     pub fn plain_upstreams(&self, service: &str) -> Vec<Arc<UpstreamRecord>> {
         self.upstreams
--- a/crates/eelgrassdeal_dispatch/src/lib.rs
+++ b/crates/eelgrassdeal_dispatch/src/lib.rs
@@ -23,11 +23,12 @@
 };
 pub use directory::{NodeBeat, NodeDirectory, NodeStage};
 pub use fleet::{
-    FleetView, GroupMembership, GroupRecord, GroupState, Replica, UpstreamRecord, UpstreamState,
+    FleetSummary, FleetView, GroupMembership, GroupRecord, GroupState, Replica, UpstreamRecord, UpstreamState,
 };
 pub use limit::{RateShare, RetryAllowance};
 pub use placement::{LoadBook, PlacementNeed, PlacementRefusal};
 pub use planner::{
-    GroupPlanner, OrderKind, OrderOutcome, PlanStep, PlannerSettings, UpstreamOrder,
+    GroupPlanner, OrderKind, OrderOutcome, PlanStep, PlannerSettings, ProbeOutcome, ProbeTarget,
+    UpstreamOrder,
 };
 pub use settings::{GatewaySettings, ListenAddresses, LimitBounds, StoreAddress};
--- a/crates/eelgrassdeal_dispatch/src/planner/dismantle.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/dismantle.rs
@@ -35,8 +35,10 @@
             steps.push(PlanStep::Remove(group.group.clone()));
             return;
         };
-        let record = view.upstreams.get(head_id);
-        let is_reborn = record.is_some_and(|record| record.born != *head_born);
+        let known = view.upstreams.get(head_id);
+        let is_reborn = known.is_some_and(|record| record.born != *head_born);
+        // The record of a head that is lost stays for seconds.
+        let record = known.filter(|_| is_reborn || !self.memory.is_lost(head_id, now));
         let state =
             record.and_then(|record| record.state_in(&group.group, group.generation));
         let has_left = record.is_some() && state.is_none();
@@ -44,16 +46,17 @@
             && self.memory.unreachable.get(&group.group).is_some_and(|since| {
                 now.saturating_duration_since(*since) > self.settings.stall + STALL_MARGIN
             });
-        let is_released = record.is_none() && self.memory.released.contains(&group.group);
+        let is_released = self.memory.released.contains(&group.group);
         if is_reborn || has_left || is_unreachable || is_released {
             if self.memory.try_remove_mark(&group.group, now) {
+                self.memory.forget_group(&group.group);
                 steps.push(PlanStep::Remove(group.group.clone()));
             }
             return;
         }
         let kind = match state {
             Some(GroupState::Open) | None => {
-                OrderKind::Close { is_cut: self.is_cut_needed(view, group) }
+                OrderKind::Close { is_cut: self.is_cut_needed(view, group, now) }
             }
             Some(GroupState::Closing) => return,
             Some(GroupState::Ready | GroupState::Joining | GroupState::Broken) => OrderKind::Leave,
@@ -76,11 +79,12 @@
     }
 
     /// Work is finished when every member is there, and cut off when one is lost: it stands still.
-    fn is_cut_needed(&self, view: &FleetView, group: &GroupRecord) -> bool {
+    fn is_cut_needed(&self, view: &FleetView, group: &GroupRecord, now: Instant) -> bool {
         view.present_members(group).iter().any(|member| {
             member.is_none_or(|record| {
-                record.state == UpstreamState::Ready
-                    && record.state_in(&group.group, group.generation).is_none()
+                let is_member = record.state_in(&group.group, group.generation).is_some();
+                self.memory.is_lost(&record.upstream, now)
+                    || (record.state == UpstreamState::Ready && !is_member)
             })
         })
     }
--- a/crates/eelgrassdeal_dispatch/src/planner/form.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/form.rs
@@ -1,10 +1,11 @@
 //! Forming new groups and preparing spares.
 
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use eelgrassdeal_types::{ModelId, ServiceId};
+use eelgrassdeal_types::{ModelId, ServiceId, UpstreamId};
 
 use crate::config::{EngineSpec, ModelSpec};
 use crate::fleet::{FleetView, GroupRecord, GroupState, UpstreamRecord};
@@ -16,7 +17,10 @@
 const LOAD_RATE_PART: f64 = 0.8;
 /// Before the first request, loads that run together beyond those at full speed: the next ones
 /// begin without waiting for the reports of the ones before.
-const EARLY_LOADS_FACTOR: usize = 2;
+const EARLY_LOADS_FACTOR: usize = 20;
+/// While no group exists, groups are planned once the fleet has not grown for this long: their
+/// members would be chosen from the first few upstreams otherwise.
+const SETTLE_TIME: Duration = Duration::from_millis(600);
 /// Before the first request a load takes this part of its time.
 const EARLY_LOAD_PART: f64 = 0.1;
 
@@ -53,10 +57,14 @@
             return;
         }
         self.note_finished_loads(view, now);
-        let mut pools = free_pools(view, service);
+        if !self.is_settled(view, service, now) {
+            return;
+        }
+        let homes = home_models(view, service, engine);
+        let mut pools = self.free_pools(view, service, now);
         let mut counts = group_counts(view, service);
         loop {
-            let best = self.best_group(&pools, engine, &counts, has_traffic, now);
+            let best = self.best_group(&pools, engine, &homes, &counts, has_traffic, now);
             let Some((domain, model, members)) = best else { break };
             let Some(spec) = engine.model(&model) else { break };
             let loads = self.count_loads(&members, &model, now);
@@ -74,7 +82,7 @@
                 break;
             }
         }
-        self.stage_spares(view, service, engine, &pools, has_traffic, now, steps);
+        self.stage_spares(engine, &homes, &pools, &counts, has_traffic, now, steps);
     }
 
     /// The group to form next: the one with the fewest loads, then of the model that lacks most.
@@ -82,6 +90,7 @@
         &self,
         pools: &BTreeMap<Arc<str>, DomainPool>,
         engine: &EngineSpec,
+        homes: &HomeModels,
         counts: &HashMap<ModelId, usize>,
         has_traffic: bool,
         now: Instant,
@@ -91,6 +100,9 @@
             for spec in &engine.models {
                 let Some(members) = self.cheapest_members(pool, spec, now) else { continue };
                 let loads = self.count_loads(&members, &spec.model, now);
+                if loads > 0 && homes.get(domain) != Some(&spec.model) {
+                    continue;
+                }
                 // With requests to serve, spares load while the others stay free to regroup.
                 if loads > 0 && (has_traffic || !self.may_load(engine, loads, has_traffic, now)) {
                     continue;
@@ -236,27 +248,42 @@
         }
     }
 
-    /// Stages models on upstreams that no group uses, so that they can replace lost members.
+    /// Stages the home model of their domain on upstreams that no group uses, so that they can
+    /// replace lost members.
+    #[expect(clippy::too_many_arguments, reason = "one plan's inputs, passed on as they are")]
     fn stage_spares(
         &mut self,
-        view: &FleetView,
-        service: &ServiceId,
         engine: &EngineSpec,
+        homes: &HomeModels,
         pools: &BTreeMap<Arc<str>, DomainPool>,
+        counts: &HashMap<ModelId, usize>,
         has_traffic: bool,
         now: Instant,
         steps: &mut Vec<PlanStep>,
     ) {
-        let mut choices: Vec<(f64, Arc<UpstreamRecord>, ModelSpec)> = Vec::new();
+        let mut choices: Vec<(f64, Arc<UpstreamRecord>, &ModelSpec)> = Vec::new();
         for (domain, pool) in pools {
-            choices.extend(self.spare_choices(view, service, engine, domain, pool, now));
+            let Some(spec) = homes.get(domain).and_then(|home| engine.model(home)) else {
+                continue;
+            };
+            let (empty, held): (Vec<_>, Vec<_>) = pool.iter().partition(|record| {
+                self.join_cost(record, &spec.model, now) == JoinCost::Missing
+            });
+            let mut held = held.len();
+            for record in empty.into_iter().filter(|record| self.is_unused(record, engine, now)) {
+                // The spare that completes a group soonest comes first.
+                let missing = spec.size - held % spec.size;
+                let value = self.model_need(spec, counts) / missing as f64;
+                choices.push((value, record.clone(), spec));
+                held += 1;
+            }
         }
         choices.sort_by(|left, right| right.0.total_cmp(&left.0));
         for (_, record, spec) in choices {
             if !self.may_load(engine, 1, has_traffic, now) {
                 return;
             }
-            self.note_load(&record, &spec, has_traffic, now);
+            self.note_load(&record, spec, has_traffic, now);
             let order = UpstreamOrder {
                 upstream: record.upstream.clone(),
                 address: record.address.clone(),
@@ -267,62 +294,126 @@
         }
     }
 
-    /// The model to stage on each empty spare of a domain, with the value of doing so.
-    fn spare_choices(
+    /// Upstreams of a service that are ready and in no group, by domain.
+    fn free_pools(
         &self,
         view: &FleetView,
         service: &ServiceId,
-        engine: &EngineSpec,
-        domain: &Arc<str>,
-        pool: &DomainPool,
         now: Instant,
-    ) -> Vec<(f64, Arc<UpstreamRecord>, ModelSpec)> {
-        let holds = |record: &Arc<UpstreamRecord>, model: &ModelId| {
-            self.join_cost(record, model, now) < JoinCost::Missing
-        };
-        let holds_any =
-            |record: &Arc<UpstreamRecord>| engine.models.iter().any(|spec| holds(record, &spec.model));
-        let mut held: HashMap<ModelId, usize> = engine
+    ) -> BTreeMap<Arc<str>, DomainPool> {
+        let grouped = grouped_upstreams(view);
+        let mut pools: BTreeMap<Arc<str>, DomainPool> = BTreeMap::new();
+        for record in view.upstreams.values() {
+            let is_free = record.service == *service
+                && view.may_place(record)
+                && !grouped.contains(&(&record.upstream, record.born))
+                && !self.memory.is_lost(&record.upstream, now)
+                && !may_serve_alone(record);
+            if let (true, Some(domain)) = (is_free, &record.domain) {
+                pools.entry(domain.clone()).or_default().push(record.clone());
+            }
+        }
+        pools
+    }
+
+    /// Whether an upstream holds no model and loads none.
+    fn is_unused(&self, record: &UpstreamRecord, engine: &EngineSpec, now: Instant) -> bool {
+        engine
             .models
             .iter()
-            .map(|spec| {
-                let count = pool.iter().filter(|record| holds(record, &spec.model)).count();
-                (spec.model.clone(), count)
-            })
-            .collect();
-        let mut choices = Vec::new();
-        for record in pool.iter().filter(|record| !holds_any(record)) {
-            let value = |spec: &ModelSpec| {
-                let held = held.get(&spec.model).copied().unwrap_or(0);
-                let missing = spec.size - held % spec.size.max(1);
-                let exposed = exposed_members(view, service, domain, &spec.model) as f64;
-                // Completing a group comes first, then cover for the members that may be lost.
-                let completion = if held > 0 { 100.0 / missing as f64 } else { 0.0 };
-                completion + exposed / (held as f64 + 1.0) + spec.share
-            };
-            let best = engine.models.iter().max_by(|a, b| value(a).total_cmp(&value(b)));
-            let Some(spec) = best else { continue };
-            choices.push((value(spec), record.clone(), spec.clone()));
-            *held.entry(spec.model.clone()).or_default() += 1;
+            .all(|spec| self.join_cost(record, &spec.model, now) == JoinCost::Missing)
+    }
+
+    /// Whether the fleet is known well enough to form the first groups.
+    fn is_settled(&mut self, view: &FleetView, service: &ServiceId, now: Instant) -> bool {
+        let count = view.upstreams.values().filter(|record| record.service == *service).count();
+        let seen = self.memory.fleet_sizes.entry(service.clone()).or_insert((count, now));
+        if seen.0 != count {
+            *seen = (count, now);
         }
-        choices
+        let has_groups = view.groups.values().any(|group| group.service == *service);
+        has_groups || now.saturating_duration_since(seen.1) >= SETTLE_TIME
     }
 }
 
-/// Members of groups of `model` in a domain.
-fn exposed_members(
-    view: &FleetView,
-    service: &ServiceId,
-    domain: &Arc<str>,
-    model: &ModelId,
-) -> usize {
-    view.groups
+/// The model that the spares of a domain hold. Upstreams of one domain that hold the same model can
+/// replace each other, so a domain keeps to one model as far as it can.
+pub(super) type HomeModels = BTreeMap<Arc<str>, ModelId>;
+
+/// Part of a domain's upstreams that may be lost before its groups are counted.
+const RESERVE_PART: f64 = 0.2;
+
+/// The home model of each domain: the one that most of its upstreams hold, or for a domain without
+/// any the one that lacks most groups.
+fn home_models(view: &FleetView, service: &ServiceId, engine: &EngineSpec) -> HomeModels {
+    let mut domains: BTreeMap<&Arc<str>, Vec<&Arc<UpstreamRecord>>> = BTreeMap::new();
+    for record in view.upstreams.values().filter(|record| record.service == *service) {
+        if let Some(domain) = &record.domain {
+            domains.entry(domain).or_default().push(record);
+        }
+    }
+    let planned: HashMap<&UpstreamId, &ModelId> = view
+        .groups
         .values()
-        .filter(|group| group.service == *service && group.model == *model && !group.is_closing)
-        .flat_map(|group| view.present_members(group))
-        .flatten()
-        .filter(|record| record.domain.as_ref() == Some(domain))
-        .count()
+        .flat_map(|group| group.members.iter().map(|(upstream, _)| (upstream, &group.model)))
+        .collect();
+    let mut homes = HomeModels::new();
+    let mut groups: HashMap<ModelId, f64> = HashMap::new();
+    let note = |groups: &mut HashMap<ModelId, f64>, spec: &ModelSpec, upstreams: usize| {
+        let lasting = upstreams as f64 * (1.0 - RESERVE_PART);
+        *groups.entry(spec.model.clone()).or_default() += (lasting / spec.size as f64).floor();
+    };
+    let mut unassigned = Vec::new();
+    for (domain, records) in &domains {
+        let held = |spec: &&ModelSpec| {
+            records
+                .iter()
+                .filter(|record| match planned.get(&record.upstream) {
+                    Some(model) => **model == spec.model,
+                    None => {
+                        record.staged.contains(&spec.model)
+                            || record.loaded.as_ref() == Some(&spec.model)
+                    }
+                })
+                .count()
+        };
+        match engine.models.iter().max_by_key(held).filter(|spec| held(spec) > 0) {
+            Some(spec) => {
+                note(&mut groups, spec, records.len());
+                homes.insert((*domain).clone(), spec.model.clone());
+            }
+            None => unassigned.push((*domain, records)),
+        }
+    }
+    unassigned.sort_by_key(|(domain, records)| (std::cmp::Reverse(records.len()), *domain));
+    while !unassigned.is_empty() {
+        let lack = |spec: &&ModelSpec| {
+            let groups = groups.get(&spec.model).copied().unwrap_or(0.0);
+            spec.share / spec.size as f64 / (groups + 1.0)
+        };
+        let fits = |spec: &&ModelSpec| unassigned.iter().any(|(_, known)| known.len() >= spec.size);
+        let best = engine.models.iter().filter(fits).max_by(|left, right| {
+            (lack(left), left.size).partial_cmp(&(lack(right), right.size)).unwrap_or(Ordering::Equal)
+        });
+        let Some(spec) = best else { break };
+        // The models are spread over the data centres.
+        let same_centre = |records: &[&Arc<UpstreamRecord>]| {
+            let centre = records.first().map(|record| &record.data_centre);
+            let is_same = |domain: &Arc<str>| {
+                let known = domains.get(domain).and_then(|records| records.first());
+                known.map(|record| &record.data_centre) == centre
+            };
+            homes.iter().filter(|(domain, model)| **model == spec.model && is_same(domain)).count()
+        };
+        let position = (0..unassigned.len())
+            .filter(|index| unassigned[*index].1.len() >= spec.size)
+            .min_by_key(|index| same_centre(unassigned[*index].1));
+        let Some(position) = position else { break };
+        let (domain, records) = unassigned.remove(position);
+        note(&mut groups, spec, records.len());
+        homes.insert(domain.clone(), spec.model.clone());
+    }
+    homes
 }
 
 /// Groups by model that serve or form.
@@ -336,22 +427,6 @@
     counts
 }
 
-/// Upstreams of a service that are ready and in no group, by domain.
-fn free_pools(view: &FleetView, service: &ServiceId) -> BTreeMap<Arc<str>, DomainPool> {
-    let grouped = grouped_upstreams(view);
-    let mut pools: BTreeMap<Arc<str>, DomainPool> = BTreeMap::new();
-    for record in view.upstreams.values() {
-        let is_free = record.service == *service
-            && view.may_place(record)
-            && !grouped.contains(&(&record.upstream, record.born))
-            && !may_serve_alone(record);
-        if let (true, Some(domain)) = (is_free, &record.domain) {
-            pools.entry(domain.clone()).or_default().push(record.clone());
-        }
-    }
-    pools
-}
-
 /// Whether an upstream reports that it heads a group, although no such group is stored.
 fn may_serve_alone(record: &UpstreamRecord) -> bool {
     matches!(
--- a/crates/eelgrassdeal_dispatch/src/planner/memory.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/memory.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
 
-use eelgrassdeal_types::{GroupId, ModelId, UpstreamId};
+use eelgrassdeal_types::{GroupId, ModelId, ServiceId, UpstreamId};
 
 use super::{OrderKind, OrderOutcome, UpstreamOrder};
 
@@ -12,6 +12,9 @@
 const REPEAT_TIME: Duration = Duration::from_millis(900);
 /// An order without an outcome counts as lost after this time.
 const OUTCOME_TIME: Duration = Duration::from_secs(4);
+/// An upstream that did not answer is not used for this long. By then its record is gone, if it is
+/// lost.
+const LOST_TIME: Duration = Duration::from_secs(5);
 /// Nothing is remembered for longer.
 const MEMORY_TIME: Duration = Duration::from_secs(120);
 
@@ -26,6 +29,8 @@
     CloseMark,
     /// The removal of the group.
     RemoveMark,
+    /// The probes of the group's members.
+    Probe,
 }
 
 impl OrderTag {
@@ -69,6 +74,10 @@
     pub(super) pending_groups: HashSet<GroupId>,
     pub(super) loads: HashMap<UpstreamId, LoadEntry>,
     pub(super) load_starts: VecDeque<Instant>,
+    /// Upstreams that did not answer, and until when that counts.
+    lost: HashMap<UpstreamId, Instant>,
+    /// Number of upstreams of each service, and since when it has not changed.
+    pub(super) fleet_sizes: HashMap<ServiceId, (usize, Instant)>,
 }
 
 impl PlannerMemory {
@@ -98,6 +107,26 @@
         self.try_mark(group, OrderTag::RemoveMark, now)
     }
 
+    /// Whether the members of a group are to be probed; if so, it counts as done.
+    pub(super) fn try_probe(&mut self, group: &GroupId, now: Instant) -> bool {
+        self.try_mark(group, OrderTag::Probe, now)
+    }
+
+    /// Notes that an upstream does not answer.
+    pub(super) fn note_lost(&mut self, upstream: &UpstreamId, now: Instant) {
+        self.lost.insert(upstream.clone(), now + LOST_TIME);
+    }
+
+    /// Notes that an upstream answers.
+    pub(super) fn clear_lost(&mut self, upstream: &UpstreamId) {
+        self.lost.remove(upstream);
+    }
+
+    /// Whether an upstream did not answer lately.
+    pub(super) fn is_lost(&self, upstream: &UpstreamId, now: Instant) -> bool {
+        self.lost.get(upstream).is_some_and(|until| now < *until)
+    }
+
     fn try_mark(&mut self, group: &GroupId, tag: OrderTag, now: Instant) -> bool {
         let key = (group.clone(), Some(group.clone()), tag);
         let is_due = self.orders.get(&key).is_none_or(|sent| {
@@ -123,6 +152,13 @@
         if let Some(sent) = self.orders.get_mut(&order_key(order)) {
             sent.outcome = Some(outcome);
         }
+        match outcome {
+            OrderOutcome::Gone | OrderOutcome::Unreachable => {
+                self.note_lost(&order.upstream, now);
+            }
+            OrderOutcome::Unknown => {}
+            _ => self.clear_lost(&order.upstream),
+        }
         let Some((group, _)) = &order.group else { return };
         match (&order.kind, outcome) {
             (OrderKind::Close { .. } | OrderKind::Leave, OrderOutcome::Gone)
@@ -159,6 +195,7 @@
     pub(super) fn forget_old(&mut self, now: Instant) {
         self.orders.retain(|_, sent| now.saturating_duration_since(sent.sent_at) < MEMORY_TIME);
         self.loads.retain(|_, load| now < load.ends_at + MEMORY_TIME);
+        self.lost.retain(|_, until| now < *until);
     }
 
     pub(super) fn forget_group(&mut self, group: &GroupId) {
--- a/crates/eelgrassdeal_dispatch/src/planner/mod.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/mod.rs
@@ -90,6 +90,24 @@
     Unknown,
 }
 
+/// What a probe of an upstream showed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProbeOutcome {
+    /// It answers.
+    Alive,
+    /// It does not answer, or another has its address.
+    Lost,
+}
+
+/// An upstream to probe, in the life in which it joined its group.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ProbeTarget {
+    /// Upstream.
+    pub upstream: UpstreamId,
+    /// Its address.
+    pub address: Arc<str>,
+}
+
 /// A step of the plan.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum PlanStep {
@@ -99,6 +117,8 @@
     Remove(GroupId),
     /// Give an order.
     Order(UpstreamOrder),
+    /// Ask the upstream whether it is there.
+    Probe(ProbeTarget),
 }
 
 /// Plans the groups of all services.
@@ -118,17 +138,22 @@
 
     /// The steps that are due at `now`. Orders without an outcome are not repeated.
     ///
-    /// Until callers send requests, loads are fast and groups are loaded in place.
+    /// Until callers send requests, loads are fast and groups are loaded in place. `silent` are the
+    /// upstreams that send nothing to running requests.
     pub fn plan(
         &mut self,
         view: &FleetView,
         config: &ServiceConfig,
+        silent: &[UpstreamId],
         has_traffic: bool,
         now: Instant,
     ) -> Vec<PlanStep> {
         self.memory.forget_old(now);
         let mut steps = Vec::new();
         for group in view.groups.values() {
+            if group.members.first().is_some_and(|(head, _)| silent.contains(head)) {
+                self.probe_members(view, group, now, &mut steps);
+            }
             let engine = config.services.get(&group.service).and_then(|spec| spec.engine.as_ref());
             self.tend_group(view, group, engine, now, &mut steps);
         }
@@ -145,6 +170,34 @@
         self.memory.note_outcome(order, outcome, now);
     }
 
+    /// Notes what a probe showed.
+    pub fn note_probe(&mut self, upstream: &UpstreamId, outcome: ProbeOutcome, now: Instant) {
+        match outcome {
+            ProbeOutcome::Alive => self.memory.clear_lost(upstream),
+            ProbeOutcome::Lost => self.memory.note_lost(upstream, now),
+        }
+    }
+
+    /// Probes the members of a group whose head is silent: one of them may be lost, which shows in
+    /// the fleet's records only seconds later.
+    fn probe_members(
+        &mut self,
+        view: &FleetView,
+        group: &GroupRecord,
+        now: Instant,
+        steps: &mut Vec<PlanStep>,
+    ) {
+        if group.is_closing || !self.memory.try_probe(&group.group, now) {
+            return;
+        }
+        for record in view.present_members(group).into_iter().flatten() {
+            steps.push(PlanStep::Probe(ProbeTarget {
+                upstream: record.upstream.clone(),
+                address: record.address.clone(),
+            }));
+        }
+    }
+
     /// Notes that a write was not carried out, so that it is planned anew.
     pub fn note_write_failure(&mut self, group: &GroupId) {
         self.memory.pending_groups.remove(group);
@@ -175,7 +228,10 @@
         };
         let members = view.present_members(group);
         let is_lost = members.iter().any(|member| {
-            member.is_none_or(|record| record.state == UpstreamState::Draining)
+            member.is_none_or(|record| {
+                record.state == UpstreamState::Draining
+                    || self.memory.is_lost(&record.upstream, now)
+            })
         });
         let states: Vec<_> = members
             .iter()
--- a/crates/eelgrassdeal_gateway/src/front/attempt.rs
+++ b/crates/eelgrassdeal_gateway/src/front/attempt.rs
@@ -43,7 +43,7 @@
 /// Longest wait for the first event at a head where this node has no other running stream.
 const FIRST_EVENT_PATIENCE: Duration = Duration::from_millis(1_500);
 /// A silent head gets no new requests for this long; by then it is closed or works again.
-const SILENT_TIME: Duration = Duration::from_secs(4);
+const SILENT_TIME: Duration = Duration::from_secs(2);
 /// Prompt tokens that an engine reads in one step at most, when it does not say.
 const READ_CHUNK_TOKENS: f64 = 2_048.0;
 
@@ -124,7 +124,9 @@
 
     /// Notes that a head sends nothing to any request of this node.
     pub(super) fn note_silent(&self, upstream: &UpstreamId) {
-        self.state.loads.borrow_mut().avoid_for(upstream, Instant::now(), SILENT_TIME);
+        let now = Instant::now();
+        self.state.loads.borrow_mut().avoid_for(upstream, now, SILENT_TIME);
+        self.state.note_silent(upstream, true, now);
     }
 
     /// Notes that the attempt at `upstream` failed after it may have run.
--- a/crates/eelgrassdeal_gateway/src/peers/message.rs
+++ b/crates/eelgrassdeal_gateway/src/peers/message.rs
@@ -37,6 +37,7 @@
         counts: counts.collect(),
         versions: versions.collect(),
         has_traffic: state.has_traffic.get(),
+        silent: state.silent_upstreams(true, now).iter().map(|id| id.to_string()).collect(),
     }
 }
 
@@ -54,6 +55,9 @@
     for beat in message.beats {
         directory.merge(decode_beat(beat), now);
     }
+    for upstream in message.silent {
+        state.note_silent(&Arc::from(upstream), false, now);
+    }
     if message.has_traffic {
         state.has_traffic.set(true);
     }
--- a/crates/eelgrassdeal_gateway/src/plan.rs
+++ b/crates/eelgrassdeal_gateway/src/plan.rs
@@ -1,11 +1,14 @@
 //! Carries out the plan of the groups, on the node that holds the planner's lease.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use eelgrassdeal_dispatch::{GroupPlanner, GroupRecord, PlanStep, PlannerSettings, UpstreamOrder};
+use eelgrassdeal_dispatch::{
+    FleetView, GroupPlanner, GroupRecord, PlanStep, PlannerSettings, ProbeTarget, ServiceConfig,
+    UpstreamOrder,
+};
 use eelgrassdeal_platform::{SharedTable, encode_group};
 use eelgrassdeal_store::{
     CONTROL_PARTITION, HeldLease, LeaseKeeper, RowCondition, RowKey, RowWrite, StoreError,
@@ -26,6 +29,9 @@
 /// Pause of a node that does not plan.
 const IDLE_PAUSE: Duration = Duration::from_millis(300);
 
+/// Pause between two lines on the groups and spares.
+const FLEET_LOG_PAUSE: Duration = Duration::from_secs(1);
+
 /// Planning under one lease.
 struct PlanTerm {
     fencing: FencingNumber,
@@ -39,6 +45,7 @@
     state: Rc<GatewayState>,
     lease: RefCell<Option<HeldLease>>,
     term: RefCell<Option<PlanTerm>>,
+    logged_at: Cell<Option<Instant>>,
 }
 
 /// Competes for the lease, and plans while it is held, until the task is dropped.
@@ -47,6 +54,7 @@
         state: state.clone(),
         lease: RefCell::default(),
         term: RefCell::default(),
+        logged_at: Cell::default(),
     });
     let renewing = runner.clone();
     compio::runtime::spawn(async move { renewing.keep_lease().await }).detach();
@@ -107,18 +115,46 @@
             let Some(term) = term.as_mut().filter(|term| term.row_version.is_some()) else {
                 return true;
             };
-            term.planner.plan(&state.view(), &config, state.has_traffic.get(), now)
+            let silent = state.silent_upstreams(false, now);
+            let has_traffic = state.has_traffic.get();
+            term.planner.plan(&state.view(), &config, &silent, has_traffic, now)
         };
         for step in steps {
             match step {
                 PlanStep::Order(order) => self.clone().give(order, lease.fencing),
                 PlanStep::Write(group) => self.clone().write(group),
                 PlanStep::Remove(group) => self.clone().remove(group),
+                PlanStep::Probe(target) => self.clone().probe(target),
             }
         }
+        self.log_fleet(&state.view(), &config, now);
         true
     }
 
+    /// Logs the groups and spares of each engine service, once a while.
+    fn log_fleet(&self, view: &FleetView, config: &ServiceConfig, now: Instant) {
+        if self.logged_at.get().is_some_and(|at| now.duration_since(at) < FLEET_LOG_PAUSE) {
+            return;
+        }
+        self.logged_at.set(Some(now));
+        for spec in config.services.values() {
+            let Some(engine) = &spec.engine else { continue };
+            for model in &engine.models {
+                let summary = view.summarize(&spec.service, &model.model);
+                log::info!(
+                    "event=fleet service={} model={} serving={} forming={} closing={} spares={} empty={}",
+                    spec.service,
+                    model.model,
+                    summary.serving,
+                    summary.forming,
+                    summary.closing,
+                    summary.spares,
+                    summary.empty
+                );
+            }
+        }
+    }
+
     /// Writes the row of a new term, which makes the writes of earlier terms fail.
     fn begin_term(self: &Rc<Self>, fencing: FencingNumber) {
         let mut term = self.term.borrow_mut();
@@ -190,6 +226,17 @@
         .detach();
     }
 
+    fn probe(self: Rc<Self>, target: ProbeTarget) {
+        compio::runtime::spawn(async move {
+            let outcome = self.state.orders.probe(&target).await;
+            log::info!("event=probe upstream={} outcome={outcome:?}", target.upstream);
+            if let Some(term) = self.term.borrow_mut().as_mut() {
+                term.planner.note_probe(&target.upstream, outcome, Instant::now());
+            }
+        })
+        .detach();
+    }
+
     fn write(self: Rc<Self>, group: GroupRecord) {
         let key = group_key(&group.group);
         let condition = self.row_condition(&group.group);
--- a/crates/eelgrassdeal_gateway/src/state.rs
+++ b/crates/eelgrassdeal_gateway/src/state.rs
@@ -51,6 +51,17 @@
     }
 }
 
+/// How long the silence of an upstream is told to other nodes and considered by the planner.
+const SILENCE_LIFETIME: Duration = Duration::from_millis(800);
+
+/// An upstream that sent nothing to running requests.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SilentUpstream {
+    noted_at: Instant,
+    /// Whether this node saw it.
+    is_own: bool,
+}
+
 /// State that all tasks of a gateway share.
 pub(crate) struct GatewayState {
     settings: RefCell<Arc<GatewaySettings>>,
@@ -64,6 +75,8 @@
     pub(crate) mirror: RefCell<StoreMirror>,
     pub(crate) directory: RefCell<NodeDirectory>,
     pub(crate) loads: RefCell<LoadBook>,
+    /// Upstreams that were silent towards this node or another, and when.
+    pub(crate) silent: RefCell<HashMap<UpstreamId, SilentUpstream>>,
     pub(crate) cold_shares: RefCell<HashMap<UpstreamId, RateShare>>,
     pub(crate) retries: RefCell<HashMap<ServiceId, RetryAllowance>>,
     pub(crate) stage: Cell<NodeStage>,
@@ -95,6 +108,7 @@
             mirror: RefCell::default(),
             directory: RefCell::new(NodeDirectory::new(own)),
             loads: RefCell::default(),
+            silent: RefCell::default(),
             cold_shares: RefCell::default(),
             retries: RefCell::default(),
             stage: Cell::new(NodeStage::Starting),
@@ -144,6 +158,24 @@
         share.try_take(now, per_s, nodes)
     }
 
+    /// Notes that an upstream is silent, as this node saw or another told.
+    pub(crate) fn note_silent(&self, upstream: &UpstreamId, is_own: bool, now: Instant) {
+        let mut silent = self.silent.borrow_mut();
+        silent.insert(upstream.clone(), SilentUpstream { noted_at: now, is_own });
+        silent.retain(|_, known| now.duration_since(known.noted_at) < SILENCE_LIFETIME);
+    }
+
+    /// Upstreams that were silent lately; only those that this node saw itself if `is_own`.
+    pub(crate) fn silent_upstreams(&self, is_own: bool, now: Instant) -> Vec<UpstreamId> {
+        self.silent
+            .borrow()
+            .iter()
+            .filter(|(_, known)| now.duration_since(known.noted_at) < SILENCE_LIFETIME)
+            .filter(|(_, known)| known.is_own || !is_own)
+            .map(|(upstream, _)| upstream.clone())
+            .collect()
+    }
+
     /// Counts a caller's request for the retry budget of `service`.
     pub(crate) fn note_request(&self, service: &ServiceId, now: Instant) {
         let bounds = &self.settings().bounds;
