Form groups across domains from upstreams that hold a model

Cause: after losses each domain kept one to three idle upstreams of its model, 11 of them at once, and loads of empty ones take 16 s, six at a time.

--- a/crates/eelgrassdeal_dispatch/src/config.rs
+++ b/crates/eelgrassdeal_dispatch/src/config.rs
@@ -125,6 +125,8 @@
     pub loads_at_once: u32,
     /// Time from the order to open to the first request.
     pub form_time: Duration,
+    /// Factor on the times of a group whose members are in several fabric domains.
+    pub far_factor: f64,
     /// Mean prompt length in tokens.
     pub usual_prompt: f64,
     /// Mean answer length in tokens.
--- a/crates/eelgrassdeal_dispatch/src/fleet.rs
+++ b/crates/eelgrassdeal_dispatch/src/fleet.rs
@@ -116,6 +116,8 @@
     pub model: ModelId,
     /// The member that takes the requests.
     pub head: Arc<UpstreamRecord>,
+    /// Whether its members are in several fabric domains, which makes it slow.
+    pub is_far: bool,
 }
 
 /// Groups and spares of a model.
@@ -158,6 +160,13 @@
         group.members.iter().map(find).collect()
     }
 
+    /// Whether the members of `group` are in several fabric domains.
+    pub fn is_far(&self, group: &GroupRecord) -> bool {
+        let mut domains = self.present_members(group).into_iter().flatten().map(|record| &record.domain);
+        let first = domains.next();
+        domains.any(|domain| Some(domain) != first)
+    }
+
     /// The replica of `group`, if its head is open and every member is in place.
     pub fn replica(&self, group: &GroupRecord) -> Option<Replica> {
         if group.is_closing {
@@ -171,8 +180,12 @@
         });
         let head = members.first().copied().flatten()?;
         let is_open = head.state_in(&group.group, group.generation) == Some(GroupState::Open);
-        let replica =
-            Replica { group: group.group.clone(), model: group.model.clone(), head: head.clone() };
+        let replica = Replica {
+            group: group.group.clone(),
+            model: group.model.clone(),
+            head: head.clone(),
+            is_far: self.is_far(group),
+        };
         (is_whole && is_open && self.may_place(head)).then_some(replica)
     }
 
--- a/crates/eelgrassdeal_dispatch/src/lib.rs
+++ b/crates/eelgrassdeal_dispatch/src/lib.rs
@@ -26,7 +26,7 @@
     FleetSummary, FleetView, GroupMembership, GroupRecord, GroupState, Replica, UpstreamRecord, UpstreamState,
 };
 pub use limit::{RateShare, RetryAllowance};
-pub use placement::{LoadBook, PlacementNeed, PlacementRefusal};
+pub use placement::{LoadBook, PlacementNeed, PlacementRefusal, PlacementTarget};
 pub use planner::{
     GroupPlanner, OrderKind, OrderOutcome, PlanStep, PlannerSettings, ProbeOutcome, ProbeTarget,
     UpstreamOrder,
--- a/crates/eelgrassdeal_dispatch/src/placement.rs
+++ b/crates/eelgrassdeal_dispatch/src/placement.rs
@@ -17,6 +17,32 @@
 /// Requests that count as waiting for each unit of failure share when upstreams are compared.
 const FAILURE_PENALTY: f64 = 2.0;
 
+/// An upstream that may run a request.
+#[derive(Clone, Debug)]
+pub struct PlacementTarget {
+    /// Upstream.
+    pub record: Arc<UpstreamRecord>,
+    /// Requests that it runs at once, in terms of an upstream of usual speed.
+    pub slots: f64,
+}
+
+impl PlacementTarget {
+    /// A target with the slots that its record names.
+    pub fn new(record: Arc<UpstreamRecord>) -> Self {
+        let slots = f64::from(record.slots.max(1));
+        Self { record, slots }
+    }
+
+    /// A target that takes `factor` times as long as usual.
+    pub fn with_slowness(mut self, factor: f64) -> Self {
+        self.slots /= factor.max(1.0);
+        self
+    }
+}
+
+/// More than any other cost: an upstream that is avoided is used when no other is left.
+const AVOIDED_COST: f64 = 1_000.0;
+
 /// What a request needs.
 #[derive(Clone, Copy, Debug)]
 pub struct PlacementNeed<'a> {
@@ -157,28 +183,28 @@
     /// See [`PlacementRefusal`].
     pub fn choose(
         &self,
-        candidates: &[Arc<UpstreamRecord>],
+        candidates: &[PlacementTarget],
         need: PlacementNeed<'_>,
         draw: f64,
         now: Instant,
     ) -> Result<Arc<UpstreamRecord>, PlacementRefusal> {
         let usable: Vec<_> = candidates
             .iter()
-            .filter(|record| !need.excluded.contains(&record.upstream))
+            .filter(|target| !need.excluded.contains(&target.record.upstream))
             .collect();
         if usable.is_empty() {
             return Err(PlacementRefusal::NoneServing);
         }
         let first = (draw * usable.len() as f64) as usize;
         let in_turn = usable.iter().cycle().skip(first).take(usable.len());
-        let has_room = |record: &&&Arc<UpstreamRecord>| {
-            let total = f64::from(self.total(&record.upstream, now));
-            total < need.max_per_slot * f64::from(record.slots)
+        let has_room = |target: &&&PlacementTarget| {
+            let total = f64::from(self.total(&target.record.upstream, now));
+            total < need.max_per_slot * target.slots
         };
         in_turn
             .filter(has_room)
             .min_by(|left, right| self.cost(left, now).total_cmp(&self.cost(right, now)))
-            .map(|record| (*record).clone())
+            .map(|target| target.record.clone())
             .ok_or(PlacementRefusal::AllFull)
     }
 
@@ -187,13 +213,14 @@
         self.loads.retain(|upstream, load| load.own > 0 || is_known(upstream));
     }
 
-    fn cost(&self, record: &UpstreamRecord, now: Instant) -> f64 {
-        let total = f64::from(self.total(&record.upstream, now));
-        let load = self.loads.get(&record.upstream);
+    /// Requests per slot once one more is placed, and what speaks against the target.
+    fn cost(&self, target: &PlacementTarget, now: Instant) -> f64 {
+        let upstream = &target.record.upstream;
+        let total = f64::from(self.total(upstream, now) + 1);
+        let load = self.loads.get(upstream);
         let failures = load.map_or(0.0, |load| load.failure_share);
         let is_avoided = load.and_then(|load| load.avoid_until).is_some_and(|until| now < until);
-        let slots = f64::from(record.slots.max(1));
-        let avoided = if is_avoided { 1_000.0 } else { 0.0 };
-        total / slots + failures * FAILURE_PENALTY + avoided
+        let avoided = if is_avoided { AVOIDED_COST } else { 0.0 };
+        total / target.slots + failures * FAILURE_PENALTY + avoided
     }
 }
--- a/crates/eelgrassdeal_dispatch/src/planner/form.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/form.rs
@@ -1,7 +1,7 @@
 //! Forming new groups and preparing spares.
 
 use std::cmp::Ordering;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -82,9 +82,85 @@
                 break;
             }
         }
+        if has_traffic {
+            self.dissolve_far_groups(view, service, engine, &pools, now, steps);
+            self.form_far_groups(service, engine, &mut pools, &mut counts, now, steps);
+        }
         self.stage_spares(engine, &homes, &pools, &counts, has_traffic, now, steps);
     }
 
+    /// Forms groups across fabric domains from upstreams that hold a model and complete no group of
+    /// their own domain. Such a group is slow, but it needs no load.
+    fn form_far_groups(
+        &mut self,
+        service: &ServiceId,
+        engine: &EngineSpec,
+        pools: &mut BTreeMap<Arc<str>, DomainPool>,
+        counts: &mut HashMap<ModelId, usize>,
+        now: Instant,
+        steps: &mut Vec<PlanStep>,
+    ) {
+        for spec in engine.models.iter().filter(|spec| spec.size > 1) {
+            let holds = |record: &&Arc<UpstreamRecord>| {
+                self.join_cost(record, &spec.model, now) <= JoinCost::Staged
+            };
+            let mut holders: DomainPool =
+                pools.values().flatten().filter(holds).cloned().collect();
+            // Fewer domains, and members close to each other.
+            holders.sort_by_key(|record| (record.data_centre.clone(), record.domain.clone()));
+            while holders.len() >= spec.size {
+                let members: DomainPool = holders.drain(..spec.size).collect();
+                for pool in pools.values_mut() {
+                    pool.retain(|record| {
+                        !members.iter().any(|member| member.upstream == record.upstream)
+                    });
+                }
+                *counts.entry(spec.model.clone()).or_default() += 1;
+                let group = self.new_group(service, &spec.model, &members);
+                self.memory.pending_groups.insert(group.group.clone());
+                steps.push(PlanStep::Write(group));
+            }
+        }
+    }
+
+    /// Takes groups across domains apart whose members complete a group of one domain.
+    fn dissolve_far_groups(
+        &mut self,
+        view: &FleetView,
+        service: &ServiceId,
+        engine: &EngineSpec,
+        pools: &BTreeMap<Arc<str>, DomainPool>,
+        now: Instant,
+        steps: &mut Vec<PlanStep>,
+    ) {
+        let far: Vec<_> = view
+            .groups
+            .values()
+            .filter(|group| group.service == *service && !group.is_closing && view.is_far(group))
+            .collect();
+        for spec in &engine.models {
+            let far: Vec<_> = far.iter().filter(|group| group.model == spec.model).collect();
+            for domain in domains_of(view, &far) {
+                let in_domain = |group: &GroupRecord| {
+                    let members = view.present_members(group).into_iter().flatten();
+                    members.filter(|record| record.domain.as_ref() == Some(&domain)).count()
+                };
+                let free = pools.get(&domain).map_or(0, |pool| {
+                    let holds = |record: &&Arc<UpstreamRecord>| {
+                        self.join_cost(record, &spec.model, now) <= JoinCost::Staged
+                    };
+                    pool.iter().filter(holds).count()
+                });
+                let held: usize = far.iter().map(|group| in_domain(group)).sum();
+                if free < spec.size && free + held >= spec.size {
+                    for group in far.iter().filter(|group| in_domain(group) > 0) {
+                        self.begin_dismantle(group, now, steps);
+                    }
+                }
+            }
+        }
+    }
+
     /// The group to form next: the one with the fewest loads, then of the model that lacks most.
     fn best_group(
         &self,
@@ -341,7 +417,7 @@
 pub(super) type HomeModels = BTreeMap<Arc<str>, ModelId>;
 
 /// Part of a domain's upstreams that may be lost before its groups are counted.
-const RESERVE_PART: f64 = 0.2;
+const RESERVE_PART: f64 = 0.1;
 
 /// The home model of each domain: the one that most of its upstreams hold, or for a domain without
 /// any the one that lacks most groups.
@@ -427,6 +503,16 @@
     counts
 }
 
+/// Domains of the members of `groups`.
+fn domains_of(view: &FleetView, groups: &[&&Arc<GroupRecord>]) -> BTreeSet<Arc<str>> {
+    groups
+        .iter()
+        .flat_map(|group| view.present_members(group))
+        .flatten()
+        .filter_map(|record| record.domain.clone())
+        .collect()
+}
+
 /// Whether an upstream reports that it heads a group, although no such group is stored.
 fn may_serve_alone(record: &UpstreamRecord) -> bool {
     matches!(
--- a/crates/eelgrassdeal_gateway/src/front/attempt.rs
+++ b/crates/eelgrassdeal_gateway/src/front/attempt.rs
@@ -5,7 +5,8 @@
 use std::time::{Duration, Instant};
 
 use eelgrassdeal_dispatch::{
-    EngineSpec, FleetView, ModelSpec, PlacementNeed, PlacementRefusal, UpstreamRecord,
+    EngineSpec, FleetView, ModelSpec, PlacementNeed, PlacementRefusal, PlacementTarget, Replica,
+    UpstreamRecord,
 };
 use eelgrassdeal_http::{PooledAnswer, SendFailure, SendRule};
 use eelgrassdeal_platform::{UpstreamAnswer, upstream_headers};
@@ -269,21 +270,24 @@
             if self.state.take_cold_share(&record, now) {
                 return Ok(record);
             }
-            candidates.retain(|known| known.upstream != record.upstream);
+            candidates.retain(|known| known.record.upstream != record.upstream);
             if candidates.is_empty() {
                 return Err(PlacementRefusal::AllFull);
             }
         }
     }
 
-    fn candidates(&self, view: &FleetView) -> Vec<Arc<UpstreamRecord>> {
+    fn candidates(&self, view: &FleetView) -> Vec<PlacementTarget> {
         let service = &self.call.service;
-        match (&self.call.caller.model, self.model_spec()) {
-            (Some(model), Some(_)) => {
-                view.replicas(service, model).into_iter().map(|replica| replica.head).collect()
-            }
-            _ => view.plain_upstreams(service),
-        }
+        let Some((model, (engine, _))) = self.call.caller.model.as_ref().zip(self.model_spec())
+        else {
+            return view.plain_upstreams(service).into_iter().map(PlacementTarget::new).collect();
+        };
+        let target = |replica: Replica| match replica.is_far {
+            true => PlacementTarget::new(replica.head).with_slowness(engine.far_factor),
+            false => PlacementTarget::new(replica.head),
+        };
+        view.replicas(service, model).into_iter().map(target).collect()
     }
 
     fn per_slot(&self) -> f64 {
