--- a/crates/eelgrassdeal_dispatch/src/planner/mod.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/mod.rs
@@ -82,7 +82,7 @@
     Conflict,
     /// Another planner or a newer generation came before.
     Outdated,
-    /// Another upstream has the address now, or nothing listens there.
+    /// Another upstream has the address now.
     Gone,
     /// No connection was made.
     Unreachable,
