Judge silence by passes that read prompts

Change: no group across domains while a group of its model closes; the silence limit follows from a pass whose every step reads a chunk; waiting requests leave a head that another node found silent.

--- a/crates/eelgrassdeal_dispatch/src/planner/dismantle.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/dismantle.rs
@@ -31,6 +31,7 @@
         now: Instant,
         steps: &mut Vec<PlanStep>,
     ) {
+        self.memory.closing_since.entry(group.group.clone()).or_insert(now);
         let Some((head_id, head_born)) = group.members.first() else {
             steps.push(PlanStep::Remove(group.group.clone()));
             return;
--- a/crates/eelgrassdeal_dispatch/src/planner/form.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/form.rs
@@ -1,7 +1,7 @@
 //! Forming new groups and preparing spares.
 
 use std::cmp::Ordering;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -18,6 +18,9 @@
 /// Before the first request, loads that run together beyond those at full speed: the next ones
 /// begin without waiting for the reports of the ones before.
 const EARLY_LOADS_FACTOR: usize = 20;
+/// A group that is taken apart sets its members free within this time. Until then no group across
+/// domains is formed, which the domain of these members might need.
+const REGROUP_TIME: Duration = Duration::from_millis(700);
 /// While no group exists, groups are planned once the fleet has not grown for this long: their
 /// members would be chosen from the first few upstreams otherwise.
 const SETTLE_TIME: Duration = Duration::from_millis(600);
@@ -82,25 +85,33 @@
                 break;
             }
         }
+        let is_closing = |group: &&Arc<GroupRecord>| {
+            group.is_closing && self.memory.closing_age(&group.group, now) < REGROUP_TIME
+        };
+        let closing: HashSet<ModelId> =
+            view.groups.values().filter(is_closing).map(|group| group.model.clone()).collect();
         if has_traffic {
             self.dissolve_far_groups(view, service, engine, &pools, now, steps);
-            self.form_far_groups(service, engine, &mut pools, &mut counts, now, steps);
+            self.form_far_groups(service, engine, &closing, &mut pools, &mut counts, now, steps);
         }
         self.stage_spares(engine, &homes, &pools, &counts, has_traffic, now, steps);
     }
 
     /// Forms groups across fabric domains from upstreams that hold a model and complete no group of
     /// their own domain. Such a group is slow, but it needs no load.
+    #[expect(clippy::too_many_arguments, reason = "one plan's inputs, passed on as they are")]
     fn form_far_groups(
         &mut self,
         service: &ServiceId,
         engine: &EngineSpec,
+        closing: &HashSet<ModelId>,
         pools: &mut BTreeMap<Arc<str>, DomainPool>,
         counts: &mut HashMap<ModelId, usize>,
         now: Instant,
         steps: &mut Vec<PlanStep>,
     ) {
-        for spec in engine.models.iter().filter(|spec| spec.size > 1) {
+        let is_candidate = |spec: &&ModelSpec| spec.size > 1 && !closing.contains(&spec.model);
+        for spec in engine.models.iter().filter(is_candidate) {
             let holds = |record: &&Arc<UpstreamRecord>| {
                 self.join_cost(record, &spec.model, now) <= JoinCost::Staged
             };
--- a/crates/eelgrassdeal_dispatch/src/planner/memory.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/memory.rs
@@ -64,6 +64,8 @@
 pub(super) struct PlannerMemory {
     orders: HashMap<OrderKey, SentOrder>,
     first_seen: HashMap<GroupId, Instant>,
+    /// Since when a group is known to be closing.
+    pub(super) closing_since: HashMap<GroupId, Instant>,
     /// Since when the head of a group could not be reached.
     pub(super) unreachable: HashMap<GroupId, Instant>,
     /// Heads that are known to have left their group or ended.
@@ -183,6 +185,12 @@
         now.saturating_duration_since(*self.first_seen.entry(group.clone()).or_insert(now))
     }
 
+    /// Time since the planner first saw that a group is closing.
+    pub(super) fn closing_age(&self, group: &GroupId, now: Instant) -> Duration {
+        let since = self.closing_since.get(group).copied().unwrap_or(now);
+        now.saturating_duration_since(since)
+    }
+
     pub(super) fn loads_under_way(&self, now: Instant) -> usize {
         self.loads.values().filter(|load| now < load.ends_at).count()
     }
@@ -200,6 +208,7 @@
 
     pub(super) fn forget_group(&mut self, group: &GroupId) {
         self.first_seen.remove(group);
+        self.closing_since.remove(group);
         self.unreachable.remove(group);
         self.released.remove(group);
         self.opened.remove(group);
--- a/crates/eelgrassdeal_gateway/src/front/attempt.rs
+++ b/crates/eelgrassdeal_gateway/src/front/attempt.rs
@@ -38,7 +38,7 @@
 /// upstream may be closing it.
 const FRESH_IDLE: Duration = Duration::from_millis(300);
 /// Passes of a full engine after which a head without any event counts as silent.
-const SILENT_PASSES: f64 = 3.5;
+const SILENT_PASSES: f64 = 1.4;
 const MIN_SILENCE: Duration = Duration::from_millis(200);
 const MAX_SILENCE: Duration = Duration::from_millis(1_000);
 /// Longest wait for the first event at a head where this node has no other running stream.
@@ -224,7 +224,11 @@
         match loads.silence(upstream, now) {
             // Others of this node's streams show whether the engine works.
             Some(silence) => silence > limit && now.duration_since(started) > limit,
-            None => now.duration_since(started) > FIRST_EVENT_PATIENCE,
+            None => {
+                let waited = now.duration_since(started);
+                let is_told = waited > limit && self.state.is_silent(upstream, now);
+                is_told || waited > FIRST_EVENT_PATIENCE
+            }
         }
     }
 
@@ -310,7 +314,8 @@
             + engine.per_sequence_ms * slots
             + engine.per_context_ms * context;
         let read_ms = READ_CHUNK_TOKENS * 1_000.0 / engine.read_per_s.max(1.0);
-        let pass_ms = (step_ms * f64::from(engine.stride) + read_ms) * spec.pace;
+        // Prompts are read in every step of a pass.
+        let pass_ms = (step_ms + read_ms) * f64::from(engine.stride) * spec.pace;
         Duration::from_secs_f64(pass_ms * SILENT_PASSES / 1_000.0).clamp(MIN_SILENCE, MAX_SILENCE)
     }
 
--- a/crates/eelgrassdeal_gateway/src/state.rs
+++ b/crates/eelgrassdeal_gateway/src/state.rs
@@ -165,6 +165,13 @@
         silent.retain(|_, known| now.duration_since(known.noted_at) < SILENCE_LIFETIME);
     }
 
+    /// Whether an upstream was silent lately towards this node or another.
+    pub(crate) fn is_silent(&self, upstream: &UpstreamId, now: Instant) -> bool {
+        let silent = self.silent.borrow();
+        let known = silent.get(upstream);
+        known.is_some_and(|known| now.duration_since(known.noted_at) < SILENCE_LIFETIME)
+    }
+
     /// Upstreams that were silent lately; only those that this node saw itself if `is_own`.
     pub(crate) fn silent_upstreams(&self, is_own: bool, now: Instant) -> Vec<UpstreamId> {
         self.silent
