Let a planner that regains its lease go on, and leaving nodes release it

The holder's lease lapsed while the store was slow and came back with the same fencing number; a new planner counted generations from the start and overwrote the rows of open groups. Change: the planner of a fencing number lives as long as the number; a new group's row must not exist; a leaving node releases the lease; two nodes compete for it.

--- a/crates/eelgrassdeal/src/lib.rs
+++ b/crates/eelgrassdeal/src/lib.rs
@@ -20,7 +20,7 @@
 pub use eelgrassdeal_control as control;
 pub use eelgrassdeal_node as node;
 pub use eelgrassdeal_peers as peers;
-pub use eelgrassdeal_store as platform;
 pub use eelgrassdeal_routing as routing;
 pub use eelgrassdeal_schema as schema;
+pub use eelgrassdeal_store as platform;
 pub use eelgrassdeal_types as types;
--- a/crates/eelgrassdeal_cli/src/apply.rs
+++ b/crates/eelgrassdeal_cli/src/apply.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use eelgrassdeal_control::{EntryDiff, FleetConfig, check_fleet, diff_fleet};
-use eelgrassdeal_store::AppendOutcome;
 use eelgrassdeal_schema::config::ConfigChange;
+use eelgrassdeal_store::AppendOutcome;
 use eelgrassdeal_types::{ErrorKind, Revision};
 
 use crate::history::FleetHistory;
--- a/crates/eelgrassdeal_cli/src/history.rs
+++ b/crates/eelgrassdeal_cli/src/history.rs
@@ -5,8 +5,8 @@
 
 use cyper::Client;
 use eelgrassdeal_control::{EntryKind, FleetConfig, entry_key};
-use eelgrassdeal_store::{ConfigLog, HttpTableStore, LogError};
 use eelgrassdeal_schema::config::ConfigChange;
+use eelgrassdeal_store::{ConfigLog, HttpTableStore, LogError};
 use eelgrassdeal_types::{ErrorKind, Revision};
 use error_stack::Report;
 
--- a/crates/eelgrassdeal_control/src/planner/mod.rs
+++ b/crates/eelgrassdeal_control/src/planner/mod.rs
@@ -8,8 +8,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use eelgrassdeal_store::VmState;
 use eelgrassdeal_schema::config::{ConfigEntry, EntryKey, GroupRecord};
+use eelgrassdeal_store::VmState;
 use eelgrassdeal_types::{Generation, GroupId, VmId};
 
 use crate::fleet::FleetConfig;
--- a/crates/eelgrassdeal_control/src/planner/pass.rs
+++ b/crates/eelgrassdeal_control/src/planner/pass.rs
@@ -3,9 +3,9 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
-use eelgrassdeal_store::VmState;
 use eelgrassdeal_schema::config::config_entry::Body;
 use eelgrassdeal_schema::config::{ConfigEntry, EntryKey, GroupRecord, Model, ServeRule};
+use eelgrassdeal_store::VmState;
 use eelgrassdeal_types::VmId;
 
 use super::draft::GroupDraft;
--- a/crates/eelgrassdeal_control/src/planner/placement.rs
+++ b/crates/eelgrassdeal_control/src/planner/placement.rs
@@ -2,8 +2,8 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use eelgrassdeal_store::VmState;
 use eelgrassdeal_schema::config::{GroupRecord, ServeRule, Vm};
+use eelgrassdeal_store::VmState;
 use eelgrassdeal_types::VmId;
 
 use crate::fleet::FleetConfig;
--- a/crates/eelgrassdeal_control/tests/planner.rs
+++ b/crates/eelgrassdeal_control/tests/planner.rs
@@ -5,9 +5,9 @@
 use std::rc::Rc;
 
 use eelgrassdeal_control::{FleetConfig, GroupPlanner, plan_change};
-use eelgrassdeal_store::{AppendOutcome, ConfigLog, MemoryTable, VmState};
 use eelgrassdeal_schema::config::config_entry::Body;
 use eelgrassdeal_schema::config::{ConfigChange, ConfigEntry, GroupRecord, Model, ServeRule};
+use eelgrassdeal_store::{AppendOutcome, ConfigLog, MemoryTable, VmState};
 use fixture::PlanFixture;
 
 /// Three data centres with two domains of four workers each.
--- a/crates/eelgrassdeal_control/tests/planner_properties.rs
+++ b/crates/eelgrassdeal_control/tests/planner_properties.rs
@@ -5,8 +5,8 @@
 use std::collections::BTreeSet;
 
 use eelgrassdeal_control::check_fleet;
-use eelgrassdeal_store::VmState;
 use eelgrassdeal_schema::config::config_entry::Body;
+use eelgrassdeal_store::VmState;
 use fixture::PlanFixture;
 use proptest::collection::vec;
 use proptest::prelude::*;
--- a/crates/eelgrassdeal_dispatch/src/config.rs
+++ b/crates/eelgrassdeal_dispatch/src/config.rs
@@ -219,8 +219,7 @@
 
     /// Sets the services.
     pub fn with_services(mut self, services: Vec<ServiceSpec>) -> Self {
-        self.services =
-            services.into_iter().map(|spec| (spec.service.clone(), spec)).collect();
+        self.services = services.into_iter().map(|spec| (spec.service.clone(), spec)).collect();
         self
     }
 
--- a/crates/eelgrassdeal_dispatch/src/directory.rs
+++ b/crates/eelgrassdeal_dispatch/src/directory.rs
@@ -11,6 +11,9 @@
 /// A silent node counts for the shares of the limits for this long: it may be cut off and go on.
 const COUNTED_TIME: Duration = Duration::from_secs(30);
 
+/// Nodes that compete for the planner's lease.
+const PLANNER_CANDIDATES: usize = 2;
+
 /// Where a node is in its life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NodeStage {
@@ -119,8 +122,7 @@
     pub fn sharing_nodes(&self, now: Instant) -> usize {
         let is_counted = |known: &&KnownNode| {
             let age = now.duration_since(known.advanced_at);
-            age < LIVE_TIME
-                || (age < COUNTED_TIME && known.beat.stage != NodeStage::Leaving)
+            age < LIVE_TIME || (age < COUNTED_TIME && known.beat.stage != NodeStage::Leaving)
         };
         1 + self.others.values().filter(is_counted).count()
     }
@@ -134,11 +136,13 @@
             .collect()
     }
 
-    /// Whether this node is the first of those that may plan, by id.
-    pub fn is_first_planner(&self, now: Instant) -> bool {
+    /// Whether this node is among the first nodes, by id, of those that may plan. The others leave
+    /// the lease to them, which saves calls to the store.
+    pub fn is_planner_candidate(&self, now: Instant) -> bool {
         let may_plan = |beat: &&NodeBeat| beat.has_store && beat.stage == NodeStage::Serving;
-        let first = self.live_others(now).filter(may_plan).map(|beat| &beat.node).min();
-        may_plan(&&self.own) && first.is_none_or(|first| self.own.node < *first)
+        let before =
+            self.live_others(now).filter(may_plan).filter(|beat| beat.node < self.own.node).count();
+        may_plan(&&self.own) && before < PLANNER_CANDIDATES
     }
 
     /// Forgets nodes that have been silent for long.
--- a/crates/eelgrassdeal_dispatch/src/fleet.rs
+++ b/crates/eelgrassdeal_dispatch/src/fleet.rs
@@ -4,9 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use eelgrassdeal_types::{
-    DataCentreId, Generation, GroupId, ModelId, ServiceId, UpstreamId,
-};
+use eelgrassdeal_types::{DataCentreId, Generation, GroupId, ModelId, ServiceId, UpstreamId};
 
 /// Whether an upstream takes work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -162,7 +160,8 @@
 
     /// Whether the members of `group` are in several fabric domains.
     pub fn is_far(&self, group: &GroupRecord) -> bool {
-        let mut domains = self.present_members(group).into_iter().flatten().map(|record| &record.domain);
+        let mut domains =
+            self.present_members(group).into_iter().flatten().map(|record| &record.domain);
         let first = domains.next();
         domains.any(|domain| Some(domain) != first)
     }
@@ -174,8 +173,7 @@
         }
         let members = self.present_members(group);
         let is_whole = members.iter().all(|member| {
-            let state =
-                member.and_then(|record| record.state_in(&group.group, group.generation));
+            let state = member.and_then(|record| record.state_in(&group.group, group.generation));
             matches!(state, Some(GroupState::Ready | GroupState::Open))
         });
         let head = members.first().copied().flatten()?;
--- a/crates/eelgrassdeal_dispatch/src/lib.rs
+++ b/crates/eelgrassdeal_dispatch/src/lib.rs
@@ -23,7 +23,8 @@
 };
 pub use directory::{NodeBeat, NodeDirectory, NodeStage};
 pub use fleet::{
-    FleetSummary, FleetView, GroupMembership, GroupRecord, GroupState, Replica, UpstreamRecord, UpstreamState,
+    FleetSummary, FleetView, GroupMembership, GroupRecord, GroupState, Replica, UpstreamRecord,
+    UpstreamState,
 };
 pub use limit::{RateShare, RetryAllowance};
 pub use placement::{LoadBook, PlacementNeed, PlacementRefusal, PlacementTarget};
@@ -31,4 +32,4 @@
     GroupPlanner, OrderKind, OrderOutcome, PlanStep, PlannerSettings, ProbeOutcome, ProbeTarget,
     UpstreamOrder,
 };
-pub use settings::{GatewaySettings, ListenAddresses, LimitBounds, StoreAddress};
+pub use settings::{GatewaySettings, LimitBounds, ListenAddresses, StoreAddress};
--- a/crates/eelgrassdeal_dispatch/src/limit.rs
+++ b/crates/eelgrassdeal_dispatch/src/limit.rs
@@ -55,13 +55,7 @@
 
     /// Takes one retry. In a window the nodes together get `slack` retries and those that their
     /// requests allow.
-    pub fn try_retry(
-        &mut self,
-        now: Instant,
-        slack: f64,
-        window: Duration,
-        nodes: usize,
-    ) -> bool {
+    pub fn try_retry(&mut self, now: Instant, slack: f64, window: Duration, nodes: usize) -> bool {
         // Half of the slack is saved up at most and half refilled over a window, so that no
         // window sees more than the whole.
         let capacity = Self::capacity(slack, nodes);
--- a/crates/eelgrassdeal_dispatch/src/planner/dismantle.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/dismantle.rs
@@ -19,7 +19,7 @@
     ) {
         // A write whose answer was lost is repeated.
         if self.memory.try_close_mark(&group.group, now) {
-            steps.push(PlanStep::Write(GroupRecord { is_closing: true, ..group.clone() }));
+            steps.push(PlanStep::MarkClosing(GroupRecord { is_closing: true, ..group.clone() }));
         }
     }
 
@@ -40,8 +40,7 @@
         let is_reborn = known.is_some_and(|record| record.born != *head_born);
         // The record of a head that is lost stays for seconds.
         let record = known.filter(|_| is_reborn || !self.memory.is_lost(head_id, now));
-        let state =
-            record.and_then(|record| record.state_in(&group.group, group.generation));
+        let state = record.and_then(|record| record.state_in(&group.group, group.generation));
         let has_left = record.is_some() && state.is_none();
         let is_unreachable = record.is_none()
             && self.memory.unreachable.get(&group.group).is_some_and(|since| {
--- a/crates/eelgrassdeal_dispatch/src/planner/form.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/form.rs
@@ -80,7 +80,7 @@
             *counts.entry(model.clone()).or_default() += 1;
             let group = self.new_group(service, &model, &members);
             self.memory.pending_groups.insert(group.group.clone());
-            steps.push(PlanStep::Write(group));
+            steps.push(PlanStep::Create(group));
             if loads > 0 && has_traffic {
                 break;
             }
@@ -115,8 +115,7 @@
             let holds = |record: &&Arc<UpstreamRecord>| {
                 self.join_cost(record, &spec.model, now) <= JoinCost::Staged
             };
-            let mut holders: DomainPool =
-                pools.values().flatten().filter(holds).cloned().collect();
+            let mut holders: DomainPool = pools.values().flatten().filter(holds).cloned().collect();
             // Fewer domains, and members close to each other.
             holders.sort_by_key(|record| (record.data_centre.clone(), record.domain.clone()));
             while holders.len() >= spec.size {
@@ -129,7 +128,7 @@
                 *counts.entry(spec.model.clone()).or_default() += 1;
                 let group = self.new_group(service, &spec.model, &members);
                 self.memory.pending_groups.insert(group.group.clone());
-                steps.push(PlanStep::Write(group));
+                steps.push(PlanStep::Create(group));
             }
         }
     }
@@ -194,9 +193,9 @@
                 if loads > 0 && (has_traffic || !self.may_load(engine, loads, has_traffic, now)) {
                     continue;
                 }
-                let is_loading = members.iter().any(|record| {
-                    self.join_cost(record, &spec.model, now) == JoinCost::Loading
-                });
+                let is_loading = members
+                    .iter()
+                    .any(|record| self.join_cost(record, &spec.model, now) == JoinCost::Loading);
                 if is_loading {
                     continue;
                 }
@@ -251,13 +250,7 @@
     }
 
     /// Whether `loads` more may begin now.
-    fn may_load(
-        &self,
-        engine: &EngineSpec,
-        loads: usize,
-        has_traffic: bool,
-        now: Instant,
-    ) -> bool {
+    fn may_load(&self, engine: &EngineSpec, loads: usize, has_traffic: bool, now: Instant) -> bool {
         let at_once = (engine.loads_at_once as usize).max(1);
         let under_way = self.memory.loads_under_way(now);
         if !has_traffic {
@@ -353,9 +346,9 @@
             let Some(spec) = homes.get(domain).and_then(|home| engine.model(home)) else {
                 continue;
             };
-            let (empty, held): (Vec<_>, Vec<_>) = pool.iter().partition(|record| {
-                self.join_cost(record, &spec.model, now) == JoinCost::Missing
-            });
+            let (empty, held): (Vec<_>, Vec<_>) = pool
+                .iter()
+                .partition(|record| self.join_cost(record, &spec.model, now) == JoinCost::Missing);
             let mut held = held.len();
             for record in empty.into_iter().filter(|record| self.is_unused(record, engine, now)) {
                 // The spare that completes a group soonest comes first.
@@ -480,7 +473,9 @@
         };
         let fits = |spec: &&ModelSpec| unassigned.iter().any(|(_, known)| known.len() >= spec.size);
         let best = engine.models.iter().filter(fits).max_by(|left, right| {
-            (lack(left), left.size).partial_cmp(&(lack(right), right.size)).unwrap_or(Ordering::Equal)
+            (lack(left), left.size)
+                .partial_cmp(&(lack(right), right.size))
+                .unwrap_or(Ordering::Equal)
         });
         let Some(spec) = best else { break };
         // The models are spread over the data centres.
--- a/crates/eelgrassdeal_dispatch/src/planner/memory.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/memory.rs
@@ -131,9 +131,10 @@
 
     fn try_mark(&mut self, group: &GroupId, tag: OrderTag, now: Instant) -> bool {
         let key = (group.clone(), Some(group.clone()), tag);
-        let is_due = self.orders.get(&key).is_none_or(|sent| {
-            now.saturating_duration_since(sent.sent_at) > REPEAT_TIME
-        });
+        let is_due = self
+            .orders
+            .get(&key)
+            .is_none_or(|sent| now.saturating_duration_since(sent.sent_at) > REPEAT_TIME);
         if is_due {
             self.orders.insert(key, SentOrder { sent_at: now, outcome: None });
         }
--- a/crates/eelgrassdeal_dispatch/src/planner/mod.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/mod.rs
@@ -111,8 +111,10 @@
 /// A step of the plan.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum PlanStep {
-    /// Store a group.
-    Write(GroupRecord),
+    /// Store a new group.
+    Create(GroupRecord),
+    /// Store that a group is taken apart.
+    MarkClosing(GroupRecord),
     /// Remove a group.
     Remove(GroupId),
     /// Give an order.
@@ -235,9 +237,7 @@
         });
         let states: Vec<_> = members
             .iter()
-            .map(|member| {
-                member.and_then(|record| record.state_in(&group.group, group.generation))
-            })
+            .map(|member| member.and_then(|record| record.state_in(&group.group, group.generation)))
             .collect();
         let was_open = self.memory.opened.contains(&group.group)
             || matches!(states.first(), Some(Some(GroupState::Open | GroupState::Closing)));
--- a/crates/eelgrassdeal_gateway/src/follow.rs
+++ b/crates/eelgrassdeal_gateway/src/follow.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use eelgrassdeal_platform::SharedTable;
-use eelgrassdeal_types::NodeId;
 use eelgrassdeal_store::{RowCondition, RowKey, RowWrite, TableName, TableStore};
+use eelgrassdeal_types::NodeId;
 
 use crate::peers::pull_table;
 use crate::state::GatewayState;
--- a/crates/eelgrassdeal_gateway/src/front/attempt.rs
+++ b/crates/eelgrassdeal_gateway/src/front/attempt.rs
@@ -260,8 +260,7 @@
         let mut candidates = self.candidates(&view);
         loop {
             let need = PlacementNeed { excluded: &self.excluded, max_per_slot: self.per_slot() };
-            let choice =
-                self.state.loads.borrow().choose(&candidates, need, rand::random(), now);
+            let choice = self.state.loads.borrow().choose(&candidates, need, rand::random(), now);
             let record = match choice {
                 Ok(record) => record,
                 // All were tried: the next round may take one that rejected the request before.
@@ -402,9 +401,10 @@
     ) -> Result<Option<RunningAttempt>, CallRefusal> {
         let facts = UpstreamAnswer::read(answer.response.headers());
         let status = answer.response.status();
-        let is_own = facts.request_id.as_ref().is_none_or(|id| {
-            Some(id) == self.call.caller.request_id.as_ref()
-        });
+        let is_own = facts
+            .request_id
+            .as_ref()
+            .is_none_or(|id| Some(id) == self.call.caller.request_id.as_ref());
         if !is_own {
             return self.after_run(record, "answer of another request");
         }
--- a/crates/eelgrassdeal_gateway/src/lifecycle.rs
+++ b/crates/eelgrassdeal_gateway/src/lifecycle.rs
@@ -186,7 +186,11 @@
 fn reload(state: &GatewayState, path: &Path) {
     match load_settings(path) {
         Ok(settings) => {
-            log::info!("event=reload file={} changed={}", path.display(), settings != *state.settings());
+            log::info!(
+                "event=reload file={} changed={}",
+                path.display(),
+                settings != *state.settings()
+            );
             state.set_settings(settings);
         }
         Err(report) => log::error!("event=reload_failed reason=\"{report:?}\""),
--- a/crates/eelgrassdeal_gateway/src/mirror.rs
+++ b/crates/eelgrassdeal_gateway/src/mirror.rs
@@ -43,9 +43,11 @@
                 rows.insert(row.key, (row.version, value));
             }
         }
-        let removed = self.rows.keys().filter(|key| !rows.contains_key(*key)).map(|key| {
-            RowChange { key: key.clone(), version: all.version, value: None }
-        });
+        let removed = self
+            .rows
+            .keys()
+            .filter(|key| !rows.contains_key(*key))
+            .map(|key| RowChange { key: key.clone(), version: all.version, value: None });
         let changed = rows
             .iter()
             .filter(|(key, row)| self.rows.get(*key).map(|known| known.0) != Some(row.0))
@@ -150,7 +152,9 @@
         self.lapsed.retain(|upstream, until| {
             let is_over = *until <= now;
             if is_over {
-                log::info!("event=upstream_gone upstream={upstream} reason=\"not back after outage\"");
+                log::info!(
+                    "event=upstream_gone upstream={upstream} reason=\"not back after outage\""
+                );
                 view.upstreams.remove(upstream);
             }
             !is_over
@@ -175,7 +179,10 @@
                 (value, Some(zone)) => {
                     let view = Arc::make_mut(&mut self.view);
                     let is_out = value.is_some();
-                    log::info!("event=data_centre data_centre={zone} out={is_out} version={}", row.version);
+                    log::info!(
+                        "event=data_centre data_centre={zone} out={is_out} version={}",
+                        row.version
+                    );
                     match is_out {
                         true => view.evacuated.insert(zone),
                         false => view.evacuated.remove(&zone),
@@ -213,7 +220,10 @@
                     view.upstreams.insert(row.key.clone(), Arc::new(record));
                 }
                 (Some(Err(reason)), _) => {
-                    log::warn!("event=upstream_unreadable upstream={} reason=\"{reason}\"", row.key);
+                    log::warn!(
+                        "event=upstream_unreadable upstream={} reason=\"{reason}\"",
+                        row.key
+                    );
                     view.upstreams.remove(&row.key);
                 }
                 (None, Some(until)) => {
@@ -221,7 +231,11 @@
                 }
                 (None, None) => {
                     if view.upstreams.remove(&row.key).is_some() {
-                        log::info!("event=upstream_gone upstream={} version={}", row.key, row.version);
+                        log::info!(
+                            "event=upstream_gone upstream={} version={}",
+                            row.key,
+                            row.version
+                        );
                     }
                 }
             }
--- a/crates/eelgrassdeal_gateway/src/peers/message.rs
+++ b/crates/eelgrassdeal_gateway/src/peers/message.rs
@@ -28,9 +28,12 @@
         let version = mirror.version(*table)?;
         Some(TableVersion { table: index as u32, version })
     });
-    let counts = state.loads.borrow().own_counts().into_iter().map(|(upstream, requests)| {
-        UpstreamCount { upstream: upstream.to_string(), requests }
-    });
+    let counts = state
+        .loads
+        .borrow()
+        .own_counts()
+        .into_iter()
+        .map(|(upstream, requests)| UpstreamCount { upstream: upstream.to_string(), requests });
     SyncMessage {
         node: state.settings().node.to_string(),
         beats: state.directory.borrow().beats(now).iter().map(encode_beat).collect(),
--- a/crates/eelgrassdeal_gateway/src/peers/mod.rs
+++ b/crates/eelgrassdeal_gateway/src/peers/mod.rs
@@ -91,7 +91,9 @@
         known.extend(settings.seeds.iter().cloned());
         let mirror = state.mirror.borrow();
         let rows = mirror.table(SharedTable::Nodes).into_iter().flat_map(|table| table.rows());
-        known.extend(rows.filter_map(|(_, _, value)| std::str::from_utf8(value).ok()).map(Arc::from));
+        known.extend(
+            rows.filter_map(|(_, _, value)| std::str::from_utf8(value).ok()).map(Arc::from),
+        );
     }
     known.sort_unstable();
     known.dedup();
--- a/crates/eelgrassdeal_gateway/src/plan.rs
+++ b/crates/eelgrassdeal_gateway/src/plan.rs
@@ -6,8 +6,8 @@
 
 use bytes::Bytes;
 use eelgrassdeal_dispatch::{
-    FleetView, GroupPlanner, GroupRecord, PlanStep, PlannerSettings, ProbeTarget, ServiceConfig,
-    UpstreamOrder,
+    FleetView, GroupPlanner, GroupRecord, NodeStage, PlanStep, PlannerSettings, ProbeTarget,
+    ServiceConfig, UpstreamOrder,
 };
 use eelgrassdeal_platform::{SharedTable, encode_group};
 use eelgrassdeal_store::{
@@ -70,9 +70,15 @@
         let node = self.state.settings().node.clone();
         let mut keeper = LeaseKeeper::new(store, LEASE_NAME, node, LEASE_TIME);
         loop {
-            let is_candidate = self.state.directory.borrow().is_first_planner(Instant::now());
-            let is_held = keeper.held(Instant::now()).is_some();
-            if is_candidate || is_held {
+            if self.state.stage.get() == NodeStage::Leaving {
+                self.note_lease(None);
+                if let Err(report) = keeper.release().await {
+                    log::info!("event=lease_unreleased reason=\"{report}\"");
+                }
+                return;
+            }
+            let is_candidate = self.state.directory.borrow().is_planner_candidate(Instant::now());
+            if is_candidate || keeper.held(Instant::now()).is_some() {
                 match keeper.renew().await {
                     Ok(lease) => self.note_lease(lease),
                     Err(report) => {
@@ -100,10 +106,7 @@
     fn plan_once(self: Rc<Self>) -> bool {
         let now = Instant::now();
         let lease = self.lease.borrow().filter(|lease| now < lease.valid_until);
-        let Some(lease) = lease else {
-            self.term.borrow_mut().take();
-            return false;
-        };
+        let Some(lease) = lease else { return false };
         self.begin_term(lease.fencing);
         let state = &self.state;
         let Some(config) = state.config() else { return false };
@@ -122,7 +125,8 @@
         for step in steps {
             match step {
                 PlanStep::Order(order) => self.clone().give(order, lease.fencing),
-                PlanStep::Write(group) => self.clone().write(group),
+                PlanStep::Create(group) => self.clone().create(group),
+                PlanStep::MarkClosing(group) => self.clone().mark_closing(group),
                 PlanStep::Remove(group) => self.clone().remove(group),
                 PlanStep::Probe(target) => self.clone().probe(target),
             }
@@ -160,8 +164,7 @@
         let mut term = self.term.borrow_mut();
         if term.as_ref().is_none_or(|known| known.fencing != fencing) {
             let bounds = &self.state.settings().bounds;
-            let settings =
-                PlannerSettings { stall: bounds.stall, load_window: bounds.load_window };
+            let settings = PlannerSettings { stall: bounds.stall, load_window: bounds.load_window };
             *term = Some(PlanTerm {
                 fencing,
                 planner: GroupPlanner::new(settings, fencing),
@@ -199,7 +202,8 @@
         let store = &self.state.store;
         let body = Bytes::from(fencing.to_string());
         let known = TableStore::get(store, term_key()).await?;
-        let stored = known.as_ref().and_then(|row| std::str::from_utf8(&row.body).ok()?.parse().ok());
+        let stored =
+            known.as_ref().and_then(|row| std::str::from_utf8(&row.body).ok()?.parse().ok());
         if stored.is_some_and(|stored: u64| stored > fencing) {
             return Ok(None);
         }
@@ -237,13 +241,20 @@
         .detach();
     }
 
-    fn write(self: Rc<Self>, group: GroupRecord) {
-        let key = group_key(&group.group);
+    fn create(self: Rc<Self>, group: GroupRecord) {
+        self.put(group, RowCondition::Absent);
+    }
+
+    fn mark_closing(self: Rc<Self>, group: GroupRecord) {
         let condition = self.row_condition(&group.group);
+        self.put(group, condition);
+    }
+
+    fn put(self: Rc<Self>, group: GroupRecord, condition: RowCondition) {
         let body = Bytes::from(encode_group(&group));
+        let write = RowWrite::put(group_key(&group.group), condition, body);
         let text = format!("{group:?}");
-        let put = RowWrite::put(key, condition, body);
-        self.spawn_write(group.group, put, text);
+        self.spawn_write(group.group, write, text);
     }
 
     fn remove(self: Rc<Self>, group: GroupId) {
--- a/crates/eelgrassdeal_gateway/src/state.rs
+++ b/crates/eelgrassdeal_gateway/src/state.rs
@@ -45,9 +45,7 @@
 
     /// Whether the store answered lately.
     pub(crate) fn is_reached(&self, now: Instant) -> bool {
-        self.last_answer
-            .get()
-            .is_some_and(|at| now.saturating_duration_since(at) < STORE_PATIENCE)
+        self.last_answer.get().is_some_and(|at| now.saturating_duration_since(at) < STORE_PATIENCE)
     }
 }
 
--- a/crates/eelgrassdeal_http/src/pool.rs
+++ b/crates/eelgrassdeal_http/src/pool.rs
@@ -273,12 +273,7 @@
         Some(peer.idle.remove(position).sender)
     }
 
-    fn put_idle(
-        &self,
-        address: &Arc<str>,
-        sender: SendRequest<Full<Bytes>>,
-        idle_time: Duration,
-    ) {
+    fn put_idle(&self, address: &Arc<str>, sender: SendRequest<Full<Bytes>>, idle_time: Duration) {
         let now = Instant::now();
         let expires = now + idle_time.saturating_sub(IDLE_MARGIN);
         let mut peers = self.peers.borrow_mut();
--- a/crates/eelgrassdeal_measure/src/capacity/fleet.rs
+++ b/crates/eelgrassdeal_measure/src/capacity/fleet.rs
@@ -9,11 +9,11 @@
 
 use cyper::Client;
 use eelgrassdeal_node::with_defaults;
-use eelgrassdeal_store::{AppendOutcome, ConfigLog, HttpTableStore};
 use eelgrassdeal_schema::config::config_entry::Body;
 use eelgrassdeal_schema::config::{ConfigChange, ConfigEntry, DataCentre, Model, ServeRule, Vm};
 use eelgrassdeal_schema::settings::{LogSettings, NodeSettings};
 use eelgrassdeal_standins::CertificateFolder;
+use eelgrassdeal_store::{AppendOutcome, ConfigLog, HttpTableStore};
 use eelgrassdeal_testkit::{ADMIN_TOKEN, ChildProcess, MODEL};
 use eelgrassdeal_testkit::{free_address, sibling_binary, wait_until};
 use eelgrassdeal_types::{new_writer_mark, unix_ms_now};
--- a/crates/eelgrassdeal_measure/src/process_fleet.rs
+++ b/crates/eelgrassdeal_measure/src/process_fleet.rs
@@ -5,13 +5,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use eelgrassdeal_store::{AppendOutcome, ConfigLog, HttpTableStore};
 use eelgrassdeal_schema::config::config_entry::Body;
 use eelgrassdeal_schema::config::{
     ClientAccount, ConfigChange, ConfigEntry, DataCentre, Model, ServeRule, Service, Upstream, Vm,
 };
 use eelgrassdeal_schema::settings::{LimitSettings, LogSettings, NodeSettings};
 use eelgrassdeal_standins::CertificateFolder;
+use eelgrassdeal_store::{AppendOutcome, ConfigLog, HttpTableStore};
 use eelgrassdeal_testkit::{ACCOUNT_KEY, ChildProcess, MODEL, SERVICE};
 use eelgrassdeal_testkit::{free_address, sibling_binary, wait_until};
 use eelgrassdeal_types::{new_writer_mark, unix_ms_now};
--- a/crates/eelgrassdeal_node/src/fleet_sync/follow.rs
+++ b/crates/eelgrassdeal_node/src/fleet_sync/follow.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use eelgrassdeal_control::FleetConfig;
-use eelgrassdeal_store::LogError;
 use eelgrassdeal_schema::config::ConfigChange;
+use eelgrassdeal_store::LogError;
 use eelgrassdeal_types::Revision;
 use error_stack::Report;
 use prost::Message;
--- a/crates/eelgrassdeal_node/src/fleet_sync/heartbeat.rs
+++ b/crates/eelgrassdeal_node/src/fleet_sync/heartbeat.rs
@@ -3,9 +3,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use eelgrassdeal_store::{RowCondition, RowKey, RowWrite, StoreError, TableName};
 use eelgrassdeal_schema::encode_message;
 use eelgrassdeal_schema::records::HeartbeatRecord;
+use eelgrassdeal_store::{RowCondition, RowKey, RowWrite, StoreError, TableName};
 
 use crate::state::NodeState;
 
--- a/crates/eelgrassdeal_node/src/fleet_sync/probe.rs
+++ b/crates/eelgrassdeal_node/src/fleet_sync/probe.rs
@@ -5,12 +5,12 @@
 use std::time::{Duration, Instant};
 
 use eelgrassdeal_control::FleetConfig;
-use eelgrassdeal_store::{count_control, request_size, response_head_size};
 use eelgrassdeal_routing::LoadReport;
 use eelgrassdeal_schema::config::{GroupRecord, Vm};
 use eelgrassdeal_schema::engine::{EngineStatus, GroupOrder};
 use eelgrassdeal_schema::peer::RevokeNotice;
 use eelgrassdeal_schema::peer::peer_request::Body as RequestBody;
+use eelgrassdeal_store::{count_control, request_size, response_head_size};
 use eelgrassdeal_types::{ReplicaId, StartId};
 use futures_util::future::join_all;
 use sha2::{Digest, Sha256};
--- a/crates/eelgrassdeal_node/src/http/mod.rs
+++ b/crates/eelgrassdeal_node/src/http/mod.rs
@@ -20,9 +20,9 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request};
 
-use eelgrassdeal_http::BoundedSocket;
 use crate::state::{NodePhase, NodeState};
 use crate::{admin, call, chat, locate, service_call};
+use eelgrassdeal_http::BoundedSocket;
 
 pub(crate) use body::read_body;
 pub(crate) use reply::{
--- a/crates/eelgrassdeal_node/src/lifecycle.rs
+++ b/crates/eelgrassdeal_node/src/lifecycle.rs
@@ -10,10 +10,10 @@
 use compio::runtime::JoinHandle;
 use cyper::Client;
 use eelgrassdeal_peers::{PeerEndpoint, PeerSettings};
+use eelgrassdeal_schema::settings::NodeSettings;
 use eelgrassdeal_store::{
     CallLedger, ConfigLog, HttpObjectStore, HttpTableStore, HttpVmList, ObjectStore, TableStore,
 };
-use eelgrassdeal_schema::settings::NodeSettings;
 use error_stack::{Report, ResultExt};
 
 use crate::admin::install_metrics;
--- a/crates/eelgrassdeal_node/src/slots/owner.rs
+++ b/crates/eelgrassdeal_node/src/slots/owner.rs
@@ -4,9 +4,9 @@
 use std::time::{Duration, Instant};
 
 use eelgrassdeal_control::FleetConfig;
-use eelgrassdeal_store::VmState;
 use eelgrassdeal_routing::{LoadReport, ServePermission};
 use eelgrassdeal_schema::peer::{AllowanceBatch, ReportBatch, RevokeNotice};
+use eelgrassdeal_store::VmState;
 use eelgrassdeal_types::{Generation, NodeId, ReplicaId, StartId};
 
 use super::replica::ReplicaEntry;
--- a/crates/eelgrassdeal_node/src/state.rs
+++ b/crates/eelgrassdeal_node/src/state.rs
@@ -8,10 +8,10 @@
 use cyper::Client;
 use eelgrassdeal_control::FleetConfig;
 use eelgrassdeal_peers::PeerClient;
-use eelgrassdeal_store::{CallLedger, ConfigLog, TableStore, VmList, VmState};
 use eelgrassdeal_routing::{ConfirmationState, ServePermission, SlotPolicy};
 use eelgrassdeal_schema::config::ConfigChange;
 use eelgrassdeal_schema::settings::{LimitSettings, NodeSettings};
+use eelgrassdeal_store::{CallLedger, ConfigLog, TableStore, VmList, VmState};
 use eelgrassdeal_types::{NodeId, StartId, VmId, new_start_id};
 
 use crate::answer_queue::MemoryBudget;
--- a/crates/eelgrassdeal_store/examples/claim_writes.rs
+++ b/crates/eelgrassdeal_store/examples/claim_writes.rs
@@ -10,8 +10,8 @@
 
 use bytes::Bytes;
 use cyper::Client;
-use eelgrassdeal_store::{CallLedger, ClaimOutcome, ClaimedCall, HttpTableStore, StoredResult};
 use eelgrassdeal_standins::TableFake;
+use eelgrassdeal_store::{CallLedger, ClaimOutcome, ClaimedCall, HttpTableStore, StoredResult};
 use eelgrassdeal_types::unix_ms_now;
 use futures_util::future::join_all;
 use uuid::Uuid;
--- a/crates/eelgrassdeal_store/src/lease.rs
+++ b/crates/eelgrassdeal_store/src/lease.rs
@@ -119,6 +119,26 @@
         }
     }
 
+    /// Gives up the lease, so that another keeper can take it at once. An unanswered call leaves it
+    /// to lapse.
+    ///
+    /// # Errors
+    ///
+    /// When the store gives no answer.
+    pub async fn release(&mut self) -> StoreResult<()> {
+        self.granted = None;
+        let Some(row) = self.store.get(self.key.clone()).await? else { return Ok(()) };
+        let record: LeaseRecord =
+            decode_message(&row.body).change_context(StoreError::Malformed)?;
+        if record.writer_mark != self.mark {
+            return Ok(());
+        }
+        let freed = LeaseRecord { fencing: record.fencing, ..LeaseRecord::default() };
+        let condition = RowCondition::VersionIs(row.version);
+        let write = RowWrite::put(self.key.clone(), condition, encode_message(&freed));
+        self.store.transact(vec![write]).await
+    }
+
     /// The condition and fencing number of the next write; `None` while another keeper may hold the
     /// lease. Must be called directly after the row was read.
     fn judge(
@@ -136,7 +156,8 @@
             .unwrap_or(SeenRow { version: row.version, since: now });
         self.seen = Some(seen);
         let is_own = record.writer_mark == self.mark;
-        let has_lapsed = now.duration_since(seen.since) > self.duration;
+        let is_released = record.writer_mark.is_empty();
+        let has_lapsed = is_released || now.duration_since(seen.since) > self.duration;
         let condition = RowCondition::VersionIs(row.version);
         Ok(match (is_own, has_lapsed) {
             (true, _) => Some((condition, record.fencing)),
--- a/crates/eelgrassdeal_store/src/table/mod.rs
+++ b/crates/eelgrassdeal_store/src/table/mod.rs
@@ -32,14 +32,8 @@
 
 impl TableName {
     /// Every table.
-    pub const ALL: [Self; 6] = [
-        Self::Config,
-        Self::Leases,
-        Self::Nodes,
-        Self::Claims,
-        Self::Suspects,
-        Self::Groups,
-    ];
+    pub const ALL: [Self; 6] =
+        [Self::Config, Self::Leases, Self::Nodes, Self::Claims, Self::Suspects, Self::Groups];
 
     /// Name at the table service.
     pub fn name(self) -> &'static str {
--- a/crates/eelgrassdeal_store/tests/common/mod.rs
+++ b/crates/eelgrassdeal_store/tests/common/mod.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 use cyper::Client;
-use eelgrassdeal_store::HttpTableStore;
 use eelgrassdeal_schema::config::{ConfigChange, EntryKey};
 use eelgrassdeal_standins::{ServerHandle, TableFake};
+use eelgrassdeal_store::HttpTableStore;
 
 /// Time limit in tests: no fault here needs it, and a loaded machine must not reach it.
 pub(crate) const CALL_TIMEOUT: Duration = Duration::from_secs(5);
--- a/crates/eelgrassdeal_store/tests/config_history.rs
+++ b/crates/eelgrassdeal_store/tests/config_history.rs
@@ -9,11 +9,11 @@
 use std::time::Duration;
 
 use common::{await_late_writes, new_change, serve_table};
-use eelgrassdeal_store::{AppendOutcome, ConfigLog};
 use eelgrassdeal_schema::config::ConfigChange;
 use eelgrassdeal_schema::decode_message;
 use eelgrassdeal_schema::records::HeadRecord;
 use eelgrassdeal_standins::{FaultMix, TableFake};
+use eelgrassdeal_store::{AppendOutcome, ConfigLog};
 use futures_util::future::join_all;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
--- a/crates/eelgrassdeal_store/tests/config_log.rs
+++ b/crates/eelgrassdeal_store/tests/config_log.rs
@@ -6,13 +6,13 @@
 use std::time::Duration;
 
 use common::{any_port, await_late_writes, new_change, new_client, serve_table, url_of};
+use eelgrassdeal_schema::config::{ConfigChange, ConfigSnapshot, SnapshotEntry};
+use eelgrassdeal_schema::encode_message;
+use eelgrassdeal_standins::{ObjectFake, ServerHandle};
 use eelgrassdeal_store::{
     AppendOutcome, ConfigLog, HttpObjectStore, HttpTableStore, LogError, RowCondition, RowKey,
     RowWrite, TableName, TableStore,
 };
-use eelgrassdeal_schema::config::{ConfigChange, ConfigSnapshot, SnapshotEntry};
-use eelgrassdeal_schema::encode_message;
-use eelgrassdeal_standins::{ObjectFake, ServerHandle};
 
 fn new_log(store: &HttpTableStore) -> ConfigLog {
     ConfigLog::new(Rc::new(store.clone())).with_first_delay(Duration::from_millis(4))
--- a/crates/eelgrassdeal_store/tests/http_adapters.rs
+++ b/crates/eelgrassdeal_store/tests/http_adapters.rs
@@ -6,11 +6,11 @@
 
 use bytes::Bytes;
 use common::{any_port, new_client, serve_table, url_of};
+use eelgrassdeal_standins::{ObjectFake, VmListFake};
 use eelgrassdeal_store::{
     HttpObjectStore, HttpTableStore, HttpVmList, ObjectStore, RowCondition, RowKey, RowRange,
     RowWrite, StoreError, StoreResult, TableName, TableStore, VmList, VmState,
 };
-use eelgrassdeal_standins::{ObjectFake, VmListFake};
 
 const LONG: Duration = Duration::from_secs(3600);
 const SHORT: Duration = Duration::from_millis(30);
--- a/crates/eelgrassdeal_store/tests/lease.rs
+++ b/crates/eelgrassdeal_store/tests/lease.rs
@@ -7,10 +7,10 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use common::{await_late_writes, serve_table};
-use eelgrassdeal_store::{HeldLease, HttpTableStore, LeaseKeeper, StoreResult};
 use eelgrassdeal_schema::decode_message;
 use eelgrassdeal_schema::records::LeaseRecord;
 use eelgrassdeal_standins::{FaultMix, TableFake};
+use eelgrassdeal_store::{HeldLease, HttpTableStore, LeaseKeeper, StoreResult};
 use futures_util::future::join_all;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
--- a/crates/eelgrassdeal_store/tests/ledger.rs
+++ b/crates/eelgrassdeal_store/tests/ledger.rs
@@ -6,12 +6,12 @@
 
 use bytes::Bytes;
 use common::{await_late_writes, await_until, serve_table};
+use eelgrassdeal_schema::records::CallRecord;
+use eelgrassdeal_schema::{decode_message, encode_message};
 use eelgrassdeal_store::{
     CallLedger, ClaimOutcome, ClaimedCall, LedgerError, RowCondition, RowKey, RowWrite,
     StoredResult, TableName, TableStore,
 };
-use eelgrassdeal_schema::records::CallRecord;
-use eelgrassdeal_schema::{decode_message, encode_message};
 use eelgrassdeal_types::ErrorKind;
 use futures_util::future::join_all;
 use uuid::{NoContext, Timestamp, Uuid};
--- a/crates/eelgrassdeal_testkit/src/fleet.rs
+++ b/crates/eelgrassdeal_testkit/src/fleet.rs
@@ -9,9 +9,6 @@
 
 use eelgrassdeal_control::FleetConfig;
 use eelgrassdeal_node::with_defaults;
-use eelgrassdeal_store::{
-    AppendOutcome, ConfigLog, HttpTableStore, RowKey, TableName, TableStore,
-};
 use eelgrassdeal_schema::config::config_entry::Body;
 use eelgrassdeal_schema::config::{
     ClientAccount, ConfigChange, ConfigEntry, DataCentre, Model, ServeRule, Service, Upstream, Vm,
@@ -23,6 +20,7 @@
     CertificateFolder, EngineFake, EngineOptions, ObjectFake, ServerHandle, ServiceFake, TableFake,
     VmListFake, WeightsFake,
 };
+use eelgrassdeal_store::{AppendOutcome, ConfigLog, HttpTableStore, RowKey, TableName, TableStore};
 use eelgrassdeal_types::{new_writer_mark, unix_ms_now};
 use sha2::{Digest, Sha256};
 
