--- a/crates/eelgrassdeal_dispatch/src/planner/dismantle.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/dismantle.rs
@@ -42,10 +42,18 @@
         let record = known.filter(|_| is_reborn || !self.memory.is_lost(head_id, now));
         let state = record.and_then(|record| record.state_in(&group.group, group.generation));
         let has_left = record.is_some() && state.is_none();
-        let is_unreachable = record.is_none()
-            && self.memory.unreachable.get(&group.group).is_some_and(|since| {
-                now.saturating_duration_since(*since) > self.settings.stall + STALL_MARGIN
-            });
+        // The members of a group across domains may be cut from each other: its head stands still
+        // until the engine gives up.
+        let patience = match view.is_far(group) {
+            true => self.settings.stall + STALL_MARGIN,
+            false => Duration::ZERO,
+        };
+        let is_unreachable = known.is_none()
+            && self
+                .memory
+                .unreachable
+                .get(&group.group)
+                .is_some_and(|since| now.saturating_duration_since(*since) >= patience);
         let is_released = self.memory.released.contains(&group.group);
         if is_reborn || has_left || is_unreachable || is_released {
             if self.memory.try_remove_mark(&group.group, now) {
--- /dev/null
+++ b/crates/eelgrassdeal_dispatch/tests/placement.rs
@@ -0,0 +1,85 @@
+//! Requests go where the fewest run, over all nodes.
+
+mod common;
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use eelgrassdeal_dispatch::{LoadBook, PlacementNeed, PlacementRefusal, PlacementTarget};
+
+const ANY: PlacementNeed<'static> = PlacementNeed { excluded: &[], max_per_slot: 1.3 };
+
+fn targets(now: Instant) -> Vec<PlacementTarget> {
+    ["a", "b"]
+        .map(|name| PlacementTarget::new(Arc::new(common::upstream(name, "d", now))))
+        .to_vec()
+}
+
+#[test]
+fn counts_of_other_nodes_are_added() {
+    let now = Instant::now();
+    let mut book = LoadBook::new();
+    book.start(&Arc::from("a"), now);
+    book.set_peer(&Arc::from("n2"), &[(Arc::from("b"), 5)], now);
+    let chosen = book.choose(&targets(now), ANY, 0.0, now).expect("there is room");
+    assert_eq!(&*chosen.upstream, "a");
+    // Counts of a node that is gone are dropped.
+    let later = now + Duration::from_secs(3);
+    let chosen = book.choose(&targets(now), ANY, 0.0, later).expect("there is room");
+    assert_eq!(&*chosen.upstream, "b");
+}
+
+#[test]
+fn a_slow_group_gets_a_smaller_share() {
+    let now = Instant::now();
+    let mut targets = targets(now);
+    targets[1] = targets[1].clone().with_slowness(2.5);
+    let mut book = LoadBook::new();
+    let mut counts = [0, 0];
+    for _ in 0..28 {
+        let chosen = book.choose(&targets, ANY, 0.5, now).expect("there is room");
+        book.start(&chosen.upstream, now);
+        counts[usize::from(&*chosen.upstream == "b")] += 1;
+    }
+    assert_eq!(counts, [20, 8]);
+}
+
+#[test]
+fn a_full_fleet_and_an_empty_one_are_told_apart() {
+    let now = Instant::now();
+    let mut book = LoadBook::new();
+    assert_eq!(book.choose(&[], ANY, 0.0, now).err(), Some(PlacementRefusal::NoneServing));
+    book.set_peer(&Arc::from("n2"), &[(Arc::from("a"), 40), (Arc::from("b"), 40)], now);
+    let refusal = book.choose(&targets(now), ANY, 0.0, now).err();
+    assert_eq!(refusal, Some(PlacementRefusal::AllFull));
+}
+
+#[test]
+fn an_avoided_upstream_is_used_when_no_other_is_left() {
+    let now = Instant::now();
+    let mut book = LoadBook::new();
+    book.avoid(&Arc::from("a"), now);
+    for _ in 0..10 {
+        let chosen = book.choose(&targets(now), ANY, 0.0, now).expect("there is room");
+        assert_eq!(&*chosen.upstream, "b");
+        book.start(&chosen.upstream, now);
+    }
+    let only_a = &targets(now)[..1];
+    assert!(book.choose(only_a, ANY, 0.0, now).is_ok());
+}
+
+#[test]
+fn silence_counts_only_while_an_answer_is_written_and_not_across_a_standstill() {
+    let now = Instant::now();
+    let head: Arc<str> = Arc::from("a");
+    let mut book = LoadBook::new();
+    book.start(&head, now);
+    let later = now + Duration::from_millis(500);
+    assert_eq!(book.silence("a", later), None, "a prompt may wait in the engine's queue");
+    book.start_writing(&head);
+    book.note_progress(&head, now);
+    assert_eq!(book.silence("a", later), Some(Duration::from_millis(500)));
+    // This process stood still and could read nothing.
+    book.forgive_silence(later);
+    assert_eq!(book.silence("a", later), Some(Duration::ZERO));
+}
--- a/crates/eelgrassdeal_gateway/src/front/attempt.rs
+++ b/crates/eelgrassdeal_gateway/src/front/attempt.rs
@@ -41,8 +41,9 @@
 const SILENT_PASSES: f64 = 1.4;
 const MIN_SILENCE: Duration = Duration::from_millis(200);
 const MAX_SILENCE: Duration = Duration::from_millis(1_000);
-/// Longest wait for the first event at a head where this node has no other running stream.
-const FIRST_EVENT_PATIENCE: Duration = Duration::from_millis(1_500);
+/// Longest wait for the first event at a head where this node has no other running stream. An engine
+/// gives up work that stands still after this time.
+const FIRST_EVENT_PATIENCE: Duration = Duration::from_millis(4_000);
 /// A silent head gets no new requests for this long; by then it is closed or works again.
 const SILENT_TIME: Duration = Duration::from_secs(2);
 /// Prompt tokens that an engine reads in one step at most, when it does not say.
--- a/crates/eelgrassdeal_gateway/src/peers/mod.rs
+++ b/crates/eelgrassdeal_gateway/src/peers/mod.rs
@@ -4,6 +4,7 @@
 //! address is reachable from the entry VMs only, so messages carry no proof of identity.
 
 mod message;
+mod relay;
 mod serve;
 
 use std::rc::Rc;
@@ -21,6 +22,7 @@
 
 use crate::state::GatewayState;
 pub(crate) use message::note_own_beat;
+pub(crate) use relay::relay_order;
 pub(crate) use serve::PeerHandler;
 
 /// Pause between two rounds.
@@ -30,6 +32,9 @@
 const ROUND_PEERS: usize = 6;
 const SYNC_PATH: &str = "/sync";
 const TABLE_PATH: &str = "/table/";
+const RELAY_PATH: &str = "/relay";
+/// Longer than an order takes when its upstream cannot be reached.
+const RELAY_TIMEOUT: Duration = Duration::from_millis(1_200);
 const SYNC_TIMEOUT: Duration = Duration::from_millis(500);
 const TABLE_TIMEOUT: Duration = Duration::from_millis(1_000);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
--- a/crates/eelgrassdeal_gateway/src/peers/serve.rs
+++ b/crates/eelgrassdeal_gateway/src/peers/serve.rs
@@ -5,13 +5,13 @@
 
 use bytes::Bytes;
 use eelgrassdeal_platform::SharedTable;
-use eelgrassdeal_schema::gateway::{SyncMessage, TableCopy};
+use eelgrassdeal_schema::gateway::{RelayedOrder, SyncMessage, TableCopy};
 use eelgrassdeal_schema::{decode_message, encode_message};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
 
-use super::{MAX_ANSWER_BYTES, SYNC_PATH, TABLE_PATH, message};
+use super::{MAX_ANSWER_BYTES, RELAY_PATH, SYNC_PATH, TABLE_PATH, message, relay};
 use crate::observe::render_metrics;
 use crate::server::{Reply, RequestHandler, whole_reply};
 use crate::state::GatewayState;
@@ -49,6 +49,21 @@
         }
     }
 
+    async fn relay(&self, body: Incoming) -> Reply {
+        let Ok(collected) = Limited::new(body, MAX_ANSWER_BYTES).collect().await else {
+            return refusal(StatusCode::BAD_REQUEST, "the message broke off");
+        };
+        match decode_message::<RelayedOrder>(&collected.to_bytes()) {
+            Ok(order) => {
+                binary_reply(encode_message(&relay::give_relayed(&self.state, order).await))
+            }
+            Err(error) => {
+                log::warn!("event=peer_unreadable reason=\"{error}\"");
+                refusal(StatusCode::BAD_REQUEST, "the message cannot be read")
+            }
+        }
+    }
+
     fn table(&self, index: &str, query: &str) -> Reply {
         let table = index.parse::<usize>().ok().and_then(|index| SharedTable::ALL.get(index));
         let since = query.strip_prefix("since=").and_then(|since| since.parse().ok()).unwrap_or(0);
@@ -68,6 +83,7 @@
         let query = request.uri().query().unwrap_or_default().to_owned();
         match path.as_str() {
             SYNC_PATH => self.sync(request.into_body()).await,
+            RELAY_PATH => self.relay(request.into_body()).await,
             METRICS_PATH => {
                 whole_reply(StatusCode::OK, TEXT, Bytes::from(render_metrics(&self.state)))
             }
--- a/crates/eelgrassdeal_gateway/src/plan.rs
+++ b/crates/eelgrassdeal_gateway/src/plan.rs
@@ -6,8 +6,8 @@
 
 use bytes::Bytes;
 use eelgrassdeal_dispatch::{
-    FleetView, GroupPlanner, GroupRecord, NodeStage, PlanStep, PlannerSettings, ProbeTarget,
-    ServiceConfig, UpstreamOrder,
+    FleetView, GroupPlanner, GroupRecord, NodeStage, OrderKind, OrderOutcome, PlanStep,
+    PlannerSettings, ProbeTarget, ServiceConfig, UpstreamOrder,
 };
 use eelgrassdeal_platform::{SharedTable, encode_group};
 use eelgrassdeal_store::{
@@ -16,6 +16,7 @@
 };
 use eelgrassdeal_types::{FencingNumber, GroupId};
 
+use crate::peers::relay_order;
 use crate::state::GatewayState;
 
 const LEASE_NAME: &str = "planner";
@@ -216,7 +217,12 @@
 
     fn give(self: Rc<Self>, order: UpstreamOrder, fencing: FencingNumber) {
         compio::runtime::spawn(async move {
-            let outcome = self.state.orders.give(&order, fencing).await;
+            let mut outcome = self.state.orders.give(&order, fencing).await;
+            if matches!(outcome, OrderOutcome::Unreachable | OrderOutcome::Unknown)
+                && matches!(order.kind, OrderKind::Close { .. } | OrderKind::Leave)
+            {
+                outcome = relay_order(&self.state, &order, fencing).await;
+            }
             log::info!(
                 "event=order upstream={} kind={:?} group={:?} fencing={fencing} outcome={outcome:?}",
                 order.upstream,
