--- a/crates/eelgrassdeal_dispatch/src/planner/memory.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/memory.rs
@@ -165,22 +165,31 @@
         let Some((group, _)) = &order.group else { return };
         match (&order.kind, outcome) {
             (OrderKind::Close { .. } | OrderKind::Leave, OrderOutcome::Gone)
-            | (OrderKind::Leave, OrderOutcome::Accepted | OrderOutcome::Conflict) => {
+            | (OrderKind::Leave, OrderOutcome::Accepted) => {
                 self.released.insert(group.clone());
             }
-            (
-                OrderKind::Close { .. } | OrderKind::Leave,
-                OrderOutcome::Unreachable | OrderOutcome::Unknown,
-            ) => {
+            // A head that serves refuses to leave; one that is no member refuses both orders.
+            (OrderKind::Leave, OrderOutcome::Conflict) if self.is_close_refused(order) => {
+                self.released.insert(group.clone());
+            }
+            // An order without an answer shows nothing: the head may serve on.
+            (OrderKind::Close { .. } | OrderKind::Leave, OrderOutcome::Unreachable) => {
                 self.unreachable.entry(group.clone()).or_insert(now);
             }
-            (OrderKind::Close { .. }, OrderOutcome::Accepted) => {
+            (OrderKind::Close { .. } | OrderKind::Leave, _) => {
                 self.unreachable.remove(group);
             }
             _ => {}
         }
     }
 
+    /// Whether the last order to close the group of `order` did not fit the state of its head.
+    fn is_close_refused(&self, order: &UpstreamOrder) -> bool {
+        let group = order.group.as_ref().map(|(group, _)| group.clone());
+        let key = (order.upstream.clone(), group, OrderTag::Close);
+        self.orders.get(&key).and_then(|sent| sent.outcome) == Some(OrderOutcome::Conflict)
+    }
+
     /// Time since the planner first saw a group.
     pub(super) fn age(&mut self, group: &GroupId, now: Instant) -> Duration {
         now.saturating_duration_since(*self.first_seen.entry(group.clone()).or_insert(now))
--- a/crates/eelgrassdeal_dispatch/tests/common/mod.rs
+++ b/crates/eelgrassdeal_dispatch/tests/common/mod.rs
@@ -88,6 +88,8 @@
     pub violations: Vec<String>,
     pub orders: Vec<UpstreamOrder>,
     pub silent: Vec<Arc<str>>,
+    /// Orders to close get no answer and are not carried out.
+    pub loses_close: bool,
     heads: BTreeMap<Arc<str>, Arc<str>>,
 }
 
@@ -115,6 +117,7 @@
             violations: Vec::new(),
             orders: Vec::new(),
             silent: Vec::new(),
+            loses_close: false,
             heads: BTreeMap::new(),
         }
     }
@@ -183,8 +186,10 @@
                 self.planner.note_probe(&target.upstream, outcome, self.now);
             }
             PlanStep::Order(order) => {
+                let is_close = matches!(order.kind, OrderKind::Close { .. });
                 let outcome = match self.cut.contains(&order.upstream) {
                     true => OrderOutcome::Unreachable,
+                    false if is_close && self.loses_close => OrderOutcome::Unknown,
                     false => self.obey(&order),
                 };
                 self.orders.push(order.clone());
@@ -225,6 +230,8 @@
                     OrderKind::Close { .. } => {
                         Some(GroupMembership { state: GroupState::Ready, ..known })
                     }
+                    // A head that serves must be closed first.
+                    _ if known.state == GroupState::Open => return OrderOutcome::Conflict,
                     _ => None,
                 }
             }
--- a/crates/eelgrassdeal_dispatch/tests/planner.rs
+++ b/crates/eelgrassdeal_dispatch/tests/planner.rs
@@ -90,6 +90,22 @@
     assert!(!fleet.view.groups.values().any(|group| group.members[0].0 == head));
 }
 
+#[test]
+fn a_head_that_refuses_to_leave_has_not_left() {
+    let mut fleet = formed(2, 9);
+    let head = fleet.head_of(BIG);
+    // Its record lapsed, it serves on, and the order to close is lost.
+    fleet.lapse(&head);
+    fleet.loses_close = true;
+    fleet.run(Duration::from_secs(3));
+    assert_eq!(fleet.violations, Vec::<String>::new());
+    assert!(fleet.view.groups.values().any(|group| group.members[0].0 == head));
+    fleet.loses_close = false;
+    fleet.run(REPAIR_TIME);
+    assert!(!fleet.view.groups.values().any(|group| group.members[0].0 == head));
+    assert_eq!(fleet.violations, Vec::<String>::new());
+}
+
 #[test]
 fn a_draining_member_gives_its_place_to_a_spare() {
     let mut fleet = formed(2, 9);
--- a/crates/eelgrassdeal_standins/src/users_platform/worker.rs
+++ b/crates/eelgrassdeal_standins/src/users_platform/worker.rs
@@ -299,6 +299,7 @@
             }
             ("open", true) if self.group_state() == Some("ready") => self.set_group_state("open"),
             ("close", true) => self.set_group_state("ready"),
+            ("leave", true) if self.group_state() == Some("open") => 409,
             ("leave", true) => {
                 *state.membership.borrow_mut() = None;
                 self.register();
