--- a/crates/eelgrassdeal_dispatch/src/lib.rs
+++ b/crates/eelgrassdeal_dispatch/src/lib.rs
@@ -29,7 +29,7 @@
 pub use limit::{RateShare, RetryAllowance};
 pub use placement::{LoadBook, PlacementNeed, PlacementRefusal, PlacementTarget};
 pub use planner::{
-    GroupPlanner, OrderKind, OrderOutcome, PlanStep, PlannerSettings, ProbeOutcome, ProbeTarget,
-    UpstreamOrder,
+    FleetLoad, GroupPlanner, OrderKind, OrderOutcome, PlanStep, PlannerSettings, ProbeOutcome,
+    ProbeTarget, UpstreamOrder,
 };
 pub use settings::{GatewaySettings, LimitBounds, ListenAddresses, StoreAddress};
--- a/crates/eelgrassdeal_dispatch/src/placement.rs
+++ b/crates/eelgrassdeal_dispatch/src/placement.rs
@@ -14,6 +14,10 @@
 const AVOID_TIME: Duration = Duration::from_millis(1_000);
 /// Weight of the newest answer in the moving failure share.
 const FAILURE_WEIGHT: f64 = 0.15;
+/// Part of the usual gap that is kept at each sign of life.
+const GAP_DECAY: f64 = 0.97;
+/// A longer gap is a standstill, not the pace of an upstream.
+const MAX_USUAL_GAP: Duration = Duration::from_millis(400);
 /// Time in which half of the failures of an upstream are forgotten.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(2);
 /// A failure share below this one counts as none.
@@ -37,6 +41,11 @@
         Self { record, slots }
     }
 
+    /// How many times as long as usual it takes.
+    pub fn slowness(&self) -> f64 {
+        f64::from(self.record.slots.max(1)) / self.slots
+    }
+
     /// A target that takes `factor` times as long as usual.
     pub fn with_slowness(mut self, factor: f64) -> Self {
         self.slots /= factor.max(1.0);
@@ -77,6 +86,8 @@
     avoid_until: Option<Instant>,
     /// Last sign of life while requests ran there.
     last_progress: Option<Instant>,
+    /// Longest lately seen time between two signs of life.
+    usual_gap: Duration,
 }
 
 impl UpstreamLoad {
@@ -135,9 +146,15 @@
 
     /// Notes that bytes came from an upstream.
     pub fn note_progress(&mut self, upstream: &UpstreamId, now: Instant) {
-        if let Some(load) = self.loads.get_mut(upstream) {
-            load.last_progress = Some(now);
-        }
+        let Some(load) = self.loads.get_mut(upstream) else { return };
+        let gap = load.last_progress.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        load.usual_gap = gap.min(MAX_USUAL_GAP).max(load.usual_gap.mul_f64(GAP_DECAY));
+        load.last_progress = Some(now);
+    }
+
+    /// Longest lately seen time between two signs of life of an upstream.
+    pub fn usual_gap(&self, upstream: &str) -> Duration {
+        self.loads.get(upstream).map_or(Duration::ZERO, |load| load.usual_gap)
     }
 
     /// Time since an upstream that writes answers to this node last sent anything.
@@ -206,7 +223,7 @@
         need: PlacementNeed<'_>,
         draw: f64,
         now: Instant,
-    ) -> Result<Arc<UpstreamRecord>, PlacementRefusal> {
+    ) -> Result<PlacementTarget, PlacementRefusal> {
         let usable: Vec<_> = candidates
             .iter()
             .filter(|target| !need.excluded.contains(&target.record.upstream))
@@ -223,7 +240,7 @@
         in_turn
             .filter(has_room)
             .min_by(|left, right| self.cost(left, now).total_cmp(&self.cost(right, now)))
-            .map(|target| target.record.clone())
+            .map(|target| (*target).clone())
             .ok_or(PlacementRefusal::AllFull)
     }
 
--- a/crates/eelgrassdeal_dispatch/src/planner/form.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/form.rs
@@ -21,6 +21,8 @@
 /// A group that is taken apart sets its members free within this time. Until then no group across
 /// domains is formed, which the domain of these members might need.
 const REGROUP_TIME: Duration = Duration::from_millis(700);
+/// Added to the pressure of a model, so that an idle one keeps some spares.
+const IDLE_PRESSURE: f64 = 0.2;
 /// While no group exists, groups are planned once the fleet has not grown for this long: their
 /// members would be chosen from the first few upstreams otherwise.
 const SETTLE_TIME: Duration = Duration::from_millis(600);
@@ -40,6 +42,31 @@
     Missing,
 }
 
+/// Value of a spare that completes no group yet, against one that does.
+const PARTIAL_VALUE: f64 = 0.4;
+/// Value of a group of another model than the home model of its domain: its members have no spares.
+const FOREIGN_VALUE: f64 = 0.7;
+/// Shortest load time that is told apart from none.
+const MIN_LOAD_TIME_S: f64 = 0.1;
+
+/// Spares of all domains while loads are chosen.
+#[derive(Default)]
+struct SpareBook {
+    /// Upstreams that hold and load no model.
+    unused: BTreeMap<Arc<str>, DomainPool>,
+    /// Upstreams in no group that hold or load a model.
+    held: HashMap<(Arc<str>, ModelId), usize>,
+}
+
+impl SpareBook {
+    /// Takes an unused upstream of `domain` for a load of `model`.
+    fn take(&mut self, domain: &Arc<str>, model: &ModelId) -> Option<Arc<UpstreamRecord>> {
+        let record = self.unused.get_mut(domain)?.pop()?;
+        *self.held.entry((domain.clone(), model.clone())).or_default() += 1;
+        Some(record)
+    }
+}
+
 /// Upstreams of one fabric domain that are in no group.
 type DomainPool = Vec<Arc<UpstreamRecord>>;
 
@@ -210,10 +237,13 @@
         best.map(|(_, domain, model, members)| (domain, model, members))
     }
 
-    /// How much a model lacks groups: its share of the work for each group that it would have.
+    /// How much a model lacks groups: its share of the work for each group that it would have, and
+    /// more while its groups are fuller than others.
     fn model_need(&self, spec: &ModelSpec, counts: &HashMap<ModelId, usize>) -> f64 {
         let groups = counts.get(&spec.model).copied().unwrap_or(0);
-        spec.share / spec.size.max(1) as f64 / (groups as f64 + 1.0)
+        let pressure = self.memory.pressure.get(&spec.model).copied().unwrap_or(1.0);
+        let fullness = (pressure + IDLE_PRESSURE).powi(2);
+        spec.share / spec.size.max(1) as f64 / (groups as f64 + 1.0) * fullness
     }
 
     fn cheapest_members(
@@ -341,28 +371,23 @@
         now: Instant,
         steps: &mut Vec<PlanStep>,
     ) {
-        let mut choices: Vec<(f64, Arc<UpstreamRecord>, &ModelSpec)> = Vec::new();
+        let mut spares = SpareBook::default();
         for (domain, pool) in pools {
-            let Some(spec) = homes.get(domain).and_then(|home| engine.model(home)) else {
-                continue;
-            };
-            let (empty, held): (Vec<_>, Vec<_>) = pool
-                .iter()
-                .partition(|record| self.join_cost(record, &spec.model, now) == JoinCost::Missing);
-            let mut held = held.len();
-            for record in empty.into_iter().filter(|record| self.is_unused(record, engine, now)) {
-                // The spare that completes a group soonest comes first.
-                let missing = spec.size - held % spec.size;
-                let value = self.model_need(spec, counts) / missing as f64;
-                choices.push((value, record.clone(), spec));
-                held += 1;
+            let unused = pool.iter().filter(|record| self.is_unused(record, engine, now));
+            spares.unused.insert(domain.clone(), unused.cloned().collect());
+            for spec in &engine.models {
+                let holds = |record: &&Arc<UpstreamRecord>| {
+                    self.join_cost(record, &spec.model, now) < JoinCost::Missing
+                };
+                let held = pool.iter().filter(holds).count();
+                spares.held.insert((domain.clone(), spec.model.clone()), held);
             }
         }
-        choices.sort_by(|left, right| right.0.total_cmp(&left.0));
-        for (_, record, spec) in choices {
-            if !self.may_load(engine, 1, has_traffic, now) {
+        while self.may_load(engine, 1, has_traffic, now) {
+            let Some((domain, spec)) = self.best_spare(engine, homes, &spares, counts) else {
                 return;
-            }
+            };
+            let Some(record) = spares.take(&domain, &spec.model) else { return };
             self.note_load(&record, spec, has_traffic, now);
             let order = UpstreamOrder {
                 upstream: record.upstream.clone(),
@@ -374,6 +399,44 @@
         }
     }
 
+    /// The domain and model whose next load brings a group soonest for the load time spent.
+    fn best_spare<'a>(
+        &self,
+        engine: &'a EngineSpec,
+        homes: &HomeModels,
+        spares: &SpareBook,
+        counts: &HashMap<ModelId, usize>,
+    ) -> Option<(Arc<str>, &'a ModelSpec)> {
+        let mut best: Option<(f64, Arc<str>, &ModelSpec)> = None;
+        for (domain, unused) in spares.unused.iter().filter(|(_, unused)| !unused.is_empty()) {
+            for spec in &engine.models {
+                let held = spares.held.get(&(domain.clone(), spec.model.clone())).copied();
+                let missing = spec.size - held.unwrap_or(0) % spec.size;
+                let load_time = spec.load_time.as_secs_f64().max(MIN_LOAD_TIME_S);
+                let is_home = homes.get(domain) == Some(&spec.model);
+                let chance = match (missing <= unused.len(), is_home) {
+                    (true, true) => 1.0,
+                    (true, false) => FOREIGN_VALUE,
+                    (false, true) => PARTIAL_VALUE,
+                    (false, false) => 0.0,
+                };
+                let value = self.model_need(spec, counts) * chance / (missing as f64 * load_time);
+                if value > 0.0 && best.as_ref().is_none_or(|(known, ..)| value > *known) {
+                    best = Some((value, domain.clone(), spec));
+                }
+            }
+        }
+        best.map(|(_, domain, spec)| (domain, spec))
+    }
+
+    /// Whether an upstream holds no model and loads none.
+    fn is_unused(&self, record: &UpstreamRecord, engine: &EngineSpec, now: Instant) -> bool {
+        engine
+            .models
+            .iter()
+            .all(|spec| self.join_cost(record, &spec.model, now) == JoinCost::Missing)
+    }
+
     /// Upstreams of a service that are ready and in no group, by domain.
     fn free_pools(
         &self,
@@ -396,14 +459,6 @@
         pools
     }
 
-    /// Whether an upstream holds no model and loads none.
-    fn is_unused(&self, record: &UpstreamRecord, engine: &EngineSpec, now: Instant) -> bool {
-        engine
-            .models
-            .iter()
-            .all(|spec| self.join_cost(record, &spec.model, now) == JoinCost::Missing)
-    }
-
     /// Whether the fleet is known well enough to form the first groups.
     fn is_settled(&mut self, view: &FleetView, service: &ServiceId, now: Instant) -> bool {
         let count = view.upstreams.values().filter(|record| record.service == *service).count();
--- a/crates/eelgrassdeal_dispatch/src/planner/memory.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/memory.rs
@@ -78,6 +78,8 @@
     pub(super) load_starts: VecDeque<Instant>,
     /// Upstreams that did not answer, and until when that counts.
     lost: HashMap<UpstreamId, Instant>,
+    /// Requests for each slot of the groups that serve a model.
+    pub(super) pressure: HashMap<ModelId, f64>,
     /// Number of upstreams of each service, and since when it has not changed.
     pub(super) fleet_sizes: HashMap<ServiceId, (usize, Instant)>,
 }
--- a/crates/eelgrassdeal_dispatch/src/planner/mod.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/mod.rs
@@ -9,7 +9,7 @@
 mod form;
 mod memory;
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -25,6 +25,17 @@
 /// the weight store, so a load can take several times as long as alone.
 const FORM_PATIENCE_FACTOR: u32 = 6;
 
+/// What the nodes see of the work.
+#[derive(Clone, Debug, Default)]
+pub struct FleetLoad {
+    /// Whether callers have sent requests.
+    pub has_traffic: bool,
+    /// Upstreams that send nothing to running requests.
+    pub silent: Vec<UpstreamId>,
+    /// Requests for each slot of the groups that serve a model.
+    pub pressure: HashMap<ModelId, f64>,
+}
+
 /// Settings of the planner.
 #[derive(Clone, Copy, Debug)]
 pub struct PlannerSettings {
@@ -140,20 +151,19 @@
 
     /// The steps that are due at `now`. Orders without an outcome are not repeated.
     ///
-    /// Until callers send requests, loads are fast and groups are loaded in place. `silent` are the
-    /// upstreams that send nothing to running requests.
+    /// Until callers send requests, loads are fast and groups are loaded in place.
     pub fn plan(
         &mut self,
         view: &FleetView,
         config: &ServiceConfig,
-        silent: &[UpstreamId],
-        has_traffic: bool,
+        load: &FleetLoad,
         now: Instant,
     ) -> Vec<PlanStep> {
         self.memory.forget_old(now);
+        self.memory.pressure.clone_from(&load.pressure);
         let mut steps = Vec::new();
         for group in view.groups.values() {
-            if group.members.first().is_some_and(|(head, _)| silent.contains(head)) {
+            if group.members.first().is_some_and(|(head, _)| load.silent.contains(head)) {
                 self.probe_members(view, group, now, &mut steps);
             }
             let engine = config.services.get(&group.service).and_then(|spec| spec.engine.as_ref());
@@ -161,7 +171,7 @@
         }
         for spec in config.services.values() {
             if let Some(engine) = &spec.engine {
-                self.form_groups(view, &spec.service, engine, has_traffic, now, &mut steps);
+                self.form_groups(view, &spec.service, engine, load.has_traffic, now, &mut steps);
             }
         }
         steps
--- a/crates/eelgrassdeal_dispatch/tests/common/mod.rs
+++ b/crates/eelgrassdeal_dispatch/tests/common/mod.rs
@@ -3,13 +3,13 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 #![allow(unreachable_pub, reason = "shared by several test files")]
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use eelgrassdeal_dispatch::{
-    EngineSpec, FleetView, GroupMembership, GroupPlanner, GroupState, ModelSpec, OrderKind,
-    OrderOutcome, PlanStep, PlannerSettings, ProbeOutcome, ServiceConfig, ServiceSpec,
+    EngineSpec, FleetLoad, FleetView, GroupMembership, GroupPlanner, GroupState, ModelSpec,
+    OrderKind, OrderOutcome, PlanStep, PlannerSettings, ProbeOutcome, ServiceConfig, ServiceSpec,
     UpstreamOrder, UpstreamRecord, UpstreamState,
 };
 
@@ -88,6 +88,7 @@
     pub violations: Vec<String>,
     pub orders: Vec<UpstreamOrder>,
     pub silent: Vec<Arc<str>>,
+    pub pressure: HashMap<Arc<str>, f64>,
     /// Orders to close get no answer and are not carried out.
     pub loses_close: bool,
     heads: BTreeMap<Arc<str>, Arc<str>>,
@@ -117,6 +118,7 @@
             violations: Vec::new(),
             orders: Vec::new(),
             silent: Vec::new(),
+            pressure: HashMap::new(),
             loses_close: false,
             heads: BTreeMap::new(),
         }
@@ -127,13 +129,12 @@
         let end = self.now + time;
         while self.now < end {
             self.now += Duration::from_millis(50);
-            let steps = self.planner.plan(
-                &self.view,
-                &self.config,
-                &self.silent,
-                self.has_traffic,
-                self.now,
-            );
+            let load = FleetLoad {
+                has_traffic: self.has_traffic,
+                silent: self.silent.clone(),
+                pressure: self.pressure.clone(),
+            };
+            let steps = self.planner.plan(&self.view, &self.config, &load, self.now);
             for step in steps {
                 self.carry_out(step);
             }
--- a/crates/eelgrassdeal_dispatch/tests/placement.rs
+++ b/crates/eelgrassdeal_dispatch/tests/placement.rs
@@ -20,11 +20,11 @@
     book.start(&Arc::from("a"), now);
     book.set_peer(&Arc::from("n2"), &[(Arc::from("b"), 5)], now);
     let chosen = book.choose(&targets(now), ANY, 0.0, now).expect("there is room");
-    assert_eq!(&*chosen.upstream, "a");
+    assert_eq!(&*chosen.record.upstream, "a");
     // Counts of a node that is gone are dropped.
     let later = now + Duration::from_secs(3);
     let chosen = book.choose(&targets(now), ANY, 0.0, later).expect("there is room");
-    assert_eq!(&*chosen.upstream, "b");
+    assert_eq!(&*chosen.record.upstream, "b");
 }
 
 #[test]
@@ -36,8 +36,8 @@
     let mut counts = [0, 0];
     for _ in 0..28 {
         let chosen = book.choose(&targets, ANY, 0.5, now).expect("there is room");
-        book.start(&chosen.upstream, now);
-        counts[usize::from(&*chosen.upstream == "b")] += 1;
+        book.start(&chosen.record.upstream, now);
+        counts[usize::from(&*chosen.record.upstream == "b")] += 1;
     }
     assert_eq!(counts, [20, 8]);
 }
@@ -59,8 +59,8 @@
     book.avoid(&Arc::from("a"), now);
     for _ in 0..10 {
         let chosen = book.choose(&targets(now), ANY, 0.0, now).expect("there is room");
-        assert_eq!(&*chosen.upstream, "b");
-        book.start(&chosen.upstream, now);
+        assert_eq!(&*chosen.record.upstream, "b");
+        book.start(&chosen.record.upstream, now);
     }
     let only_a = &targets(now)[..1];
     assert!(book.choose(only_a, ANY, 0.0, now).is_ok());
@@ -92,7 +92,7 @@
     }
     let chosen = |at: Instant| {
         let picks = [0.0, 0.25, 0.5, 0.75].map(|draw| {
-            book.choose(&targets(at), ANY, draw, at).expect("there is room").upstream.clone()
+            book.choose(&targets(at), ANY, draw, at).expect("there is room").record.upstream.clone()
         });
         picks.contains(&failed)
     };
--- a/crates/eelgrassdeal_gateway/src/front/attempt.rs
+++ b/crates/eelgrassdeal_gateway/src/front/attempt.rs
@@ -32,6 +32,8 @@
 const RETURN_PART: f64 = 0.3;
 /// Most requests for each slot of an engine, over all nodes: some wait inside the engine.
 const ENGINE_PER_SLOT: f64 = 1.3;
+/// The same for a stream that is continued.
+const RESUMED_PER_SLOT: f64 = 1.8;
 /// Most requests for each slot of a plain service.
 const PLAIN_PER_SLOT: f64 = 3.0;
 /// Idle time after which a connection is not used for a request that may not be repeated: the
@@ -39,6 +41,8 @@
 const FRESH_IDLE: Duration = Duration::from_millis(300);
 /// Passes of a full engine after which a head without any event counts as silent.
 const SILENT_PASSES: f64 = 1.4;
+/// Times the usual gap between events after which a head counts as silent.
+const SILENT_GAPS: f64 = 2.5;
 const MIN_SILENCE: Duration = Duration::from_millis(200);
 const MAX_SILENCE: Duration = Duration::from_millis(1_000);
 /// Longest wait for the first event at a head where this node has no other running stream. An engine
@@ -156,7 +160,7 @@
         let place_until = self.place_deadline();
         let mut sends = 0;
         loop {
-            let record = self.wait_for_place(place_until).await?;
+            let target = self.wait_for_place(place_until).await?;
             if sends >= MAX_SENDS {
                 return Err(self.give_up("upstreams rejected the request several times"));
             }
@@ -164,7 +168,7 @@
                 return Err(self.give_up("the retry budget of the service is spent"));
             }
             sends += 1;
-            if let Some(attempt) = self.send(&record, last_event).await? {
+            if let Some(attempt) = self.send(&target, last_event).await? {
                 return Ok(attempt);
             }
         }
@@ -222,6 +226,7 @@
         now: Instant,
     ) -> bool {
         let loads = self.state.loads.borrow();
+        let limit = limit.max(loads.usual_gap(upstream).mul_f64(SILENT_GAPS));
         match loads.silence(upstream, now) {
             // Others of this node's streams show whether the engine works.
             Some(silence) => silence > limit && now.duration_since(started) > limit,
@@ -239,11 +244,11 @@
     }
 
     /// Waits until an upstream has room.
-    async fn wait_for_place(&mut self, until: Instant) -> Result<Arc<UpstreamRecord>, CallRefusal> {
+    async fn wait_for_place(&mut self, until: Instant) -> Result<PlacementTarget, CallRefusal> {
         loop {
             let now = Instant::now();
             let refusal = match self.choose(now) {
-                Ok(record) => return Ok(record),
+                Ok(target) => return Ok(target),
                 Err(refusal) => refusal,
             };
             if now >= until {
@@ -256,14 +261,14 @@
         }
     }
 
-    fn choose(&mut self, now: Instant) -> Result<Arc<UpstreamRecord>, PlacementRefusal> {
+    fn choose(&mut self, now: Instant) -> Result<PlacementTarget, PlacementRefusal> {
         let view = self.state.view();
         let mut candidates = self.candidates(&view);
         loop {
             let need = PlacementNeed { excluded: &self.excluded, max_per_slot: self.per_slot() };
             let choice = self.state.loads.borrow().choose(&candidates, need, rand::random(), now);
-            let record = match choice {
-                Ok(record) => record,
+            let target = match choice {
+                Ok(target) => target,
                 // All were tried: the next round may take one that rejected the request before.
                 Err(PlacementRefusal::NoneServing) if !candidates.is_empty() => {
                     self.excluded.clear();
@@ -271,10 +276,10 @@
                 }
                 Err(refusal) => return Err(refusal),
             };
-            if self.state.take_cold_share(&record, now) {
-                return Ok(record);
+            if self.state.take_cold_share(&target.record, now) {
+                return Ok(target);
             }
-            candidates.retain(|known| known.record.upstream != record.upstream);
+            candidates.retain(|known| known.record.upstream != target.record.upstream);
             if candidates.is_empty() {
                 return Err(PlacementRefusal::AllFull);
             }
@@ -295,7 +300,12 @@
     }
 
     fn per_slot(&self) -> f64 {
-        if self.model_spec().is_some() { ENGINE_PER_SLOT } else { PLAIN_PER_SLOT }
+        match (self.model_spec().is_some(), self.runs) {
+            (true, 0) => ENGINE_PER_SLOT,
+            // A stream that has begun goes before those that have not.
+            (true, _) => RESUMED_PER_SLOT,
+            (false, _) => PLAIN_PER_SLOT,
+        }
     }
 
     fn model_spec(&self) -> Option<(EngineSpec, ModelSpec)> {
@@ -306,7 +316,7 @@
     }
 
     /// Time without any event after which a head of the call's model counts as silent.
-    fn silence_limit(&self) -> Duration {
+    fn silence_limit(&self, slowness: f64) -> Duration {
         let Some((engine, spec)) = self.model_spec() else { return MAX_SILENCE };
         let slots = f64::from(engine.slots);
         let context = slots * (engine.usual_prompt + engine.usual_answer) / 1_000.0;
@@ -315,16 +325,17 @@
             + engine.per_context_ms * context;
         let read_ms = READ_CHUNK_TOKENS * 1_000.0 / engine.read_per_s.max(1.0);
         // Prompts are read in every step of a pass.
-        let pass_ms = (step_ms + read_ms) * f64::from(engine.stride) * spec.pace;
+        let pass_ms = (step_ms + read_ms) * f64::from(engine.stride) * spec.pace * slowness;
         Duration::from_secs_f64(pass_ms * SILENT_PASSES / 1_000.0).clamp(MIN_SILENCE, MAX_SILENCE)
     }
 
     /// Sends the request to one upstream. `None` if it certainly did not run there.
     async fn send(
         &mut self,
-        record: &Arc<UpstreamRecord>,
+        target: &PlacementTarget,
         last_event: Option<u64>,
     ) -> Result<Option<RunningAttempt>, CallRefusal> {
+        let record = &target.record;
         let now = Instant::now();
         let time_left = self.call.time_left(now);
         if time_left.is_zero() {
@@ -334,7 +345,8 @@
             return Err(self.call.refuse(ErrorKind::BadRequest, "the request cannot be passed on"));
         };
         let load = LoadGuard::new(&self.state, &record.upstream);
-        let silence = self.call.route.kind.is_stream().then(|| self.silence_limit());
+        let is_stream = self.call.route.kind.is_stream();
+        let silence = is_stream.then(|| self.silence_limit(target.slowness()));
         let sending = self.state.pool.send(&record.address, request, self.rule());
         let result = self.wait_for_bytes(&record.upstream, silence, sending).await;
         log::debug!(
@@ -453,11 +465,15 @@
         last_event: Option<u64>,
     ) -> Option<Request<Full<bytes::Bytes>>> {
         let call = &self.call;
+        let priority = match self.runs {
+            0 => call.priority,
+            _ => call.priority.saturating_sub(1),
+        };
         let headers = upstream_headers(
             &call.headers,
             &record.upstream,
             call.account.as_deref(),
-            call.priority,
+            priority,
             time_left,
             last_event,
         );
--- a/crates/eelgrassdeal_gateway/src/plan.rs
+++ b/crates/eelgrassdeal_gateway/src/plan.rs
@@ -123,9 +123,7 @@
             let Some(term) = term.as_mut().filter(|term| term.row_version.is_some()) else {
                 return true;
             };
-            let silent = state.silent_upstreams(false, now);
-            let has_traffic = state.has_traffic.get();
-            term.planner.plan(&state.view(), &config, &silent, has_traffic, now)
+            term.planner.plan(&state.view(), &config, &state.fleet_load(&config, now), now)
         };
         for step in steps {
             match step {
--- a/crates/eelgrassdeal_gateway/src/state.rs
+++ b/crates/eelgrassdeal_gateway/src/state.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use eelgrassdeal_dispatch::{
-    FleetView, GatewaySettings, LoadBook, NodeBeat, NodeDirectory, NodeStage, RateShare,
+    FleetLoad, FleetView, GatewaySettings, LoadBook, NodeBeat, NodeDirectory, NodeStage, RateShare,
     RetryAllowance, ServiceConfig, UpstreamRecord,
 };
 use eelgrassdeal_http::ConnectionPool;
@@ -181,6 +181,28 @@
             .collect()
     }
 
+    /// What this node knows of the work of all nodes.
+    pub(crate) fn fleet_load(&self, config: &ServiceConfig, now: Instant) -> FleetLoad {
+        let (view, loads) = (self.view(), self.loads.borrow());
+        let mut pressure = HashMap::new();
+        for spec in config.services.values() {
+            for model in spec.engine.iter().flat_map(|engine| &engine.models) {
+                let replicas = view.replicas(&spec.service, &model.model);
+                let slots: u32 = replicas.iter().map(|replica| replica.head.slots).sum();
+                let total: u32 =
+                    replicas.iter().map(|replica| loads.total(&replica.head.upstream, now)).sum();
+                if slots > 0 {
+                    pressure.insert(model.model.clone(), f64::from(total) / f64::from(slots));
+                }
+            }
+        }
+        FleetLoad {
+            has_traffic: self.has_traffic.get(),
+            silent: self.silent_upstreams(false, now),
+            pressure,
+        }
+    }
+
     /// Counts a caller's request for the retry budget of `service`.
     pub(crate) fn note_request(&self, service: &ServiceId, now: Instant) {
         let bounds = &self.settings().bounds;
