--- a/crates/eelgrassdeal_dispatch/src/planner/form.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/form.rs
@@ -49,6 +49,14 @@
 /// Shortest load time that is told apart from none.
 const MIN_LOAD_TIME_S: f64 = 0.1;
 
+/// Upstreams that no group across domains may take.
+struct ReservedHolders {
+    /// Models of which a group is being taken apart.
+    closing: HashSet<ModelId>,
+    /// Domains that form a group of their own once groups across domains are dissolved.
+    due: HashSet<(Arc<str>, ModelId)>,
+}
+
 /// Spares of all domains while loads are chosen.
 #[derive(Default)]
 struct SpareBook {
@@ -118,8 +126,9 @@
         let closing: HashSet<ModelId> =
             view.groups.values().filter(is_closing).map(|group| group.model.clone()).collect();
         if has_traffic {
-            self.dissolve_far_groups(view, service, engine, &pools, now, steps);
-            self.form_far_groups(service, engine, &closing, &mut pools, &mut counts, now, steps);
+            let due = self.dissolve_far_groups(view, service, engine, &pools, now, steps);
+            let reserved = ReservedHolders { closing, due };
+            self.form_far_groups(service, engine, &reserved, &mut pools, &mut counts, now, steps);
         }
         self.stage_spares(engine, &homes, &pools, &counts, has_traffic, now, steps);
     }
@@ -131,16 +140,19 @@
         &mut self,
         service: &ServiceId,
         engine: &EngineSpec,
-        closing: &HashSet<ModelId>,
+        reserved: &ReservedHolders,
         pools: &mut BTreeMap<Arc<str>, DomainPool>,
         counts: &mut HashMap<ModelId, usize>,
         now: Instant,
         steps: &mut Vec<PlanStep>,
     ) {
-        let is_candidate = |spec: &&ModelSpec| spec.size > 1 && !closing.contains(&spec.model);
+        let is_candidate =
+            |spec: &&ModelSpec| spec.size > 1 && !reserved.closing.contains(&spec.model);
         for spec in engine.models.iter().filter(is_candidate) {
             let holds = |record: &&Arc<UpstreamRecord>| {
+                let domain = record.domain.clone().unwrap_or_else(|| Arc::from(""));
                 self.join_cost(record, &spec.model, now) <= JoinCost::Staged
+                    && !reserved.due.contains(&(domain, spec.model.clone()))
             };
             let mut holders: DomainPool = pools.values().flatten().filter(holds).cloned().collect();
             // Fewer domains, and members close to each other.
@@ -160,7 +172,8 @@
         }
     }
 
-    /// Takes groups across domains apart whose members complete a group of one domain.
+    /// Takes groups across domains apart whose members complete a group of one domain. Returns the
+    /// domains and models for which that is so.
     fn dissolve_far_groups(
         &mut self,
         view: &FleetView,
@@ -169,7 +182,8 @@
         pools: &BTreeMap<Arc<str>, DomainPool>,
         now: Instant,
         steps: &mut Vec<PlanStep>,
-    ) {
+    ) -> HashSet<(Arc<str>, ModelId)> {
+        let mut due = HashSet::new();
         let far: Vec<_> = view
             .groups
             .values()
@@ -190,12 +204,14 @@
                 });
                 let held: usize = far.iter().map(|group| in_domain(group)).sum();
                 if free < spec.size && free + held >= spec.size {
+                    due.insert((domain.clone(), spec.model.clone()));
                     for group in far.iter().filter(|group| in_domain(group) > 0) {
                         self.begin_dismantle(group, now, steps);
                     }
                 }
             }
         }
+        due
     }
 
     /// The group to form next: the one with the fewest loads, then of the model that lacks most.
--- a/crates/eelgrassdeal_dispatch/tests/common/mod.rs
+++ b/crates/eelgrassdeal_dispatch/tests/common/mod.rs
@@ -8,9 +8,9 @@
 use std::time::{Duration, Instant};
 
 use eelgrassdeal_dispatch::{
-    EngineSpec, FleetLoad, FleetView, GroupMembership, GroupPlanner, GroupState, ModelSpec,
-    OrderKind, OrderOutcome, PlanStep, PlannerSettings, ProbeOutcome, ServiceConfig, ServiceSpec,
-    UpstreamOrder, UpstreamRecord, UpstreamState,
+    EngineSpec, FleetLoad, FleetView, GroupMembership, GroupPlanner, GroupRecord, GroupState,
+    ModelSpec, OrderKind, OrderOutcome, PlanStep, PlannerSettings, ProbeOutcome, ServiceConfig,
+    ServiceSpec, UpstreamOrder, UpstreamRecord, UpstreamState,
 };
 
 pub const SERVICE: &str = "engines";
@@ -141,6 +141,28 @@
         }
     }
 
+    /// Adds a group that serves.
+    pub fn add_group(&mut self, name: &str, generation: u64, model: &str, members: &[&str]) {
+        for (index, member) in members.iter().enumerate() {
+            let state = if index == 0 { GroupState::Open } else { GroupState::Ready };
+            let membership = GroupMembership { group: Arc::from(name), generation, state };
+            let member: Arc<str> = Arc::from(*member);
+            self.real.insert(member.clone(), membership.clone());
+            self.change(&member, |record| record.membership = Some(membership));
+        }
+        self.heads.insert(Arc::from(name), Arc::from(members[0]));
+        let group = GroupRecord {
+            group: Arc::from(name),
+            generation,
+            service: Arc::from(SERVICE),
+            model: Arc::from(model),
+            members: members.iter().map(|member| (Arc::from(*member), 1)).collect(),
+            head_address: Arc::from("10.0.0.1:1"),
+            is_closing: false,
+        };
+        self.view.groups.insert(group.group.clone(), Arc::new(group));
+    }
+
     /// Takes an upstream away; its record stays.
     pub fn kill(&mut self, name: &str) {
         self.cut.push(Arc::from(name));
--- a/crates/eelgrassdeal_dispatch/tests/planner.rs
+++ b/crates/eelgrassdeal_dispatch/tests/planner.rs
@@ -159,6 +159,34 @@
     assert_eq!(fleet.violations, Vec::<String>::new());
 }
 
+/// Two groups across domains hold the members that one domain needs for a group of its own.
+#[test]
+fn groups_across_domains_are_not_formed_and_dissolved_in_turn() {
+    let mut fleet = PlayedFleet::new(0, 0);
+    for name in ["d0-0", "d0-1", "d0-2", "d1-0", "d1-1", "d2-0"] {
+        let mut record = common::upstream(name, &name[..2], fleet.now);
+        record.loaded = Some(SMALL.into());
+        record.staged = vec![SMALL.into()];
+        fleet.view.upstreams.insert(name.into(), std::sync::Arc::new(record));
+    }
+    fleet.has_traffic = true;
+    for (generation, members) in [(1, ["d0-0", "d0-1", "d1-0"]), (2, ["d0-2", "d1-1", "d2-0"])] {
+        fleet.add_group(&format!("g{generation}"), generation, SMALL, &members);
+    }
+    // The second group is taken apart later than the first.
+    fleet.cut.push("d0-2".into());
+    fleet.run(Duration::from_millis(1_500));
+    fleet.cut.clear();
+    fleet.run(Duration::from_secs(8));
+    let near =
+        fleet.view.replicas(common::SERVICE, SMALL).into_iter().filter(|known| !known.is_far);
+    assert_eq!(near.count(), 1);
+    assert_eq!(fleet.serving(SMALL), 2);
+    let orders = fleet.orders.len();
+    fleet.run(Duration::from_secs(4));
+    assert_eq!(fleet.orders.len(), orders, "nothing is left to do");
+}
+
 #[test]
 fn loads_stay_under_the_permitted_rate() {
     let mut fleet = PlayedFleet::new(6, 9);
