Let requests wait at the nodes, not inside engines

Cause: with 1.3 requests a slot the engines queued requests in their order, so that under load every answer began late. Change: one request a slot; a request that is late already leaves the last slots to fresh ones; streams that are continued may use a few more.

--- a/crates/eelgrassdeal_gateway/src/front/attempt.rs
+++ b/crates/eelgrassdeal_gateway/src/front/attempt.rs
@@ -29,10 +29,13 @@
 const SILENCE_POLL: Duration = Duration::from_millis(40);
 /// Part of the time left after which a refused caller comes back. Callers wait at most a third.
 const RETURN_PART: f64 = 0.3;
-/// Most requests for each slot of an engine, over all nodes: some wait inside the engine.
-const ENGINE_PER_SLOT: f64 = 1.3;
+/// Most requests for each slot of an engine, over all nodes, for a request that can still be in
+/// time: none waits inside the engine, which takes them in their order.
+const ENGINE_PER_SLOT: f64 = 1.0;
+/// The same for a request that is late already: it leaves the last slots to those that are not.
+const LATE_PER_SLOT: f64 = 0.88;
 /// The same for a stream that is continued.
-const RESUMED_PER_SLOT: f64 = 1.8;
+const RESUMED_PER_SLOT: f64 = 1.2;
 /// Most requests for each slot of a plain service.
 const PLAIN_PER_SLOT: f64 = 3.0;
 /// Idle time after which a connection is not used for a request that may not be repeated: the
@@ -300,7 +303,10 @@
 
     fn per_slot(&self) -> f64 {
         match (self.model_spec().is_some(), self.runs) {
-            (true, 0) => ENGINE_PER_SLOT,
+            (true, 0) if self.call.received.elapsed() < self.call.route.target_latency => {
+                ENGINE_PER_SLOT
+            }
+            (true, 0) => LATE_PER_SLOT,
             // A stream that has begun goes before those that have not.
             (true, _) => RESUMED_PER_SLOT,
             (false, _) => PLAIN_PER_SLOT,
