--- a/crates/eelgrassdeal_dispatch/src/planner/form.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/form.rs
@@ -492,7 +492,7 @@
 pub(super) type HomeModels = BTreeMap<Arc<str>, ModelId>;
 
 /// Part of a domain's upstreams that may be lost before its groups are counted.
-const RESERVE_PART: f64 = 0.1;
+const RESERVE_PART: f64 = 0.33;
 
 /// The home model of each domain: the one that most of its upstreams hold, or for a domain without
 /// any the one that lacks most groups.
