Wait for nodes that may be behind a cut with a head

Nothing reached one data centre for 5.5 s: the records of its workers lapsed, the other nodes did not reach the heads, and the nodes of that data centre, which did, were not heard. Change: a head counts as ended at once only when every node that may run answered that it does not reach it, and after 8 s otherwise. Test: a_head_behind_a_cut_with_other_nodes_keeps_its_members, failing before.

--- a/crates/eelgrassdeal_dispatch/src/directory.rs
+++ b/crates/eelgrassdeal_dispatch/src/directory.rs
@@ -117,6 +117,15 @@
             .map(|known| &known.beat.peer)
     }
 
+    /// Peer addresses of the other nodes that may run, also of those that were silent for a while.
+    pub fn possible_peers(&self, now: Instant) -> Vec<Arc<str>> {
+        let may_run = |known: &&KnownNode| {
+            let age = now.duration_since(known.advanced_at);
+            age < COUNTED_TIME && known.beat.stage != NodeStage::Leaving
+        };
+        self.others.values().filter(may_run).map(|known| known.beat.peer.clone()).collect()
+    }
+
     /// Number of nodes that share the limits, this one included. Nodes that were silent for a
     /// while count: they may be cut off from this node only.
     pub fn sharing_nodes(&self, now: Instant) -> usize {
--- a/crates/eelgrassdeal_dispatch/src/planner/dismantle.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/dismantle.rs
@@ -9,6 +9,10 @@
 /// Added to the stall time of the engines before a head that cannot be reached counts as ended.
 const STALL_MARGIN: Duration = Duration::from_millis(500);
 
+/// A head that may be behind a cut together with other nodes counts as ended after this time. The
+/// links of the published deployments heal within it.
+const CUT_PATIENCE: Duration = Duration::from_secs(8);
+
 impl GroupPlanner {
     /// Marks a group as closing; its orders follow once the mark is stored.
     pub(super) fn begin_dismantle(
@@ -48,12 +52,12 @@
             true => self.settings.stall + STALL_MARGIN,
             false => Duration::ZERO,
         };
+        let is_past = |since: Option<&Instant>, patience: Duration| {
+            since.is_some_and(|since| now.saturating_duration_since(*since) >= patience)
+        };
         let is_unreachable = known.is_none()
-            && self
-                .memory
-                .unreachable
-                .get(&group.group)
-                .is_some_and(|since| now.saturating_duration_since(*since) >= patience);
+            && (is_past(self.memory.unreachable.get(&group.group), patience)
+                || is_past(self.memory.partly_unreachable.get(&group.group), CUT_PATIENCE));
         let is_released = self.memory.released.contains(&group.group);
         if is_reborn || has_left || is_unreachable || is_released {
             if self.memory.try_remove_mark(&group.group, now) {
--- a/crates/eelgrassdeal_dispatch/src/planner/memory.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/memory.rs
@@ -66,8 +66,10 @@
     first_seen: HashMap<GroupId, Instant>,
     /// Since when a group is known to be closing.
     pub(super) closing_since: HashMap<GroupId, Instant>,
-    /// Since when the head of a group could not be reached.
+    /// Since when no node reaches the head of a group.
     pub(super) unreachable: HashMap<GroupId, Instant>,
+    /// Since when no node that answers reaches the head of a group.
+    pub(super) partly_unreachable: HashMap<GroupId, Instant>,
     /// Heads that are known to have left their group or ended.
     pub(super) released: HashSet<GroupId>,
     /// Groups whose head was told to open.
@@ -158,7 +160,7 @@
             sent.outcome = Some(outcome);
         }
         match outcome {
-            OrderOutcome::Gone | OrderOutcome::Unreachable => {
+            OrderOutcome::Gone | OrderOutcome::Unreachable | OrderOutcome::PartlyUnreachable => {
                 self.note_lost(&order.upstream, now);
             }
             OrderOutcome::Unknown => {}
@@ -177,9 +179,15 @@
             // An order without an answer shows nothing: the head may serve on.
             (OrderKind::Close { .. } | OrderKind::Leave, OrderOutcome::Unreachable) => {
                 self.unreachable.entry(group.clone()).or_insert(now);
+                self.partly_unreachable.entry(group.clone()).or_insert(now);
+            }
+            (OrderKind::Close { .. } | OrderKind::Leave, OrderOutcome::PartlyUnreachable) => {
+                self.unreachable.remove(group);
+                self.partly_unreachable.entry(group.clone()).or_insert(now);
             }
             (OrderKind::Close { .. } | OrderKind::Leave, _) => {
                 self.unreachable.remove(group);
+                self.partly_unreachable.remove(group);
             }
             _ => {}
         }
@@ -222,6 +230,7 @@
         self.first_seen.remove(group);
         self.closing_since.remove(group);
         self.unreachable.remove(group);
+        self.partly_unreachable.remove(group);
         self.released.remove(group);
         self.opened.remove(group);
     }
--- a/crates/eelgrassdeal_dispatch/src/planner/mod.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/mod.rs
@@ -95,8 +95,11 @@
     Outdated,
     /// Another upstream has the address now.
     Gone,
-    /// No connection was made.
+    /// No node could connect.
     Unreachable,
+    /// No connection was made by the nodes that were asked; others did not answer and may be with
+    /// the upstream behind a cut.
+    PartlyUnreachable,
     /// No answer; it may be carried out later.
     Unknown,
 }
--- a/crates/eelgrassdeal_dispatch/tests/common/mod.rs
+++ b/crates/eelgrassdeal_dispatch/tests/common/mod.rs
@@ -89,6 +89,8 @@
     pub orders: Vec<UpstreamOrder>,
     pub silent: Vec<Arc<str>>,
     pub pressure: HashMap<Arc<str>, f64>,
+    /// Some nodes cannot be asked whether they reach an upstream.
+    pub has_silent_nodes: bool,
     /// Orders to close get no answer and are not carried out.
     pub loses_close: bool,
     heads: BTreeMap<Arc<str>, Arc<str>>,
@@ -119,6 +121,7 @@
             orders: Vec::new(),
             silent: Vec::new(),
             pressure: HashMap::new(),
+            has_silent_nodes: false,
             loses_close: false,
             heads: BTreeMap::new(),
         }
@@ -211,6 +214,7 @@
             PlanStep::Order(order) => {
                 let is_close = matches!(order.kind, OrderKind::Close { .. });
                 let outcome = match self.cut.contains(&order.upstream) {
+                    true if self.has_silent_nodes => OrderOutcome::PartlyUnreachable,
                     true => OrderOutcome::Unreachable,
                     false if is_close && self.loses_close => OrderOutcome::Unknown,
                     false => self.obey(&order),
--- a/crates/eelgrassdeal_dispatch/tests/planner.rs
+++ b/crates/eelgrassdeal_dispatch/tests/planner.rs
@@ -106,6 +106,24 @@
     assert_eq!(fleet.violations, Vec::<String>::new());
 }
 
+#[test]
+fn a_head_behind_a_cut_with_other_nodes_keeps_its_members() {
+    let mut fleet = formed(2, 9);
+    let head = fleet.head_of(BIG);
+    // Its data centre is cut off: the record lapses, and the nodes there do not answer.
+    fleet.cut.push(head.clone());
+    fleet.has_silent_nodes = true;
+    fleet.lapse(&head);
+    fleet.run(Duration::from_secs(6));
+    assert_eq!(fleet.violations, Vec::<String>::new());
+    // The cut heals; the head is closed and its members serve in another group.
+    fleet.cut.clear();
+    fleet.has_silent_nodes = false;
+    fleet.run(REPAIR_TIME);
+    assert_eq!(fleet.violations, Vec::<String>::new());
+    assert!(!fleet.view.groups.values().any(|group| group.members[0].0 == head));
+}
+
 #[test]
 fn a_draining_member_gives_its_place_to_a_spare() {
     let mut fleet = formed(2, 9);
--- a/crates/eelgrassdeal_gateway/src/front/stream.rs
+++ b/crates/eelgrassdeal_gateway/src/front/stream.rs
@@ -130,8 +130,8 @@
     fn take_events(&mut self) -> Option<Bytes> {
         let end = find_last(&self.partial, EVENT_END)? + EVENT_END.len();
         let events = self.partial.split_to(end).freeze();
-        let ids = events.split(|byte| *byte == b'\n').filter_map(event_id);
-        if let Some(id) = ids.last() {
+        let mut ids = events.rsplit(|byte| *byte == b'\n').filter_map(event_id);
+        if let Some(id) = ids.next() {
             self.last_event = Some(id);
         }
         self.events += 1;
--- a/crates/eelgrassdeal_gateway/src/peers/relay.rs
+++ b/crates/eelgrassdeal_gateway/src/peers/relay.rs
@@ -17,34 +17,39 @@
 use crate::state::GatewayState;
 
 /// Outcomes by their number in messages.
-const OUTCOMES: [OrderOutcome; 6] = [
+const OUTCOMES: [OrderOutcome; 7] = [
     OrderOutcome::Accepted,
     OrderOutcome::Conflict,
     OrderOutcome::Outdated,
     OrderOutcome::Gone,
     OrderOutcome::Unreachable,
     OrderOutcome::Unknown,
+    OrderOutcome::PartlyUnreachable,
 ];
 
-/// Lets the other nodes give an order to close or leave. [`OrderOutcome::Unreachable`] only if none
-/// of them reached the upstream.
+/// Lets the other nodes give an order to close or leave. [`OrderOutcome::Unreachable`] only if every
+/// node that may run answered that it did not reach the upstream.
 pub(crate) async fn relay_order(
     state: &GatewayState,
     order: &UpstreamOrder,
     fencing: FencingNumber,
 ) -> OrderOutcome {
-    let Some(message) = encode_order(order, fencing) else { return OrderOutcome::Unreachable };
+    let Some(message) = encode_order(order, fencing) else { return OrderOutcome::Unknown };
     let body = encode_message(&message);
-    let peers: Vec<_> = {
-        let directory = state.directory.borrow();
-        directory.live_others(Instant::now()).map(|beat| beat.peer.clone()).collect()
-    };
+    let peers = state.directory.borrow().possible_peers(Instant::now());
     let calls =
         peers.iter().map(|peer| call_peer(state, peer, RELAY_PATH, body.clone(), RELAY_TIMEOUT));
     let answers = futures_util::future::join_all(calls).await;
+    let is_complete = answers.iter().all(Option::is_some);
     let outcomes = answers.into_iter().flatten().map(|answer| decode_outcome(&answer));
-    let reached = outcomes.filter(|outcome| *outcome != OrderOutcome::Unreachable);
-    reached.min_by_key(|outcome| outcome_number(*outcome)).unwrap_or(OrderOutcome::Unreachable)
+    let reached = outcomes
+        .filter(|outcome| *outcome != OrderOutcome::Unreachable)
+        .min_by_key(|outcome| outcome_number(*outcome));
+    match (reached, is_complete) {
+        (Some(outcome), _) => outcome,
+        (None, true) => OrderOutcome::Unreachable,
+        (None, false) => OrderOutcome::PartlyUnreachable,
+    }
 }
 
 /// Gives an order on behalf of the planner.
