Give every unreachable head the engines' stall time

Change: 4.2 s from the first order that reached nobody. Fleets of 12 nodes or more exchange messages with three others every 0.7 s. Test: a_head_whose_record_is_gone_is_given_the_stall_time, failing before by construction (patience 0).

--- a/crates/eelgrassdeal_dispatch/src/directory.rs
+++ b/crates/eelgrassdeal_dispatch/src/directory.rs
@@ -6,11 +6,17 @@
 
 use eelgrassdeal_types::{DataCentreId, NodeId};
 
-/// A node without a newer heartbeat for this long takes no new callers. Several gossip rounds.
+/// A node without a newer heartbeat for this long takes no new callers. Several rounds of messages.
 const LIVE_TIME: Duration = Duration::from_millis(2_000);
+/// The same in a large fleet, where a heartbeat passes through several nodes.
+const LARGE_LIVE_TIME: Duration = Duration::from_millis(5_000);
+/// Known nodes from which on a fleet is large: each exchanges messages with some of them only.
+const LARGE_FLEET: usize = 12;
 /// A silent node counts for the shares of the limits for this long: it may be cut off and go on.
 const COUNTED_TIME: Duration = Duration::from_secs(30);
 
+/// A silent node may be behind a cut for this long, and reach upstreams that others do not.
+const CUT_TIME: Duration = Duration::from_secs(9);
 /// Nodes that compete for the planner's lease.
 const PLANNER_CANDIDATES: usize = 2;
 
@@ -63,6 +69,15 @@
         Self { own, others: BTreeMap::new() }
     }
 
+    /// Whether there are too many nodes for each to exchange messages with all.
+    pub fn is_large(&self) -> bool {
+        self.others.len() >= LARGE_FLEET
+    }
+
+    fn live_time(&self) -> Duration {
+        if self.is_large() { LARGE_LIVE_TIME } else { LIVE_TIME }
+    }
+
     /// The node's own heartbeat.
     pub fn own(&self) -> &NodeBeat {
         &self.own
@@ -93,19 +108,21 @@
 
     /// Heartbeats to pass on: the node's own and those of nodes that are not long silent.
     pub fn beats(&self, now: Instant) -> Vec<NodeBeat> {
+        let live_time = self.live_time();
         let recent = self
             .others
             .values()
-            .filter(|known| now.duration_since(known.advanced_at) < LIVE_TIME)
+            .filter(|known| now.duration_since(known.advanced_at) < live_time)
             .map(|known| known.beat.clone());
         std::iter::once(self.own.clone()).chain(recent).collect()
     }
 
     /// Nodes that are alive, without this one.
     pub fn live_others(&self, now: Instant) -> impl Iterator<Item = &NodeBeat> {
+        let live_time = self.live_time();
         self.others
             .values()
-            .filter(move |known| now.duration_since(known.advanced_at) < LIVE_TIME)
+            .filter(move |known| now.duration_since(known.advanced_at) < live_time)
             .map(|known| &known.beat)
     }
 
@@ -121,7 +138,7 @@
     pub fn possible_peers(&self, now: Instant) -> Vec<Arc<str>> {
         let may_run = |known: &&KnownNode| {
             let age = now.duration_since(known.advanced_at);
-            age < COUNTED_TIME && known.beat.stage != NodeStage::Leaving
+            age < CUT_TIME && known.beat.stage != NodeStage::Leaving
         };
         self.others.values().filter(may_run).map(|known| known.beat.peer.clone()).collect()
     }
--- a/crates/eelgrassdeal_dispatch/src/planner/dismantle.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/dismantle.rs
@@ -7,7 +7,7 @@
 use super::{GroupPlanner, OrderKind, PlanStep, UpstreamOrder};
 
 /// Added to the stall time of the engines before a head that cannot be reached counts as ended.
-const STALL_MARGIN: Duration = Duration::from_millis(500);
+const STALL_MARGIN: Duration = Duration::from_millis(200);
 
 /// A head that may be behind a cut together with other nodes counts as ended after this time. The
 /// links of the published deployments heal within it.
@@ -46,12 +46,8 @@
         let record = known.filter(|_| is_reborn || !self.memory.is_lost(head_id, now));
         let state = record.and_then(|record| record.state_in(&group.group, group.generation));
         let has_left = record.is_some() && state.is_none();
-        // The members of a group across domains may be cut from each other: its head stands still
-        // until the engine gives up.
-        let patience = match view.is_far(group) {
-            true => self.settings.stall + STALL_MARGIN,
-            false => Duration::ZERO,
-        };
+        // A head that is cut from its members stands still until the engine gives up.
+        let patience = self.settings.stall + STALL_MARGIN;
         let is_past = |since: Option<&Instant>, patience: Duration| {
             since.is_some_and(|since| now.saturating_duration_since(*since) >= patience)
         };
--- a/crates/eelgrassdeal_dispatch/tests/planner.rs
+++ b/crates/eelgrassdeal_dispatch/tests/planner.rs
@@ -124,6 +124,21 @@
     assert!(!fleet.view.groups.values().any(|group| group.members[0].0 == head));
 }
 
+#[test]
+fn a_head_whose_record_is_gone_is_given_the_stall_time() {
+    let mut fleet = formed(2, 9);
+    let head = fleet.head_of(BIG);
+    // The record lapsed in an outage of the store and did not come back; no node reaches the head,
+    // which may stand still behind a cut.
+    fleet.cut.push(head.clone());
+    fleet.lapse(&head);
+    fleet.run(Duration::from_millis(3_900));
+    assert_eq!(fleet.violations, Vec::<String>::new());
+    fleet.real.remove(&head);
+    fleet.run(REPAIR_TIME);
+    assert!(!fleet.view.groups.values().any(|group| group.members[0].0 == head));
+}
+
 #[test]
 fn a_draining_member_gives_its_place_to_a_spare() {
     let mut fleet = formed(2, 9);
--- a/crates/eelgrassdeal_gateway/src/peers/mod.rs
+++ b/crates/eelgrassdeal_gateway/src/peers/mod.rs
@@ -12,7 +12,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use eelgrassdeal_http::SendRule;
+use eelgrassdeal_http::{SendFailure, SendRule, WholeAnswer};
 use eelgrassdeal_platform::SharedTable;
 use eelgrassdeal_schema::gateway::{SyncMessage, TableCopy};
 use eelgrassdeal_schema::{decode_message, encode_message};
@@ -25,11 +25,13 @@
 pub(crate) use relay::relay_order;
 pub(crate) use serve::PeerHandler;
 
-/// Pause between two rounds.
+/// Pause between two rounds, and nodes that each round reaches, in a small fleet: all of them, so
+/// that counts are exact.
 const ROUND_PAUSE: Duration = Duration::from_millis(250);
-/// Nodes that each round reaches. All of them in a small fleet, so that counts are exact; in a
-/// large one heartbeats pass through others.
 const ROUND_PEERS: usize = 6;
+/// The same in a large fleet, where heartbeats pass through others.
+const LARGE_ROUND_PAUSE: Duration = Duration::from_millis(700);
+const LARGE_ROUND_PEERS: usize = 3;
 const SYNC_PATH: &str = "/sync";
 const TABLE_PATH: &str = "/table/";
 const RELAY_PATH: &str = "/relay";
@@ -48,7 +50,8 @@
             let state = state.clone();
             compio::runtime::spawn(async move { sync_with(&state, &peer).await }).detach();
         }
-        compio::time::sleep(ROUND_PAUSE).await;
+        let is_large = state.directory.borrow().is_large();
+        compio::time::sleep(if is_large { LARGE_ROUND_PAUSE } else { ROUND_PAUSE }).await;
     }
 }
 
@@ -103,7 +106,8 @@
     known.sort_unstable();
     known.dedup();
     known.retain(|peer| *peer != settings.listen.peers);
-    known.choose_multiple(&mut rand::rng(), ROUND_PEERS).cloned().collect()
+    let count = if directory.is_large() { LARGE_ROUND_PEERS } else { ROUND_PEERS };
+    known.choose_multiple(&mut rand::rng(), count).cloned().collect()
 }
 
 async fn sync_with(state: &GatewayState, peer: &Arc<str>) {
@@ -117,6 +121,7 @@
     }
 }
 
+/// Calls a peer; `None` without a usable answer.
 async fn call_peer(
     state: &GatewayState,
     peer: &Arc<str>,
@@ -124,10 +129,7 @@
     body: Bytes,
     timeout: Duration,
 ) -> Option<Bytes> {
-    let request = Request::post(path).header("host", &**peer).body(Full::new(body)).ok()?;
-    let rule = SendRule::default().with_connect_timeout(CONNECT_TIMEOUT);
-    let pool = &state.control_pool;
-    match pool.call(peer, request, rule, timeout, MAX_ANSWER_BYTES).await {
+    match try_peer(state, peer, path, body, timeout).await {
         Ok(answer) if answer.status == 200 => Some(answer.body),
         Ok(answer) => {
             log::debug!("event=peer_refused peer={peer} status={}", answer.status);
@@ -139,3 +141,16 @@
         }
     }
 }
+
+async fn try_peer(
+    state: &GatewayState,
+    peer: &Arc<str>,
+    path: &str,
+    body: Bytes,
+    timeout: Duration,
+) -> Result<WholeAnswer, SendFailure> {
+    let request = Request::post(path).header("host", &**peer).body(Full::new(body));
+    let request = request.map_err(|_| SendFailure::NotSent)?;
+    let rule = SendRule::default().with_connect_timeout(CONNECT_TIMEOUT);
+    state.control_pool.call(peer, request, rule, timeout, MAX_ANSWER_BYTES).await
+}
--- a/crates/eelgrassdeal_gateway/src/peers/relay.rs
+++ b/crates/eelgrassdeal_gateway/src/peers/relay.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use eelgrassdeal_dispatch::{OrderKind, OrderOutcome, UpstreamOrder};
+use eelgrassdeal_http::SendFailure;
 use eelgrassdeal_schema::gateway::{
     RelayedClose, RelayedLeave, RelayedOrder, RelayedOutcome, relayed_order,
 };
@@ -13,7 +14,7 @@
 use eelgrassdeal_types::FencingNumber;
 use std::time::Instant;
 
-use super::{RELAY_PATH, RELAY_TIMEOUT, call_peer};
+use super::{RELAY_PATH, RELAY_TIMEOUT, try_peer};
 use crate::state::GatewayState;
 
 /// Outcomes by their number in messages.
@@ -38,10 +39,12 @@
     let body = encode_message(&message);
     let peers = state.directory.borrow().possible_peers(Instant::now());
     let calls =
-        peers.iter().map(|peer| call_peer(state, peer, RELAY_PATH, body.clone(), RELAY_TIMEOUT));
+        peers.iter().map(|peer| try_peer(state, peer, RELAY_PATH, body.clone(), RELAY_TIMEOUT));
     let answers = futures_util::future::join_all(calls).await;
-    let is_complete = answers.iter().all(Option::is_some);
-    let outcomes = answers.into_iter().flatten().map(|answer| decode_outcome(&answer));
+    // Where nothing listens there is no node any more.
+    let is_complete =
+        answers.iter().all(|answer| matches!(answer, Ok(_) | Err(SendFailure::Refused)));
+    let outcomes = answers.into_iter().flatten().map(|answer| decode_outcome(&answer.body));
     let reached = outcomes
         .filter(|outcome| *outcome != OrderOutcome::Unreachable)
         .min_by_key(|outcome| outcome_number(*outcome));
