--- a/crates/eelgrassdeal_testkit/src/fleet.rs
+++ b/crates/eelgrassdeal_testkit/src/fleet.rs
@@ -20,7 +20,9 @@
     CertificateFolder, EngineFake, EngineOptions, ObjectFake, ServerHandle, ServiceFake, TableFake,
     VmListFake, WeightsFake,
 };
-use eelgrassdeal_store::{AppendOutcome, ConfigLog, HttpTableStore, RowKey, TableName, TableStore};
+use eelgrassdeal_store::{
+    AppendOutcome, CONTROL_PARTITION, ConfigLog, HttpTableStore, RowKey, TableName, TableStore,
+};
 use eelgrassdeal_types::{new_writer_mark, unix_ms_now};
 use sha2::{Digest, Sha256};
 
