--- a/crates/eelgrassdeal_gateway/src/server.rs
+++ b/crates/eelgrassdeal_gateway/src/server.rs
@@ -6,10 +6,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use compio::io::AsyncRead;
 use compio::net::{TcpListener, TcpStream};
 use cyper_core::CompioTimer;
-use eelgrassdeal_http::BoundedSocket;
+use eelgrassdeal_http::{BoundedSocket, discard_rest};
 use futures_util::StreamExt;
 use futures_util::stream::LocalBoxStream;
 use http_body_util::{Either, Full, StreamBody};
@@ -25,11 +24,6 @@
 const WRITE_PATIENCE: Duration = Duration::from_secs(30);
 /// Smallest buffer that hyper accepts for the head of a request.
 const MIN_HEAD_BYTES: usize = 8 * 1024;
-/// How long, and how much in reads of [`DISCARD_BYTES`], a caller may go on sending after its last
-/// answer.
-const DISCARD_TIME: Duration = Duration::from_millis(500);
-const DISCARD_BYTES: usize = 2 * 1024;
-const MAX_DISCARDS: u32 = 64;
 /// Time for open connections to end when no descriptor is free.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -108,21 +102,3 @@
         Err(error) => log::debug!("event=connection_ended reason=\"{error}\""),
     }
 }
-
-/// Reads what a caller still sends after its last answer. Closing a socket with unread bytes resets
-/// the connection, and the caller could lose an answer that it has not read yet.
-async fn discard_rest(mut tail: TcpStream) {
-    let discard = async {
-        let mut bytes = Vec::with_capacity(DISCARD_BYTES);
-        for _ in 0..MAX_DISCARDS {
-            let (count, buffer) = tail.read(bytes).await.into();
-            match count {
-                Ok(count) if count > 0 => bytes = buffer,
-                _ => return,
-            }
-            bytes.clear();
-        }
-    };
-    // The time limit is the expected end when the caller keeps the connection.
-    let _ = compio::time::timeout(DISCARD_TIME, discard).await;
-}
--- a/crates/eelgrassdeal_gateway/src/state.rs
+++ b/crates/eelgrassdeal_gateway/src/state.rs
@@ -205,24 +205,32 @@
 
     /// Counts a caller's request for the retry budget of `service`.
     pub(crate) fn note_request(&self, service: &ServiceId, now: Instant) {
-        let bounds = &self.settings().bounds;
-        let nodes = self.sharing_nodes();
-        let mut retries = self.retries.borrow_mut();
-        let allowance = retries
-            .entry(service.clone())
-            .or_insert_with(|| RetryAllowance::new(now, bounds.retry_slack, nodes));
-        allowance.note_request(bounds.retry_ratio);
+        let ratio = self.settings().bounds.retry_ratio;
+        self.with_allowance(service, now, |allowance, _| allowance.note_request(ratio));
     }
 
     /// Takes one retry of the budget of `service`.
     pub(crate) fn take_retry(&self, service: &ServiceId, now: Instant) -> bool {
-        let bounds = &self.settings().bounds;
+        let settings = self.settings();
+        let bounds = &settings.bounds;
+        self.with_allowance(service, now, |allowance, nodes| {
+            allowance.try_retry(now, bounds.retry_slack, bounds.retry_window, nodes)
+        })
+    }
+
+    fn with_allowance<T>(
+        &self,
+        service: &ServiceId,
+        now: Instant,
+        action: impl FnOnce(&mut RetryAllowance, usize) -> T,
+    ) -> T {
+        let slack = self.settings().bounds.retry_slack;
         let nodes = self.sharing_nodes();
         let mut retries = self.retries.borrow_mut();
         let allowance = retries
             .entry(service.clone())
-            .or_insert_with(|| RetryAllowance::new(now, bounds.retry_slack, nodes));
-        allowance.try_retry(now, bounds.retry_slack, bounds.retry_window, nodes)
+            .or_insert_with(|| RetryAllowance::new(now, slack, nodes));
+        action(allowance, nodes)
     }
 }
 
--- a/crates/eelgrassdeal_node/src/http/mod.rs
+++ b/crates/eelgrassdeal_node/src/http/mod.rs
@@ -10,7 +10,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use compio::io::AsyncRead;
 use compio::net::{TcpListener, TcpStream};
 use compio::tls::TlsAcceptor;
 use cyper_core::CompioTimer;
@@ -22,7 +21,7 @@
 
 use crate::state::{NodePhase, NodeState};
 use crate::{admin, call, chat, locate, service_call};
-use eelgrassdeal_http::BoundedSocket;
+use eelgrassdeal_http::{BoundedSocket, discard_rest};
 
 pub(crate) use body::read_body;
 pub(crate) use reply::{
@@ -33,11 +32,6 @@
 /// A caller that takes no byte for this long is cut off. It is as long as the longest drain, so
 /// that a caller that stops reading for a while can still read on.
 const WRITE_PATIENCE: Duration = Duration::from_secs(600);
-/// How long, and how much in reads of [`DISCARD_BYTES`], a caller may go on sending after its last
-/// answer.
-const DISCARD_TIME: Duration = Duration::from_secs(1);
-const DISCARD_BYTES: usize = 2 * 1024;
-const MAX_DISCARDS: u32 = 1024;
 const SERVICE_PREFIX: &str = "/v1/services/";
 
 /// Accepts connections, by TLS if there is an acceptor for it, until the task is dropped.
@@ -134,23 +128,6 @@
         .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
 }
 
-/// Reads what a caller still sends after its last answer. Closing a socket with unread bytes resets
-/// the connection, and the caller could lose an answer that it has not read yet.
-async fn discard_rest(mut tail: TcpStream) {
-    let discard = async {
-        let mut bytes = Vec::with_capacity(DISCARD_BYTES);
-        for _ in 0..MAX_DISCARDS {
-            let (count, buffer) = tail.read(bytes).await.into();
-            match count {
-                Ok(count) if count > 0 => bytes = buffer,
-                _ => return,
-            }
-            bytes.clear();
-        }
-    };
-    let _ = compio::time::timeout(DISCARD_TIME, discard).await;
-}
-
 /// Counts a connection while it is open.
 struct OpenConnection(Rc<NodeState>);
 
