Use the project's own names in the declarations, and one copy of each planner step

A test for loads in form_groups that could never hold with requests to serve is removed with its count; weights and factors without a name have one.

--- a/crates/eelgrassdeal_dispatch/src/config.rs
+++ b/crates/eelgrassdeal_dispatch/src/config.rs
@@ -49,7 +49,7 @@
     /// Host that callers name.
     pub host: Arc<str>,
     /// Beginning of the path; ends with a slash.
-    pub path_prefix: Arc<str>,
+    pub prefix: Arc<str>,
     /// What may be repeated.
     pub kind: RouteKind,
     /// Longest time without a final answer.
@@ -63,7 +63,7 @@
     /// Services that the requests go to.
     pub splits: Vec<ServiceSplit>,
     /// Most upstreams that one request may run on.
-    pub max_attempts: u32,
+    pub attempt_limit: u32,
     /// Whether requests need no key.
     pub is_public: bool,
 }
@@ -108,7 +108,7 @@
     /// Requests of one batch.
     pub slots: u32,
     /// Tokens that fit into the KV memory of a group.
-    pub kv_capacity: u64,
+    pub kv_memory_tokens: u64,
     /// Time of one token step without any request.
     pub step_time: Duration,
     /// Time that each writing request adds to a step, in ms.
@@ -120,7 +120,7 @@
     /// Token steps of one pass with writers.
     pub stride: u32,
     /// Loads from the weight store that may begin in a second.
-    pub loads_per_s: f64,
+    pub load_rate: f64,
     /// Loads that run at full speed together.
     pub loads_at_once: u32,
     /// Time from the order to open to the first request.
@@ -148,7 +148,7 @@
     /// Connections that an upstream accepts from all nodes.
     pub max_connections: u32,
     /// Requests a second that a cold upstream takes, from all nodes; 0 if it never is cold.
-    pub cold_per_s: f64,
+    pub cold_rate: f64,
     /// Engine, if the upstreams are model workers.
     pub engine: Option<EngineSpec>,
 }
@@ -166,9 +166,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CallerLimits {
     /// Largest head of a request in bytes.
-    pub max_header_bytes: usize,
+    pub head_limit: usize,
     /// Largest body of a request in bytes.
-    pub max_body_bytes: usize,
+    pub body_limit: usize,
     /// Longest time for the head of a request.
     pub header_timeout: Duration,
     /// Longest time that a connection stays open without a request.
@@ -178,8 +178,8 @@
 impl Default for CallerLimits {
     fn default() -> Self {
         Self {
-            max_header_bytes: 16 * 1024,
-            max_body_bytes: 4 * 1024 * 1024,
+            head_limit: 16 * 1024,
+            body_limit: 4 * 1024 * 1024,
             header_timeout: Duration::from_secs(3),
             idle_timeout: Duration::from_secs(15),
         }
@@ -212,7 +212,7 @@
             self.routes.entry(route.host.clone()).or_default().push(Arc::new(route));
         }
         for routes in self.routes.values_mut() {
-            routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
         self
     }
@@ -237,6 +237,6 @@
 
     /// The route with the longest prefix of `path` on `host`.
     pub fn find_route(&self, host: &str, path: &str) -> Option<&Arc<RouteRule>> {
-        self.routes.get(host)?.iter().find(|route| path.starts_with(&*route.path_prefix))
+        self.routes.get(host)?.iter().find(|route| path.starts_with(&*route.prefix))
     }
 }
--- a/crates/eelgrassdeal_dispatch/src/directory.rs
+++ b/crates/eelgrassdeal_dispatch/src/directory.rs
@@ -108,13 +108,7 @@
 
     /// Heartbeats to pass on: the node's own and those of nodes that are not long silent.
     pub fn beats(&self, now: Instant) -> Vec<NodeBeat> {
-        let live_time = self.live_time();
-        let recent = self
-            .others
-            .values()
-            .filter(|known| now.duration_since(known.advanced_at) < live_time)
-            .map(|known| known.beat.clone());
-        std::iter::once(self.own.clone()).chain(recent).collect()
+        std::iter::once(&self.own).chain(self.live_others(now)).cloned().collect()
     }
 
     /// Nodes that are alive, without this one.
--- a/crates/eelgrassdeal_dispatch/src/fleet.rs
+++ b/crates/eelgrassdeal_dispatch/src/fleet.rs
@@ -158,6 +158,14 @@
         group.members.iter().map(find).collect()
     }
 
+    /// Upstreams that belong to a group, with the starts of their lives.
+    pub fn grouped_upstreams(&self) -> BTreeSet<(&UpstreamId, u64)> {
+        self.groups
+            .values()
+            .flat_map(|group| group.members.iter().map(|(upstream, born)| (upstream, *born)))
+            .collect()
+    }
+
     /// Whether the members of `group` are in several fabric domains.
     pub fn is_far(&self, group: &GroupRecord) -> bool {
         let mut domains =
@@ -199,17 +207,16 @@
     /// Counts the groups and spares of a model.
     pub fn summarize(&self, service: &str, model: &str) -> FleetSummary {
         let mut summary = FleetSummary::default();
-        let groups = self.groups.values().filter(|group| &*group.service == service);
-        for group in groups.clone().filter(|group| &*group.model == model) {
+        let is_counted =
+            |group: &&Arc<GroupRecord>| &*group.service == service && &*group.model == model;
+        for group in self.groups.values().filter(is_counted) {
             match (group.is_closing, self.replica(group)) {
                 (true, _) => summary.closing += 1,
                 (false, Some(_)) => summary.serving += 1,
                 (false, None) => summary.forming += 1,
             }
         }
-        let grouped: BTreeSet<_> = groups
-            .flat_map(|group| group.members.iter().map(|(upstream, born)| (upstream, *born)))
-            .collect();
+        let grouped = self.grouped_upstreams();
         let is_spare = |record: &&Arc<UpstreamRecord>| {
             &*record.service == service && !grouped.contains(&(&record.upstream, record.born))
         };
--- a/crates/eelgrassdeal_dispatch/src/limit.rs
+++ b/crates/eelgrassdeal_dispatch/src/limit.rs
@@ -2,17 +2,42 @@
 
 use std::time::{Duration, Instant};
 
-/// A rate limit of which every node uses an equal share.
+/// Shortest window that is told apart from none.
+const SHORTEST_WINDOW_S: f64 = 0.001;
+
+/// Permissions that are saved up at a rate, to a bound.
 #[derive(Clone, Debug)]
-pub struct RateShare {
+struct TokenBucket {
     saved: f64,
     refilled_at: Instant,
 }
 
+impl TokenBucket {
+    fn new(now: Instant, saved: f64) -> Self {
+        Self { saved, refilled_at: now }
+    }
+
+    /// Takes one permission after refilling `per_s` up to `bound`.
+    fn try_take(&mut self, now: Instant, per_s: f64, bound: f64) -> bool {
+        let elapsed = now.saturating_duration_since(self.refilled_at).as_secs_f64();
+        self.refilled_at = now;
+        self.saved = (self.saved + elapsed * per_s).min(bound);
+        let is_allowed = self.saved >= 1.0;
+        if is_allowed {
+            self.saved -= 1.0;
+        }
+        is_allowed
+    }
+}
+
+/// A rate limit of which every node uses an equal share.
+#[derive(Clone, Debug)]
+pub struct RateShare(TokenBucket);
+
 impl RateShare {
     /// Starts with one request.
     pub fn new(now: Instant) -> Self {
-        Self { saved: 1.0, refilled_at: now }
+        Self(TokenBucket::new(now, 1.0))
     }
 
     /// Takes one request of `per_s` over `nodes` nodes; false if the share is used up.
@@ -20,24 +45,13 @@
     /// At most one request is saved, so that the nodes together never send more than one each
     /// beyond the rate.
     pub fn try_take(&mut self, now: Instant, per_s: f64, nodes: usize) -> bool {
-        let share = per_s / nodes.max(1) as f64;
-        let elapsed = now.saturating_duration_since(self.refilled_at).as_secs_f64();
-        self.refilled_at = now;
-        self.saved = (self.saved + elapsed * share).min(1.0);
-        let is_allowed = self.saved >= 1.0;
-        if is_allowed {
-            self.saved -= 1.0;
-        }
-        is_allowed
+        self.0.try_take(now, per_s / nodes.max(1) as f64, 1.0)
     }
 }
 
 /// Share of the retries of one service that this node may use.
 #[derive(Clone, Debug)]
-pub struct RetryAllowance {
-    saved: f64,
-    refilled_at: Instant,
-}
+pub struct RetryAllowance(TokenBucket);
 
 impl RetryAllowance {
     /// Part of the demanded bound that the nodes use together.
@@ -45,12 +59,12 @@
 
     /// Starts with the node's part of the retries that need no requests.
     pub fn new(now: Instant, slack: f64, nodes: usize) -> Self {
-        Self { saved: Self::capacity(slack, nodes), refilled_at: now }
+        Self(TokenBucket::new(now, Self::capacity(slack, nodes)))
     }
 
     /// Counts a request that a caller sent.
     pub fn note_request(&mut self, ratio: f64) {
-        self.saved += ratio * Self::USED_PART;
+        self.0.saved += ratio * Self::USED_PART;
     }
 
     /// Takes one retry. In a window the nodes together get `slack` retries and those that their
@@ -59,15 +73,8 @@
         // Half of the slack is saved up at most and half refilled over a window, so that no
         // window sees more than the whole.
         let capacity = Self::capacity(slack, nodes);
-        let elapsed = now.saturating_duration_since(self.refilled_at).as_secs_f64();
-        self.refilled_at = now;
-        self.saved += elapsed * capacity / window.as_secs_f64().max(0.001);
-        self.saved = self.saved.min(capacity * 2.0);
-        let is_allowed = self.saved >= 1.0;
-        if is_allowed {
-            self.saved -= 1.0;
-        }
-        is_allowed
+        let per_s = capacity / window.as_secs_f64().max(SHORTEST_WINDOW_S);
+        self.0.try_take(now, per_s, capacity * 2.0)
     }
 
     fn capacity(slack: f64, nodes: usize) -> f64 {
--- a/crates/eelgrassdeal_dispatch/src/planner/form.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/form.rs
@@ -11,7 +11,7 @@
 use crate::fleet::{FleetView, GroupRecord, GroupState, UpstreamRecord};
 
 use super::memory::LoadEntry;
-use super::{GroupPlanner, OrderKind, PlanStep, UpstreamOrder, grouped_upstreams};
+use super::{GroupPlanner, OrderKind, PlanStep, UpstreamOrder};
 
 /// Part of the permitted load starts that the planner uses.
 const LOAD_RATE_PART: f64 = 0.8;
@@ -29,6 +29,26 @@
 /// Before the first request a load takes this part of its time.
 const EARLY_LOAD_PART: f64 = 0.1;
 
+/// Value of a spare that completes no group yet, against one that does.
+const PARTIAL_VALUE: f64 = 0.4;
+/// Value of a group of another model than the home model of its domain: its members have no spares.
+const FOREIGN_VALUE: f64 = 0.7;
+/// Shortest load time that is told apart from none.
+const MIN_LOAD_TIME_S: f64 = 0.1;
+/// Part of a domain's upstreams that may be lost before its groups are counted.
+const RESERVE_PART: f64 = 0.33;
+/// A load that shares the weight store with others may take this many times as long as alone, and
+/// its report a little longer.
+const SHARED_LOAD_FACTOR: f64 = 2.0;
+const LOAD_MARGIN: Duration = Duration::from_secs(1);
+/// Starts of loads that are remembered: more than any window permits.
+const MAX_LOAD_STARTS: usize = 1_000;
+/// Weights by which the next group is chosen: the need of its model decides, then the free upstreams
+/// of its domain, then its loads.
+const NEED_WEIGHT: f64 = 100.0;
+const POOL_WEIGHT: f64 = 0.1;
+const LOAD_WEIGHT: f64 = 0.01;
+
 /// How an upstream would get a model.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum JoinCost {
@@ -42,13 +62,6 @@
     Missing,
 }
 
-/// Value of a spare that completes no group yet, against one that does.
-const PARTIAL_VALUE: f64 = 0.4;
-/// Value of a group of another model than the home model of its domain: its members have no spares.
-const FOREIGN_VALUE: f64 = 0.7;
-/// Shortest load time that is told apart from none.
-const MIN_LOAD_TIME_S: f64 = 0.1;
-
 /// Upstreams that no group across domains may take.
 struct ReservedHolders {
     /// Models of which a group is being taken apart.
@@ -103,22 +116,10 @@
         let mut counts = group_counts(view, service);
         loop {
             let best = self.best_group(&pools, engine, &homes, &counts, has_traffic, now);
-            let Some((domain, model, members)) = best else { break };
+            let Some((model, members)) = best else { break };
             let Some(spec) = engine.model(&model) else { break };
-            let loads = self.count_loads(&members, &model, now);
             self.note_loads(&members, spec, has_traffic, now);
-            if let Some(pool) = pools.get_mut(&domain) {
-                pool.retain(|record| {
-                    !members.iter().any(|member| member.upstream == record.upstream)
-                });
-            }
-            *counts.entry(model.clone()).or_default() += 1;
-            let group = self.new_group(service, &model, &members);
-            self.memory.pending_groups.insert(group.group.clone());
-            steps.push(PlanStep::Create(group));
-            if loads > 0 && has_traffic {
-                break;
-            }
+            self.create_group(service, &model, &members, &mut pools, &mut counts, steps);
         }
         let is_closing = |group: &&Arc<GroupRecord>| {
             group.is_closing && self.memory.closing_age(&group.group, now) < REGROUP_TIME
@@ -149,25 +150,19 @@
         let is_candidate =
             |spec: &&ModelSpec| spec.size > 1 && !reserved.closing.contains(&spec.model);
         for spec in engine.models.iter().filter(is_candidate) {
-            let holds = |record: &&Arc<UpstreamRecord>| {
-                let domain = record.domain.clone().unwrap_or_else(|| Arc::from(""));
-                self.join_cost(record, &spec.model, now) <= JoinCost::Staged
-                    && !reserved.due.contains(&(domain, spec.model.clone()))
-            };
-            let mut holders: DomainPool = pools.values().flatten().filter(holds).cloned().collect();
+            let mut holders: DomainPool = pools
+                .iter()
+                .filter(|(domain, _)| {
+                    !reserved.due.contains(&((*domain).clone(), spec.model.clone()))
+                })
+                .flat_map(|(_, pool)| self.holders(pool, &spec.model, now))
+                .cloned()
+                .collect();
             // Fewer domains, and members close to each other.
             holders.sort_by_key(|record| (record.data_centre.clone(), record.domain.clone()));
             while holders.len() >= spec.size {
                 let members: DomainPool = holders.drain(..spec.size).collect();
-                for pool in pools.values_mut() {
-                    pool.retain(|record| {
-                        !members.iter().any(|member| member.upstream == record.upstream)
-                    });
-                }
-                *counts.entry(spec.model.clone()).or_default() += 1;
-                let group = self.new_group(service, &spec.model, &members);
-                self.memory.pending_groups.insert(group.group.clone());
-                steps.push(PlanStep::Create(group));
+                self.create_group(service, &spec.model, &members, pools, counts, steps);
             }
         }
     }
@@ -196,12 +191,9 @@
                     let members = view.present_members(group).into_iter().flatten();
                     members.filter(|record| record.domain.as_ref() == Some(&domain)).count()
                 };
-                let free = pools.get(&domain).map_or(0, |pool| {
-                    let holds = |record: &&Arc<UpstreamRecord>| {
-                        self.join_cost(record, &spec.model, now) <= JoinCost::Staged
-                    };
-                    pool.iter().filter(holds).count()
-                });
+                let free = pools
+                    .get(&domain)
+                    .map_or(0, |pool| self.holders(pool, &spec.model, now).count());
                 let held: usize = far.iter().map(|group| in_domain(group)).sum();
                 if free < spec.size && free + held >= spec.size {
                     due.insert((domain.clone(), spec.model.clone()));
@@ -214,7 +206,8 @@
         due
     }
 
-    /// The group to form next: the one with the fewest loads, then of the model that lacks most.
+    /// The group to form next: of the model that lacks most, in the domain with the most free
+    /// upstreams, with the fewest loads.
     fn best_group(
         &self,
         pools: &BTreeMap<Arc<str>, DomainPool>,
@@ -223,8 +216,8 @@
         counts: &HashMap<ModelId, usize>,
         has_traffic: bool,
         now: Instant,
-    ) -> Option<(Arc<str>, ModelId, DomainPool)> {
-        let mut best: Option<(f64, Arc<str>, ModelId, DomainPool)> = None;
+    ) -> Option<(ModelId, DomainPool)> {
+        let mut best: Option<(f64, ModelId, DomainPool)> = None;
         for (domain, pool) in pools {
             for spec in &engine.models {
                 let Some(members) = self.cheapest_members(pool, spec, now) else { continue };
@@ -242,15 +235,15 @@
                 if is_loading {
                     continue;
                 }
-                let spares_left = pool.len() as f64;
-                let urgency = self.model_need(spec, counts);
-                let rank = -(loads as f64) * 0.01 + urgency * 100.0 + spares_left * 0.1;
+                let rank = self.model_need(spec, counts) * NEED_WEIGHT
+                    + pool.len() as f64 * POOL_WEIGHT
+                    - loads as f64 * LOAD_WEIGHT;
                 if best.as_ref().is_none_or(|(known, ..)| rank > *known) {
-                    best = Some((rank, domain.clone(), spec.model.clone(), members));
+                    best = Some((rank, spec.model.clone(), members));
                 }
             }
         }
-        best.map(|(_, domain, model, members)| (domain, model, members))
+        best.map(|(_, model, members)| (model, members))
     }
 
     /// How much a model lacks groups: its share of the work for each group that it would have, and
@@ -288,6 +281,16 @@
         }
     }
 
+    /// Upstreams of a pool that can join a group of `model` without a load.
+    fn holders<'a>(
+        &self,
+        pool: &'a DomainPool,
+        model: &ModelId,
+        now: Instant,
+    ) -> impl Iterator<Item = &'a Arc<UpstreamRecord>> {
+        pool.iter().filter(move |record| self.join_cost(record, model, now) <= JoinCost::Staged)
+    }
+
     fn count_loads(&self, members: &DomainPool, model: &ModelId, now: Instant) -> usize {
         members
             .iter()
@@ -309,7 +312,7 @@
             .iter()
             .filter(|start| now.saturating_duration_since(**start) < window)
             .count();
-        let permitted = engine.loads_per_s * window.as_secs_f64() * LOAD_RATE_PART;
+        let permitted = engine.load_rate * window.as_secs_f64() * LOAD_RATE_PART;
         under_way + loads <= at_once && (recent + loads) as f64 <= permitted
     }
 
@@ -336,11 +339,11 @@
     ) {
         let part = if has_traffic { 1.0 } else { EARLY_LOAD_PART };
         // Loads that share the weight store take longer; a report ends the entry earlier.
-        let longest = spec.load_time.mul_f64(part * 2.0) + Duration::from_secs(1);
+        let longest = spec.load_time.mul_f64(part * SHARED_LOAD_FACTOR) + LOAD_MARGIN;
         let entry = LoadEntry { model: spec.model.clone(), ends_at: now + longest };
         self.memory.loads.insert(record.upstream.clone(), entry);
         self.memory.load_starts.push_back(now);
-        while self.memory.load_starts.len() > 1_000 {
+        while self.memory.load_starts.len() > MAX_LOAD_STARTS {
             self.memory.load_starts.pop_front();
         }
     }
@@ -355,6 +358,25 @@
         });
     }
 
+    /// Plans a new group and takes its members out of the pools.
+    fn create_group(
+        &mut self,
+        service: &ServiceId,
+        model: &ModelId,
+        members: &DomainPool,
+        pools: &mut BTreeMap<Arc<str>, DomainPool>,
+        counts: &mut HashMap<ModelId, usize>,
+        steps: &mut Vec<PlanStep>,
+    ) {
+        for pool in pools.values_mut() {
+            pool.retain(|record| !members.iter().any(|member| member.upstream == record.upstream));
+        }
+        *counts.entry(model.clone()).or_default() += 1;
+        let group = self.new_group(service, model, members);
+        self.memory.pending_groups.insert(group.group.clone());
+        steps.push(PlanStep::Create(group));
+    }
+
     fn new_group(
         &mut self,
         service: &ServiceId,
@@ -374,8 +396,7 @@
         }
     }
 
-    /// Stages the home model of their domain on upstreams that no group uses, so that they can
-    /// replace lost members.
+    /// Stages models on upstreams that no group uses, so that they can replace lost members.
     #[expect(clippy::too_many_arguments, reason = "one plan's inputs, passed on as they are")]
     fn stage_spares(
         &mut self,
@@ -460,7 +481,7 @@
         service: &ServiceId,
         now: Instant,
     ) -> BTreeMap<Arc<str>, DomainPool> {
-        let grouped = grouped_upstreams(view);
+        let grouped = view.grouped_upstreams();
         let mut pools: BTreeMap<Arc<str>, DomainPool> = BTreeMap::new();
         for record in view.upstreams.values() {
             let is_free = record.service == *service
@@ -491,9 +512,6 @@
 /// replace each other, so a domain keeps to one model as far as it can.
 pub(super) type HomeModels = BTreeMap<Arc<str>, ModelId>;
 
-/// Part of a domain's upstreams that may be lost before its groups are counted.
-const RESERVE_PART: f64 = 0.33;
-
 /// The home model of each domain: the one that most of its upstreams hold, or for a domain without
 /// any the one that lacks most groups.
 fn home_models(view: &FleetView, service: &ServiceId, engine: &EngineSpec) -> HomeModels {
--- a/crates/eelgrassdeal_dispatch/src/planner/mod.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/mod.rs
@@ -9,7 +9,7 @@
 mod form;
 mod memory;
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -218,11 +218,6 @@
         self.memory.pending_groups.remove(group);
     }
 
-    /// Loads that are under way, as far as this planner knows.
-    pub fn loads_under_way(&self, now: Instant) -> usize {
-        self.memory.loads_under_way(now)
-    }
-
     fn tend_group(
         &mut self,
         view: &FleetView,
@@ -297,11 +292,3 @@
         }
     }
 }
-
-/// Upstreams that belong to a group.
-fn grouped_upstreams(view: &FleetView) -> HashSet<(&UpstreamId, u64)> {
-    view.groups
-        .values()
-        .flat_map(|group| group.members.iter().map(|(upstream, born)| (upstream, *born)))
-        .collect()
-}
--- a/crates/eelgrassdeal_dispatch/src/settings.rs
+++ b/crates/eelgrassdeal_dispatch/src/settings.rs
@@ -33,7 +33,7 @@
     /// Retries allowed per request of a service, over all nodes.
     pub retry_ratio: f64,
     /// Retries allowed in a window without any requests, over all nodes.
-    pub retry_slack: f64,
+    pub free_retries: f64,
     /// Window of the retry bound.
     pub retry_window: Duration,
     /// Time after which an engine gives up work that depends on a lost member.
--- a/crates/eelgrassdeal_gateway/src/front/attempt.rs
+++ b/crates/eelgrassdeal_gateway/src/front/attempt.rs
@@ -127,7 +127,7 @@
 
     /// Whether another attempt may run, after the earlier ones may have run.
     pub(super) fn may_run_again(&self) -> bool {
-        self.call.route.kind.may_repeat() && self.runs < self.call.route.max_attempts
+        self.call.route.kind.may_repeat() && self.runs < self.call.route.attempt_limit
     }
 
     /// Notes that a head sends nothing to any request of this node.
@@ -330,8 +330,9 @@
             + engine.per_context_ms * context;
         let read_ms = READ_CHUNK_TOKENS * 1_000.0 / engine.read_per_s.max(1.0);
         // Prompts are read in every step of a pass.
-        let pass_ms = (step_ms + read_ms) * f64::from(engine.stride) * spec.pace * slowness;
-        Duration::from_secs_f64(pass_ms * SILENT_PASSES / 1_000.0).clamp(MIN_SILENCE, MAX_SILENCE)
+        let full_pass_ms = (step_ms + read_ms) * f64::from(engine.stride) * spec.pace * slowness;
+        Duration::from_secs_f64(full_pass_ms * SILENT_PASSES / 1_000.0)
+            .clamp(MIN_SILENCE, MAX_SILENCE)
     }
 
     /// Sends the request to one upstream. `None` if it certainly did not run there.
--- a/crates/eelgrassdeal_gateway/src/front/call.rs
+++ b/crates/eelgrassdeal_gateway/src/front/call.rs
@@ -67,7 +67,7 @@
         let Some(service) = route.pick_service(rand::random()).cloned() else {
             return Err(refuse(ErrorKind::NoCapacity, "the route names no service"));
         };
-        let body = read_body(body, config.limits.max_body_bytes)
+        let body = read_body(body, config.limits.body_limit)
             .await
             .map_err(|(kind, message)| refuse(kind, message))?;
         let longest = caller.deadline.unwrap_or(route.timeout).min(route.timeout);
--- a/crates/eelgrassdeal_gateway/src/front/mod.rs
+++ b/crates/eelgrassdeal_gateway/src/front/mod.rs
@@ -66,6 +66,6 @@
         let limits = self.state.config().map_or_else(CallerLimits::default, |config| config.limits);
         // hyper counts the time for a head from the end of the request before, so a shorter time
         // would close connections that callers keep.
-        (limits.idle_timeout, limits.max_header_bytes)
+        (limits.idle_timeout, limits.head_limit)
     }
 }
--- a/crates/eelgrassdeal_gateway/src/state.rs
+++ b/crates/eelgrassdeal_gateway/src/state.rs
@@ -146,7 +146,7 @@
         }
         let config = self.config();
         let spec = config.as_ref().and_then(|config| config.services.get(&record.service));
-        let per_s = spec.map_or(0.0, |spec| spec.cold_per_s);
+        let per_s = spec.map_or(0.0, |spec| spec.cold_rate);
         if per_s <= 0.0 {
             return true;
         }
@@ -214,7 +214,7 @@
         let settings = self.settings();
         let bounds = &settings.bounds;
         self.with_allowance(service, now, |allowance, nodes| {
-            allowance.try_retry(now, bounds.retry_slack, bounds.retry_window, nodes)
+            allowance.try_retry(now, bounds.free_retries, bounds.retry_window, nodes)
         })
     }
 
@@ -224,7 +224,7 @@
         now: Instant,
         action: impl FnOnce(&mut RetryAllowance, usize) -> T,
     ) -> T {
-        let slack = self.settings().bounds.retry_slack;
+        let slack = self.settings().bounds.free_retries;
         let nodes = self.sharing_nodes();
         let mut retries = self.retries.borrow_mut();
         let allowance = retries
