Take addresses and processes of the gateway's tests from the test kit

Cause: a_node_started_in_an_outage failed once in a run of the gateway's tests. The tests chose ports in the range that the kernel gives to outgoing connections, so another test could take one before the gateway listened on it, and the gateway ended. Change: free_address and ChildProcess of eelgrassdeal_testkit, which the tests had written again.

--- a/crates/eelgrassdeal_gateway/tests/common/mod.rs
+++ b/crates/eelgrassdeal_gateway/tests/common/mod.rs
@@ -5,9 +5,8 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::net::TcpListener;
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::ffi::OsStr;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -17,6 +16,7 @@
 use eelgrassdeal_standins::{
     MetadataStoreFake, ServerHandle, WorkerFake, WorkerOptions, WorkerRun,
 };
+use eelgrassdeal_testkit::{ChildProcess, free_address};
 use http_body_util::Full;
 use hyper::Request;
 use serde_json::{Value, json};
@@ -27,6 +27,8 @@
 pub const ENGINES: &str = "engines";
 pub const DESK: &str = "desk";
 
+/// Time from SIGTERM to SIGKILL in the settings below.
+const GRACE: Duration = Duration::from_secs(8);
 const WAIT: Duration = Duration::from_secs(20);
 const POLL: Duration = Duration::from_millis(20);
 const CALL_TIMEOUT: Duration = Duration::from_secs(12);
@@ -34,7 +36,7 @@
 
 /// A gateway process. It is killed when it is dropped.
 pub struct GatewayProcess {
-    child: Child,
+    child: Option<ChildProcess>,
     pub front: Arc<str>,
     pub entry: Arc<str>,
     pub peer: Arc<str>,
@@ -43,33 +45,31 @@
 }
 
 impl GatewayProcess {
-    /// What it logged so far.
+    /// What it logged since its last start.
     pub fn log(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap_or_default()
     }
 
     /// Kills it without warning.
     pub fn kill(&mut self) {
-        // It may have ended already.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.child = None;
     }
 
     /// Asks it to end.
     pub fn terminate(&self) {
-        let pid = rustix::process::Pid::from_child(&self.child);
-        rustix::process::kill_process(pid, rustix::process::Signal::TERM).expect("it runs");
+        self.child.as_ref().expect("it runs").terminate();
     }
 
-    /// Whether it ended, and with success.
-    pub fn ended(&mut self) -> Option<bool> {
-        self.child.try_wait().expect("it was started here").map(|status| status.success())
+    /// Whether it ends within the time that its settings grant, with success.
+    pub async fn ends_well(&mut self) -> bool {
+        let child = self.child.as_mut().expect("it was started");
+        child.wait_for_exit(GRACE).await.is_some_and(|status| status.success())
     }
 
     /// Starts it again with the same addresses.
     pub fn restart(&mut self) {
         self.kill();
-        self.child = spawn(&self.settings, &self.log);
+        self.child = Some(spawn(&self.settings, &self.log));
     }
 }
 
@@ -138,12 +138,11 @@
 
     /// Starts `count` gateways, and waits until they are ready.
     pub async fn with_gateways(mut self, count: usize) -> Self {
-        let ports: Vec<[u16; 3]> = (0..count).map(|_| free_ports()).collect();
-        let seeds: Vec<String> =
-            ports.iter().map(|ports| format!("127.0.0.1:{}", ports[2])).collect();
-        for (index, ports) in ports.iter().enumerate() {
+        let addresses: Vec<_> = (0..count).map(|_| free_addresses()).collect();
+        let seeds: Vec<_> = addresses.iter().map(|[.., peer]| peer.clone()).collect();
+        for (index, addresses) in addresses.into_iter().enumerate() {
             let store = self.store_address.clone();
-            self.gateways.push(start_gateway(index, *ports, &seeds, &store));
+            self.gateways.push(start_gateway(index, addresses, &seeds, &store));
         }
         for index in 0..count {
             self.wait_ready(index).await;
@@ -156,7 +155,7 @@
         let seeds: Vec<String> =
             self.gateways.iter().map(|gateway| gateway.peer.to_string()).collect();
         let index = self.gateways.len();
-        self.gateways.push(start_gateway(index, free_ports(), &seeds, store));
+        self.gateways.push(start_gateway(index, free_addresses(), &seeds, store));
     }
 
     pub async fn start_worker(&self, options: WorkerOptions) -> WorkerFake {
@@ -290,18 +289,18 @@
     (1..=count).map(|id| format!("id: {id}\ndata: event {id}\n\n")).collect()
 }
 
-fn free_ports() -> [u16; 3] {
-    let listeners: Vec<_> =
-        (0..3).map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port")).collect();
-    let port = |index: usize| {
-        let listener: &TcpListener = &listeners[index];
-        listener.local_addr().expect("it is bound").port()
-    };
-    [port(0), port(1), port(2)]
+/// Addresses for callers, for the locator and for peers.
+fn free_addresses() -> [String; 3] {
+    [(); 3].map(|()| free_address().to_string())
 }
 
-fn start_gateway(index: usize, ports: [u16; 3], seeds: &[String], store: &str) -> GatewayProcess {
-    let [front, entry, peer] = ports.map(|port| format!("127.0.0.1:{port}"));
+fn start_gateway(
+    index: usize,
+    addresses: [String; 3],
+    seeds: &[String],
+    store: &str,
+) -> GatewayProcess {
+    let [front, entry, peer] = addresses;
     let settings = format!(
         "node_name = \"node-{index}\"\nzone = \"zone-a\"\nregion = \"region\"\nip = \"127.0.0.1\"\n\
          port_range = [1, 2]\nseeds = {seeds:?}\n[listen]\nfront = \"{front}\"\nready = \"{entry}\"\n\
@@ -309,12 +308,12 @@
          [platform]\naddress = \"{store}\"\n"
     );
     let folder = std::env::temp_dir();
-    let name = format!("eelgrassdeal-gateway-{}-{}", std::process::id(), ports[0]);
+    let name = format!("eelgrassdeal-gateway-{}", front.replace(':', "-"));
     let settings_path = folder.join(format!("{name}.toml"));
     let log_path = folder.join(format!("{name}.log"));
     std::fs::write(&settings_path, settings).expect("a file can be written");
     GatewayProcess {
-        child: spawn(&settings_path, &log_path),
+        child: Some(spawn(&settings_path, &log_path)),
         front: Arc::from(front),
         entry: Arc::from(entry),
         peer: Arc::from(peer),
@@ -323,17 +322,8 @@
     }
 }
 
-fn spawn(settings: &PathBuf, log: &PathBuf) -> Child {
-    let file = std::fs::OpenOptions::new()
-        .create(true)
-        .append(true)
-        .open(log)
-        .expect("a file can be opened");
-    Command::new(env!("CARGO_BIN_EXE_eelgrassdeal-gateway"))
-        .env("EELGRASSDEAL_SETTINGS", settings)
-        .stdin(Stdio::null())
-        .stdout(Stdio::from(file))
-        .stderr(Stdio::null())
-        .spawn()
-        .expect("the gateway can be started")
+fn spawn(settings: &Path, log: &Path) -> ChildProcess {
+    let binary = Path::new(env!("CARGO_BIN_EXE_eelgrassdeal-gateway"));
+    let arguments = [OsStr::new("--settings"), settings.as_os_str()];
+    ChildProcess::spawn(binary, &arguments, Some(log)).expect("the gateway can be started")
 }
--- a/crates/eelgrassdeal_gateway/tests/failures.rs
+++ b/crates/eelgrassdeal_gateway/tests/failures.rs
@@ -184,15 +184,7 @@
     assert_eq!(answer.expect("a whole answer").body, whole_stream(50));
     assert_eq!(readiness, 503);
     assert!(!located.contains(&leaving), "{located:?}");
-    let mut ended = None;
-    for _ in 0..400 {
-        ended = platform.gateways[0].ended();
-        if ended.is_some() {
-            break;
-        }
-        compio::time::sleep(Duration::from_millis(20)).await;
-    }
-    assert_eq!(ended, Some(true));
+    assert!(platform.gateways[0].ends_well().await);
 }
 
 #[compio::test]
