Read a request's model without copies, and name what attempts repeat

Cause: found by reading the change once more. Ruled out: a change of behaviour. Tests: as before, all pass.

--- a/crates/eelgrassdeal_gateway/src/front/attempt.rs
+++ b/crates/eelgrassdeal_gateway/src/front/attempt.rs
@@ -29,6 +29,8 @@
 const SILENCE_POLL: Duration = Duration::from_millis(40);
 /// Part of the time left after which a refused caller comes back. Callers wait at most a third.
 const RETURN_PART: f64 = 0.3;
+/// Part of the return that is drawn at random, so that refused callers come back spread out.
+const RETURN_SPREAD: f64 = 0.6;
 /// Most requests for each slot of an engine, over all nodes, for a request that can still be in
 /// time: none waits inside the engine, which takes them in their order.
 const ENGINE_PER_SLOT: f64 = 1.0;
@@ -145,13 +147,22 @@
             self.runs
         );
         metrics::counter!("eelgrassdeal_failed_attempts_total").increment(1);
-        let now = Instant::now();
-        let mut loads = self.state.loads.borrow_mut();
-        loads.note_outcome(upstream, true, now);
-        loads.avoid(upstream, now);
+        self.state.loads.borrow_mut().note_outcome(upstream, true, Instant::now());
+        self.leave_out(upstream);
+    }
+
+    /// Sends this request elsewhere, and others for a while if there is another upstream.
+    fn leave_out(&mut self, upstream: &UpstreamId) {
+        self.state.loads.borrow_mut().avoid(upstream, Instant::now());
         self.excluded.push(upstream.clone());
     }
 
+    /// Counts an attempt that may have run.
+    fn count_run(&mut self) {
+        self.arrivals += 1;
+        self.runs += 1;
+    }
+
     /// Starts the next attempt, and tries upstreams until one answers.
     ///
     /// `last_event` is the id of the last event that the caller has, when a stream is continued.
@@ -182,7 +193,8 @@
         match (self.runs, now >= self.call.deadline) {
             (0, true) => self.call.refuse(ErrorKind::DeadlineUnreachable, reason),
             (0, false) => {
-                let part = RETURN_PART * (0.4 + 0.6 * rand::random::<f64>());
+                let drawn = 1.0 - RETURN_SPREAD * rand::random::<f64>();
+                let part = RETURN_PART * drawn;
                 let wait = self.call.time_left(now).mul_f64(part);
                 self.call.refuse(ErrorKind::NoCapacity, reason).with_retry_after(wait)
             }
@@ -290,19 +302,20 @@
 
     fn candidates(&self, view: &FleetView) -> Vec<PlacementTarget> {
         let service = &self.call.service;
-        let Some((model, (engine, _))) = self.call.caller.model.as_ref().zip(self.model_spec())
-        else {
-            return view.plain_upstreams(service).into_iter().map(PlacementTarget::new).collect();
-        };
-        let target = |replica: Replica| match replica.is_far {
-            true => PlacementTarget::new(replica.head).with_slowness(engine.far_factor),
-            false => PlacementTarget::new(replica.head),
-        };
-        view.replicas(service, model).into_iter().map(target).collect()
+        let replicas = self.with_model(|engine, spec| {
+            let target = |replica: Replica| match replica.is_far {
+                true => PlacementTarget::new(replica.head).with_slowness(engine.far_factor),
+                false => PlacementTarget::new(replica.head),
+            };
+            view.replicas(service, &spec.model).into_iter().map(target).collect()
+        });
+        replicas.unwrap_or_else(|| {
+            view.plain_upstreams(service).into_iter().map(PlacementTarget::new).collect()
+        })
     }
 
     fn per_slot(&self) -> f64 {
-        match (self.model_spec().is_some(), self.runs) {
+        match (self.with_model(|_, _| ()).is_some(), self.runs) {
             (true, 0) if self.call.received.elapsed() < self.call.route.target_latency => {
                 ENGINE_PER_SLOT
             }
@@ -313,26 +326,30 @@
         }
     }
 
-    fn model_spec(&self) -> Option<(EngineSpec, ModelSpec)> {
+    /// Reads the engine and the model that the request is for; `None` for a plain service.
+    fn with_model<T>(&self, read: impl FnOnce(&EngineSpec, &ModelSpec) -> T) -> Option<T> {
         let config = self.state.config()?;
         let engine = config.services.get(&self.call.service)?.engine.as_ref()?;
         let spec = engine.model(self.call.caller.model.as_deref()?)?;
-        Some((engine.clone(), spec.clone()))
+        Some(read(engine, spec))
     }
 
     /// Time without any event after which a head of the call's model counts as silent.
     fn silence_limit(&self, slowness: f64) -> Duration {
-        let Some((engine, spec)) = self.model_spec() else { return MAX_SILENCE };
-        let slots = f64::from(engine.slots);
-        let context = slots * (engine.usual_prompt + engine.usual_answer) / 1_000.0;
-        let step_ms = engine.step_time.as_secs_f64() * 1_000.0
-            + engine.per_sequence_ms * slots
-            + engine.per_context_ms * context;
-        let read_ms = READ_CHUNK_TOKENS * 1_000.0 / engine.read_per_s.max(1.0);
-        // Prompts are read in every step of a pass.
-        let full_pass_ms = (step_ms + read_ms) * f64::from(engine.stride) * spec.pace * slowness;
-        Duration::from_secs_f64(full_pass_ms * SILENT_PASSES / 1_000.0)
-            .clamp(MIN_SILENCE, MAX_SILENCE)
+        let limit = self.with_model(|engine, spec| {
+            let slots = f64::from(engine.slots);
+            let context = slots * (engine.usual_prompt + engine.usual_answer) / 1_000.0;
+            let step_ms = engine.step_time.as_secs_f64() * 1_000.0
+                + engine.per_sequence_ms * slots
+                + engine.per_context_ms * context;
+            let read_ms = READ_CHUNK_TOKENS * 1_000.0 / engine.read_per_s.max(1.0);
+            // Prompts are read in every step of a pass.
+            let full_pass_ms =
+                (step_ms + read_ms) * f64::from(engine.stride) * spec.pace * slowness;
+            Duration::from_secs_f64(full_pass_ms * SILENT_PASSES / 1_000.0)
+                .clamp(MIN_SILENCE, MAX_SILENCE)
+        });
+        limit.unwrap_or(MAX_SILENCE)
     }
 
     /// Sends the request to one upstream. `None` if it certainly did not run there.
@@ -375,8 +392,7 @@
                 refusal
             }
             Err(WaitEnd::Deadline) => {
-                self.arrivals += 1;
-                self.runs += 1;
+                self.count_run();
                 Err(self.give_up("no answer before the deadline"))
             }
         }
@@ -388,13 +404,15 @@
             self.call.request_id,
             record.upstream
         );
-        if failure != SendFailure::TooManyConnections {
-            let now = Instant::now();
-            let mut loads = self.state.loads.borrow_mut();
-            loads.note_outcome(&record.upstream, true, now);
-            loads.avoid(&record.upstream, now);
+        match failure {
+            // This node's own limit: the upstream is not at fault.
+            SendFailure::TooManyConnections => self.excluded.push(record.upstream.clone()),
+            _ => {
+                let now = Instant::now();
+                self.state.loads.borrow_mut().note_outcome(&record.upstream, true, now);
+                self.leave_out(&record.upstream);
+            }
         }
-        self.excluded.push(record.upstream.clone());
     }
 
     /// After an attempt that may have run: `None` if another may be made.
@@ -403,8 +421,7 @@
         record: &UpstreamRecord,
         reason: &str,
     ) -> Result<Option<RunningAttempt>, CallRefusal> {
-        self.arrivals += 1;
-        self.runs += 1;
+        self.count_run();
         self.note_failed_run(&record.upstream, reason);
         match self.may_run_again() {
             true => Ok(None),
@@ -437,12 +454,10 @@
                 status.as_u16(),
                 facts.at_fault
             );
-            self.state.loads.borrow_mut().avoid(&record.upstream, Instant::now());
-            self.excluded.push(record.upstream.clone());
+            self.leave_out(&record.upstream);
             return Ok(None);
         }
-        self.arrivals += 1;
-        self.runs += 1;
+        self.count_run();
         let is_failure = status.is_server_error() || (status.is_success() && !facts.is_signed);
         if is_failure && self.may_run_again() {
             self.note_failed_run(&record.upstream, status.as_str());
--- a/crates/eelgrassdeal_gateway/src/front/stream.rs
+++ b/crates/eelgrassdeal_gateway/src/front/stream.rs
@@ -60,7 +60,6 @@
     /// Bytes of an event that is not complete.
     partial: BytesMut,
     last_event: Option<u64>,
-    events: u64,
     is_over: bool,
 }
 
@@ -68,7 +67,7 @@
     fn new(runner: AttemptRunner, attempt: RunningAttempt) -> Self {
         let last_event = runner.call.caller.last_event;
         let (attempt, partial) = (Some(attempt), BytesMut::new());
-        Self { runner, attempt, partial, last_event, events: 0, is_over: false }
+        Self { runner, attempt, partial, last_event, is_over: false }
     }
 
     fn into_stream(self) -> futures_util::stream::LocalBoxStream<'static, io::Result<Bytes>> {
@@ -134,7 +133,6 @@
         if let Some(id) = ids.next() {
             self.last_event = Some(id);
         }
-        self.events += 1;
         Some(events)
     }
 
--- a/crates/eelgrassdeal_gateway/src/peers/serve.rs
+++ b/crates/eelgrassdeal_gateway/src/peers/serve.rs
@@ -10,6 +10,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
+use prost::Message;
 
 use super::{MAX_ANSWER_BYTES, RELAY_PATH, SYNC_PATH, TABLE_PATH, message, relay};
 use crate::observe::render_metrics;
@@ -34,33 +35,21 @@
     }
 
     async fn sync(&self, body: Incoming) -> Reply {
-        let Ok(collected) = Limited::new(body, MAX_ANSWER_BYTES).collect().await else {
-            return refusal(StatusCode::BAD_REQUEST, "the message broke off");
-        };
-        match decode_message::<SyncMessage>(&collected.to_bytes()) {
+        match read_message::<SyncMessage>(body).await {
             Ok(sync) => {
                 message::take_message(&self.state, sync);
                 binary_reply(encode_message(&message::own_message(&self.state)))
             }
-            Err(error) => {
-                log::warn!("event=peer_unreadable reason=\"{error}\"");
-                refusal(StatusCode::BAD_REQUEST, "the message cannot be read")
-            }
+            Err(reply) => reply,
         }
     }
 
     async fn relay(&self, body: Incoming) -> Reply {
-        let Ok(collected) = Limited::new(body, MAX_ANSWER_BYTES).collect().await else {
-            return refusal(StatusCode::BAD_REQUEST, "the message broke off");
-        };
-        match decode_message::<RelayedOrder>(&collected.to_bytes()) {
+        match read_message::<RelayedOrder>(body).await {
             Ok(order) => {
                 binary_reply(encode_message(&relay::give_relayed(&self.state, order).await))
             }
-            Err(error) => {
-                log::warn!("event=peer_unreadable reason=\"{error}\"");
-                refusal(StatusCode::BAD_REQUEST, "the message cannot be read")
-            }
+            Err(reply) => reply,
         }
     }
 
@@ -99,6 +88,17 @@
     }
 }
 
+/// Reads a message; the refusal if it cannot be read.
+async fn read_message<M: Message + Default>(body: Incoming) -> Result<M, Reply> {
+    let Ok(collected) = Limited::new(body, MAX_ANSWER_BYTES).collect().await else {
+        return Err(refusal(StatusCode::BAD_REQUEST, "the message broke off"));
+    };
+    decode_message(&collected.to_bytes()).map_err(|error| {
+        log::warn!("event=peer_unreadable reason=\"{error}\"");
+        refusal(StatusCode::BAD_REQUEST, "the message cannot be read")
+    })
+}
+
 fn binary_reply(body: Bytes) -> Reply {
     whole_reply(StatusCode::OK, BINARY, body)
 }
--- a/crates/eelgrassdeal_gateway/src/state.rs
+++ b/crates/eelgrassdeal_gateway/src/state.rs
@@ -60,6 +60,12 @@
     is_own: bool,
 }
 
+impl SilentUpstream {
+    fn is_fresh(&self, now: Instant) -> bool {
+        now.duration_since(self.noted_at) < SILENCE_LIFETIME
+    }
+}
+
 /// State that all tasks of a gateway share.
 pub(crate) struct GatewayState {
     settings: RefCell<Arc<GatewaySettings>>,
@@ -160,14 +166,12 @@
     pub(crate) fn note_silent(&self, upstream: &UpstreamId, is_own: bool, now: Instant) {
         let mut silent = self.silent.borrow_mut();
         silent.insert(upstream.clone(), SilentUpstream { noted_at: now, is_own });
-        silent.retain(|_, known| now.duration_since(known.noted_at) < SILENCE_LIFETIME);
+        silent.retain(|_, known| known.is_fresh(now));
     }
 
     /// Whether an upstream was silent lately towards this node or another.
     pub(crate) fn is_silent(&self, upstream: &UpstreamId, now: Instant) -> bool {
-        let silent = self.silent.borrow();
-        let known = silent.get(upstream);
-        known.is_some_and(|known| now.duration_since(known.noted_at) < SILENCE_LIFETIME)
+        self.silent.borrow().get(upstream).is_some_and(|known| known.is_fresh(now))
     }
 
     /// Upstreams that were silent lately; only those that this node saw itself if `is_own`.
@@ -175,8 +179,7 @@
         self.silent
             .borrow()
             .iter()
-            .filter(|(_, known)| now.duration_since(known.noted_at) < SILENCE_LIFETIME)
-            .filter(|(_, known)| known.is_own || !is_own)
+            .filter(|(_, known)| known.is_fresh(now) && (known.is_own || !is_own))
             .map(|(upstream, _)| upstream.clone())
             .collect()
     }
--- a/crates/eelgrassdeal_standins/src/object.rs
+++ b/crates/eelgrassdeal_standins/src/object.rs
@@ -12,7 +12,7 @@
 use hyper::{Method, Request, Response};
 
 use crate::fault::FaultSwitch;
-use crate::server::{Reply, ServerHandle, empty_reply, serve_http};
+use crate::server::{Reply, ServerHandle, empty_reply, serve_fake};
 
 /// An object store in memory.
 #[derive(Clone, Default)]
@@ -48,12 +48,7 @@
     ///
     /// When the address cannot be bound.
     pub async fn serve(&self, listen: SocketAddr) -> io::Result<ServerHandle> {
-        let fake = self.clone();
-        serve_http(listen, move |request| {
-            let fake = fake.clone();
-            async move { fake.answer(request).await }
-        })
-        .await
+        serve_fake(listen, self, |fake, request| async move { fake.answer(request).await }).await
     }
 
     pub(crate) async fn answer(&self, request: Request<Incoming>) -> Reply {
--- a/crates/eelgrassdeal_standins/src/server.rs
+++ b/crates/eelgrassdeal_standins/src/server.rs
@@ -71,6 +71,24 @@
     Ok(ServerHandle { address, is_open, accept_task: Some(accept_task) })
 }
 
+/// Serves HTTP on `listen` with `answer`, which gets a copy of the stand-in for each request.
+///
+/// # Errors
+///
+/// When the address cannot be bound.
+pub(crate) async fn serve_fake<S, F>(
+    listen: SocketAddr,
+    fake: &S,
+    answer: impl Fn(S, Request<Incoming>) -> F + Clone + 'static,
+) -> io::Result<ServerHandle>
+where
+    S: Clone + 'static,
+    F: Future<Output = Reply> + 'static,
+{
+    let fake = fake.clone();
+    serve_http(listen, move |request| answer(fake.clone(), request)).await
+}
+
 async fn serve_connection<H, F>(stream: TcpStream, handler: H)
 where
     H: Fn(Request<Incoming>) -> F + 'static,
--- a/crates/eelgrassdeal_standins/src/service.rs
+++ b/crates/eelgrassdeal_standins/src/service.rs
@@ -13,7 +13,7 @@
 use serde_json::{Value, json};
 
 use crate::fault::FaultSwitch;
-use crate::server::{Reply, ServerHandle, empty_reply, json_reply, serve_http};
+use crate::server::{Reply, ServerHandle, empty_reply, json_reply, serve_fake};
 
 /// One call that the service ran.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -90,12 +90,7 @@
     ///
     /// When the address cannot be bound.
     pub async fn serve(&self, listen: SocketAddr) -> io::Result<ServerHandle> {
-        let fake = self.clone();
-        serve_http(listen, move |request| {
-            let fake = fake.clone();
-            async move { fake.answer(request).await }
-        })
-        .await
+        serve_fake(listen, self, |fake, request| async move { fake.answer(request).await }).await
     }
 
     async fn answer(&self, request: Request<Incoming>) -> Reply {
--- a/crates/eelgrassdeal_standins/src/table.rs
+++ b/crates/eelgrassdeal_standins/src/table.rs
@@ -15,7 +15,7 @@
 use serde_json::{Value, json};
 
 use crate::fault::{FaultSwitch, WriteFault};
-use crate::server::{Reply, ServerHandle, empty_reply, json_reply, serve_http};
+use crate::server::{Reply, ServerHandle, empty_reply, json_reply, serve_fake};
 
 /// Rows of one answer to `Query`; more need another call.
 const QUERY_PAGE_ROWS: usize = 500;
@@ -109,12 +109,7 @@
     ///
     /// When the address cannot be bound.
     pub async fn serve(&self, listen: SocketAddr) -> io::Result<ServerHandle> {
-        let fake = self.clone();
-        serve_http(listen, move |request| {
-            let fake = fake.clone();
-            async move { fake.answer(request).await }
-        })
-        .await
+        serve_fake(listen, self, |fake, request| async move { fake.answer(request).await }).await
     }
 
     /// Answers one HTTP request.
--- a/crates/eelgrassdeal_standins/src/users_platform/store.rs
+++ b/crates/eelgrassdeal_standins/src/users_platform/store.rs
@@ -16,7 +16,7 @@
 use serde_json::{Value, json};
 
 use crate::fault::{FaultSwitch, WriteFault};
-use crate::server::{Reply, ServerHandle, empty_reply, json_reply, serve_http};
+use crate::server::{Reply, ServerHandle, empty_reply, json_reply, serve_fake};
 
 /// How often a waiting feed looks for changes.
 const FEED_POLL: Duration = Duration::from_millis(5);
@@ -144,12 +144,7 @@
     ///
     /// When the address cannot be bound.
     pub async fn serve(&self, listen: SocketAddr) -> io::Result<ServerHandle> {
-        let fake = self.clone();
-        serve_http(listen, move |request| {
-            let fake = fake.clone();
-            async move { fake.answer(request).await }
-        })
-        .await
+        serve_fake(listen, self, |fake, request| async move { fake.answer(request).await }).await
     }
 
     async fn answer(&self, request: Request<Incoming>) -> Reply {
--- a/crates/eelgrassdeal_standins/src/vm_list.rs
+++ b/crates/eelgrassdeal_standins/src/vm_list.rs
@@ -15,7 +15,7 @@
 use sha2::{Digest, Sha256};
 
 use crate::fault::FaultSwitch;
-use crate::server::{Reply, ServerHandle, empty_reply, json_reply, serve_http};
+use crate::server::{Reply, ServerHandle, empty_reply, json_reply, serve_fake};
 
 #[derive(Default)]
 struct ListState {
@@ -80,12 +80,7 @@
     ///
     /// When the address cannot be bound.
     pub async fn serve(&self, listen: SocketAddr) -> io::Result<ServerHandle> {
-        let fake = self.clone();
-        serve_http(listen, move |request| {
-            let fake = fake.clone();
-            async move { fake.answer(request).await }
-        })
-        .await
+        serve_fake(listen, self, |fake, request| async move { fake.answer(request).await }).await
     }
 
     pub(crate) async fn answer(&self, request: Request<Incoming>) -> Reply {
--- a/crates/eelgrassdeal_standins/src/weights.rs
+++ b/crates/eelgrassdeal_standins/src/weights.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use serde_json::json;
 
-use crate::server::{Reply, ServerHandle, json_reply, serve_http};
+use crate::server::{Reply, ServerHandle, json_reply, serve_fake};
 
 /// A weight store that hands out transfer time instead of bytes.
 #[derive(Clone)]
@@ -52,12 +52,7 @@
     ///
     /// When the address cannot be bound.
     pub async fn serve(&self, listen: SocketAddr) -> io::Result<ServerHandle> {
-        let fake = self.clone();
-        serve_http(listen, move |request| {
-            let fake = fake.clone();
-            async move { fake.answer(request).await }
-        })
-        .await
+        serve_fake(listen, self, |fake, request| async move { fake.answer(request).await }).await
     }
 
     pub(crate) async fn answer(&self, request: Request<Incoming>) -> Reply {
