--- a/crates/eelgrassdeal_dispatch/src/directory.rs
+++ b/crates/eelgrassdeal_dispatch/src/directory.rs
@@ -1,6 +1,10 @@
 //! Nodes as they are known by heartbeats that are passed on between them.
+//!
+//! In a small fleet every node exchanges messages with all others. In a large one only some of them,
+//! the hubs, do so; each of the other nodes exchanges messages with one hub.
 
-use std::collections::BTreeMap;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -19,6 +23,11 @@
 const CUT_TIME: Duration = Duration::from_secs(9);
 /// Nodes that compete for the planner's lease.
 const PLANNER_CANDIDATES: usize = 2;
+/// Nodes that one hub tells of changes: a hub of an eighth of a core spends about a twentieth of it
+/// on their messages.
+const NODES_PER_HUB: usize = 20;
+/// A hub that did not answer is left out for this long.
+const HUB_AVOID_TIME: Duration = Duration::from_millis(2_000);
 
 /// Where a node is in its life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -31,6 +40,26 @@
     Leaving,
 }
 
+/// Part that a node plays among the others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NodeRole {
+    /// Exchanges messages with all other hubs.
+    Hub,
+    /// Exchanges messages with one hub.
+    Leaf,
+}
+
+/// What changes of a node from one heartbeat to the next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NodeCondition {
+    /// Where it is in its life.
+    pub stage: NodeStage,
+    /// Whether the store answers it, as far as it knows.
+    pub has_store: bool,
+    /// Whether it holds the planner's lease.
+    pub is_planner: bool,
+}
+
 /// Heartbeat of a node.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct NodeBeat {
@@ -40,20 +69,42 @@
     pub beat: u64,
     /// Where it is in its life.
     pub stage: NodeStage,
-    /// Whether it reached the store lately.
+    /// Whether the store answers it, as far as it knows.
     pub has_store: bool,
+    /// Whether it holds the planner's lease.
+    pub is_planner: bool,
     /// Address for callers.
     pub front: Arc<str>,
     /// Address for other nodes.
     pub peer: Arc<str>,
     /// Data centre.
     pub data_centre: DataCentreId,
+    /// Processor share of the node in thousandths of a core. Larger nodes become hubs first.
+    pub processor_share: u32,
+}
+
+impl NodeBeat {
+    fn condition(&self) -> NodeCondition {
+        NodeCondition { stage: self.stage, has_store: self.has_store, is_planner: self.is_planner }
+    }
+
+    /// How well others may rely on the node for news of the store. The planner follows the store
+    /// anyway.
+    fn fitness(&self) -> u32 {
+        4 * u32::from(self.stage == NodeStage::Serving)
+            + 2 * u32::from(self.has_store)
+            + u32::from(self.is_planner)
+    }
 }
 
 #[derive(Clone, Debug)]
 struct KnownNode {
     beat: NodeBeat,
     advanced_at: Instant,
+    /// When the node itself last sent a message.
+    heard_at: Option<Instant>,
+    /// Until when the node is left out as a hub.
+    avoid_until: Option<Instant>,
 }
 
 /// All nodes that this node knows of, itself included.
@@ -61,12 +112,18 @@
 pub struct NodeDirectory {
     own: NodeBeat,
     others: BTreeMap<NodeId, KnownNode>,
+    /// When a node was first heard of or changed what it does.
+    changed_at: Option<Instant>,
+    /// Nodes by their fitness to serve the others, at the last heartbeat.
+    ranked: Vec<NodeId>,
+    /// The first of `ranked` are hubs.
+    hub_count: usize,
 }
 
 impl NodeDirectory {
     /// Knows only the node itself.
     pub fn new(own: NodeBeat) -> Self {
-        Self { own, others: BTreeMap::new() }
+        Self { own, others: BTreeMap::new(), changed_at: None, ranked: Vec::new(), hub_count: 1 }
     }
 
     /// Whether there are too many nodes for each to exchange messages with all.
@@ -83,11 +140,14 @@
         &self.own
     }
 
-    /// Begins a new heartbeat.
-    pub fn advance(&mut self, stage: NodeStage, has_store: bool) {
+    /// Begins a new heartbeat, and looks which nodes are hubs.
+    pub fn advance(&mut self, current: NodeCondition, now: Instant) {
         self.own.beat += 1;
-        self.own.stage = stage;
-        self.own.has_store = has_store;
+        self.own.stage = current.stage;
+        self.own.has_store = current.has_store;
+        self.own.is_planner = current.is_planner;
+        self.ranked = self.rank(now);
+        self.hub_count = self.ranked.len().div_ceil(NODES_PER_HUB);
     }
 
     /// Takes over a heartbeat if it is newer than the known one.
@@ -99,16 +159,44 @@
         }
         match self.others.get_mut(&beat.node) {
             Some(known) if known.beat.beat >= beat.beat => {}
-            _ => {
-                let known = KnownNode { beat, advanced_at: now };
+            Some(known) => {
+                if known.beat.condition() != beat.condition() {
+                    self.changed_at = Some(now);
+                }
+                known.beat = beat;
+                known.advanced_at = now;
+            }
+            None => {
+                self.changed_at = Some(now);
+                let known = KnownNode { beat, advanced_at: now, heard_at: None, avoid_until: None };
                 self.others.insert(known.beat.node.clone(), known);
             }
         }
     }
 
-    /// Heartbeats to pass on: the node's own and those of nodes that are not long silent.
-    pub fn beats(&self, now: Instant) -> Vec<NodeBeat> {
-        std::iter::once(&self.own).chain(self.live_others(now)).cloned().collect()
+    /// Notes a message that came from `node` itself.
+    pub fn note_heard(&mut self, node: &NodeId, now: Instant) {
+        if let Some(known) = self.others.get_mut(node) {
+            known.heard_at = Some(now);
+        }
+    }
+
+    /// Heartbeats for a node that plays `recipient`: the own one, and those of the nodes of which
+    /// it hears through this node.
+    pub fn beats(&self, recipient: NodeRole, now: Instant) -> Vec<NodeBeat> {
+        let is_passed_on = |beat: &&NodeBeat| match (self.is_large(), self.role(), recipient) {
+            (false, _, _) | (true, NodeRole::Hub, NodeRole::Leaf) => true,
+            (true, NodeRole::Hub, NodeRole::Hub) => self.is_heard(&beat.node, now),
+            (true, NodeRole::Leaf, _) => false,
+        };
+        let others = self.live_others(now).filter(is_passed_on);
+        std::iter::once(&self.own).chain(others).cloned().collect()
+    }
+
+    /// Whether a node itself sent a message lately.
+    fn is_heard(&self, node: &NodeId, now: Instant) -> bool {
+        let heard_at = self.others.get(node).and_then(|known| known.heard_at);
+        heard_at.is_some_and(|at| now.saturating_duration_since(at) < LIVE_TIME)
     }
 
     /// Nodes that are alive, without this one.
@@ -156,13 +244,95 @@
             .collect()
     }
 
-    /// Whether this node is among the first nodes, by id, of those that may plan. The others leave
-    /// the lease to them, which saves calls to the store.
-    pub fn is_planner_candidate(&self, now: Instant) -> bool {
-        let may_plan = |beat: &&NodeBeat| beat.has_store && beat.stage == NodeStage::Serving;
-        let before =
-            self.live_others(now).filter(may_plan).filter(|beat| beat.node < self.own.node).count();
-        may_plan(&&self.own) && before < PLANNER_CANDIDATES
+    /// When a node was first heard of or changed what it does.
+    pub fn changed_at(&self) -> Option<Instant> {
+        self.changed_at
+    }
+
+    /// Live nodes by their fitness to serve the others: spread over the data centres, larger ones
+    /// first.
+    fn rank(&self, now: Instant) -> Vec<NodeId> {
+        let mut live: Vec<_> = std::iter::once(&self.own).chain(self.live_others(now)).collect();
+        live.sort_by_key(|beat| {
+            (Reverse(beat.fitness()), Reverse(beat.processor_share), beat.node.clone())
+        });
+        let mut counts: HashMap<(u32, &DataCentreId), usize> = HashMap::new();
+        let mut ranked = Vec::with_capacity(live.len());
+        for beat in live {
+            let count = counts.entry((beat.fitness(), &beat.data_centre)).or_default();
+            *count += 1;
+            ranked.push((
+                Reverse(beat.fitness()),
+                *count,
+                Reverse(beat.processor_share),
+                &beat.node,
+            ));
+        }
+        ranked.sort_unstable();
+        ranked.into_iter().map(|(.., node)| node.clone()).collect()
+    }
+
+    fn hubs(&self) -> &[NodeId] {
+        &self.ranked[..self.hub_count.min(self.ranked.len())]
+    }
+
+    /// Whether this node follows the store on behalf of the others.
+    pub fn is_reader(&self) -> bool {
+        self.hubs().contains(&self.own.node)
+    }
+
+    /// The part that this node plays.
+    pub fn role(&self) -> NodeRole {
+        if !self.is_large() || self.is_reader() { NodeRole::Hub } else { NodeRole::Leaf }
+    }
+
+    /// Peer addresses of the nodes to exchange messages with.
+    pub fn partners(&self, now: Instant) -> Vec<Arc<str>> {
+        if !self.is_large() {
+            return self.known_peers().cloned().collect();
+        }
+        let hubs: Vec<_> = self.hubs().iter().filter_map(|hub| self.others.get(hub)).collect();
+        match self.role() {
+            NodeRole::Hub => hubs.iter().map(|hub| hub.beat.peer.clone()).collect(),
+            NodeRole::Leaf => self.choose_hub(&hubs, now).into_iter().collect(),
+        }
+    }
+
+    /// Peer address of the hub that a leaf reports to, near ones first.
+    fn choose_hub(&self, hubs: &[&KnownNode], now: Instant) -> Option<Arc<str>> {
+        let is_usable = |hub: &&&KnownNode| hub.avoid_until.is_none_or(|until| until <= now);
+        let is_near = |hub: &&&KnownNode| hub.beat.data_centre == self.own.data_centre;
+        let near: Vec<_> = hubs.iter().filter(is_usable).filter(is_near).collect();
+        let usable: Vec<_> = hubs.iter().filter(is_usable).collect();
+        let candidates = match (near.is_empty(), usable.is_empty()) {
+            (false, _) => near,
+            (true, false) => usable,
+            (true, true) => hubs.iter().collect(),
+        };
+        let position = name_hash(&self.own.node) % candidates.len().max(1);
+        candidates.get(position).map(|hub| hub.beat.peer.clone())
+    }
+
+    /// Leaves a hub that did not answer out for a while.
+    pub fn avoid_hub(&mut self, peer: &str, now: Instant) {
+        for known in self.others.values_mut().filter(|known| *known.beat.peer == *peer) {
+            known.avoid_until = Some(now + HUB_AVOID_TIME);
+        }
+    }
+
+    /// Whether this node is among the first that may plan. The others leave the lease to them, which
+    /// saves calls to the store.
+    pub fn is_planner_candidate(&self) -> bool {
+        let may_plan = |node: &&NodeId| {
+            let others = self.others.get(*node).map(|known| &known.beat);
+            let beat = if **node == self.own.node { Some(&self.own) } else { others };
+            beat.is_some_and(|beat| beat.has_store && beat.stage == NodeStage::Serving)
+        };
+        self.ranked
+            .iter()
+            .filter(may_plan)
+            .take(PLANNER_CANDIDATES)
+            .any(|node| *node == self.own.node)
     }
 
     /// Forgets nodes that have been silent for long.
@@ -170,3 +340,11 @@
         self.others.retain(|_, known| now.duration_since(known.advanced_at) < COUNTED_TIME * 2);
     }
 }
+
+/// A number that is the same on every node, to spread choices by name (FNV-1a).
+fn name_hash(name: &str) -> usize {
+    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0100_0000_01b3;
+    let step = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(PRIME);
+    name.bytes().fold(OFFSET, step) as usize
+}
--- a/crates/eelgrassdeal_dispatch/src/lib.rs
+++ b/crates/eelgrassdeal_dispatch/src/lib.rs
@@ -6,22 +6,26 @@
 //! - Placement: [`LoadBook`] chooses the upstream of a request.
 //! - Limits over all nodes: [`RateShare`] and [`RetryAllowance`].
 //! - Nodes: [`NodeDirectory`] knows the others by their heartbeats.
+//! - The store's tables: [`TableMirror`] is a copy that nodes keep and pass on.
 //!
 //! The caller passes the time to every decision.
 
 mod config;
+mod counts;
 mod directory;
 mod fleet;
 mod limit;
 mod placement;
 mod planner;
 mod settings;
+mod table;
 
 pub use config::{
     AccountEntry, CallerLimits, EngineSpec, ModelSpec, RouteKind, RouteRule, ServiceConfig,
     ServiceSpec, ServiceSplit,
 };
-pub use directory::{NodeBeat, NodeDirectory, NodeStage};
+pub use counts::CountSource;
+pub use directory::{NodeBeat, NodeCondition, NodeDirectory, NodeRole, NodeStage};
 pub use fleet::{
     FleetSummary, FleetView, GroupMembership, GroupRecord, GroupState, Replica, UpstreamRecord,
     UpstreamState,
@@ -32,4 +36,5 @@
     FleetLoad, GroupPlanner, OrderKind, OrderOutcome, PlanStep, PlannerSettings, ProbeOutcome,
     ProbeTarget, UpstreamOrder,
 };
-pub use settings::{GatewaySettings, LimitBounds, ListenAddresses, StoreAddress};
+pub use settings::{GatewaySettings, LimitBounds, ListenAddresses, StoreAddress, TablePace};
+pub use table::{RowChange, SharedTable, TableChanges, TableMirror, VersionGap};
--- a/crates/eelgrassdeal_dispatch/src/placement.rs
+++ b/crates/eelgrassdeal_dispatch/src/placement.rs
@@ -6,10 +6,9 @@
 
 use eelgrassdeal_types::{NodeId, UpstreamId};
 
+use crate::counts::{CountBook, CountSource};
 use crate::fleet::UpstreamRecord;
 
-/// Peers' counts older than this are not added: the peer is gone or cut off.
-const PEER_COUNT_LIFETIME: Duration = Duration::from_millis(1_500);
 /// Time in which an upstream that failed is used only when no other is left.
 const AVOID_TIME: Duration = Duration::from_millis(1_000);
 /// Weight of the newest answer in the moving failure share.
@@ -79,7 +78,6 @@
     own: u32,
     /// Requests of this node whose answer has begun.
     writing: u32,
-    peers: HashMap<NodeId, (u32, Instant)>,
     failure_share: f64,
     /// When the failure share was last updated.
     failure_at: Option<Instant>,
@@ -105,6 +103,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct LoadBook {
     loads: HashMap<UpstreamId, UpstreamLoad>,
+    /// Requests of other nodes.
+    others: CountBook,
 }
 
 impl LoadBook {
@@ -184,32 +184,42 @@
     }
 
     /// Takes over a peer's counts, which replace its earlier ones.
-    pub fn set_peer(&mut self, peer: &NodeId, counts: &[(UpstreamId, u32)], now: Instant) {
-        for load in self.loads.values_mut() {
-            load.peers.remove(peer);
-        }
-        for (upstream, count) in counts {
-            let load = self.loads.entry(upstream.clone()).or_default();
-            load.peers.insert(peer.clone(), (*count, now));
-        }
+    pub fn set_peer(
+        &mut self,
+        peer: &NodeId,
+        source: CountSource,
+        counts: Vec<(UpstreamId, u32)>,
+        now: Instant,
+    ) {
+        self.others.set(peer, source, counts, now);
     }
 
-    /// This node's requests by upstream.
-    pub fn own_counts(&self) -> Vec<(UpstreamId, u32)> {
-        self.loads
-            .iter()
-            .filter(|(_, load)| load.own > 0)
-            .map(|(upstream, load)| (upstream.clone(), load.own))
-            .collect()
+    /// Requests by upstream as they are told to `recipient`, if it is known, in a message that
+    /// counts those of `source`.
+    pub fn counts_for(
+        &self,
+        source: CountSource,
+        recipient: Option<&NodeId>,
+        now: Instant,
+    ) -> Vec<(UpstreamId, u32)> {
+        let is_told = |node: &NodeId, known: CountSource| match source {
+            CountSource::Node => false,
+            CountSource::Hub => known == CountSource::Node,
+            CountSource::Fleet => Some(node) != recipient,
+        };
+        let own = self.loads.iter().filter(|(_, load)| load.own > 0);
+        let mut counts: HashMap<UpstreamId, u32> =
+            own.map(|(upstream, load)| (upstream.clone(), load.own)).collect();
+        for (upstream, count) in self.others.collect(is_told, now) {
+            *counts.entry(upstream.clone()).or_default() += count;
+        }
+        counts.into_iter().collect()
     }
 
     /// Requests at an upstream from all nodes.
     pub fn total(&self, upstream: &str, now: Instant) -> u32 {
-        let Some(load) = self.loads.get(upstream) else { return 0 };
-        let is_fresh = |at: Instant| now.saturating_duration_since(at) < PEER_COUNT_LIFETIME;
-        let peers: u32 =
-            load.peers.values().filter(|(_, at)| is_fresh(*at)).map(|(count, _)| count).sum();
-        load.own + peers
+        let own = self.loads.get(upstream).map_or(0, |load| load.own);
+        own + self.others.total(upstream, now)
     }
 
     /// The upstream with the fewest requests per slot; `draw` in 0..1 breaks ties.
--- a/crates/eelgrassdeal_dispatch/src/settings.rs
+++ b/crates/eelgrassdeal_dispatch/src/settings.rs
@@ -5,6 +5,8 @@
 
 use eelgrassdeal_types::{DataCentreId, NodeId};
 
+use crate::table::SharedTable;
+
 /// Addresses that a process listens on. A role that does not serve one has `None` there.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ListenAddresses {
@@ -25,11 +27,33 @@
     pub address: Arc<str>,
 }
 
+/// Part of the time in which a change must be in force that a reader waits for news in one call.
+const WAIT_PART: f64 = 0.4;
+/// Part of that time after which a node without news from another asks the store itself. What is
+/// left covers the call and the requests that are on their way.
+const PATIENCE_PART: f64 = 0.6;
+/// The same for the addresses of nodes, which only a node that starts needs.
+const NODES_WAIT: Duration = Duration::from_secs(10);
+const NODES_PATIENCE: Duration = Duration::from_secs(30);
+
+/// How often a table is read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TablePace {
+    /// Longest wait of one call for news.
+    pub wait: Duration,
+    /// Age from which on a copy is not relied on.
+    pub patience: Duration,
+}
+
 /// Bounds that the operators demand.
 #[derive(Clone, Debug, PartialEq)]
 pub struct LimitBounds {
     /// Time from SIGTERM to SIGKILL.
     pub grace: Duration,
+    /// Time after which a leaving upstream gets no more requests.
+    pub drain_notice: Duration,
+    /// Time after which an accepted configuration is in force.
+    pub config_notice: Duration,
     /// Retries allowed per request of a service, over all nodes.
     pub retry_ratio: f64,
     /// Retries allowed in a window without any requests, over all nodes.
@@ -46,6 +70,20 @@
     pub is_fenced: bool,
 }
 
+impl LimitBounds {
+    /// How often `table` is read.
+    pub fn pace(&self, table: SharedTable) -> TablePace {
+        let notice = self.drain_notice.min(self.config_notice);
+        match table {
+            SharedTable::Nodes => TablePace { wait: NODES_WAIT, patience: NODES_PATIENCE },
+            SharedTable::Operators | SharedTable::Upstreams | SharedTable::Groups => TablePace {
+                wait: notice.mul_f64(WAIT_PART),
+                patience: notice.mul_f64(PATIENCE_PART),
+            },
+        }
+    }
+}
+
 /// Settings of a gateway process.
 #[derive(Clone, Debug, PartialEq)]
 pub struct GatewaySettings {
@@ -67,4 +105,6 @@
     pub memory_bytes: u64,
     /// Limit of open files and sockets.
     pub max_descriptors: u64,
+    /// Processor share in thousandths of a core.
+    pub processor_share: u32,
 }
--- a/crates/eelgrassdeal_dispatch/tests/placement.rs
+++ b/crates/eelgrassdeal_dispatch/tests/placement.rs
@@ -5,7 +5,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use eelgrassdeal_dispatch::{LoadBook, PlacementNeed, PlacementRefusal, PlacementTarget};
+use eelgrassdeal_dispatch::{
+    CountSource, LoadBook, NodeRole, PlacementNeed, PlacementRefusal, PlacementTarget,
+};
+use eelgrassdeal_types::{NodeId, UpstreamId};
 
 const ANY: PlacementNeed<'static> = PlacementNeed { excluded: &[], max_per_slot: 1.3 };
 
@@ -18,7 +21,7 @@
     let now = Instant::now();
     let mut book = LoadBook::new();
     book.start(&Arc::from("a"), now);
-    book.set_peer(&Arc::from("n2"), &[(Arc::from("b"), 5)], now);
+    book.set_peer(&Arc::from("n2"), CountSource::Node, vec![(Arc::from("b"), 5)], now);
     let chosen = book.choose(&targets(now), ANY, 0.0, now).expect("there is room");
     assert_eq!(&*chosen.record.upstream, "a");
     // Counts of a node that is gone are dropped.
@@ -47,7 +50,8 @@
     let now = Instant::now();
     let mut book = LoadBook::new();
     assert_eq!(book.choose(&[], ANY, 0.0, now).err(), Some(PlacementRefusal::NoneServing));
-    book.set_peer(&Arc::from("n2"), &[(Arc::from("a"), 40), (Arc::from("b"), 40)], now);
+    let counts = vec![(Arc::from("a"), 40), (Arc::from("b"), 40)];
+    book.set_peer(&Arc::from("n2"), CountSource::Node, counts, now);
     let refusal = book.choose(&targets(now), ANY, 0.0, now).err();
     assert_eq!(refusal, Some(PlacementRefusal::AllFull));
 }
@@ -99,3 +103,45 @@
     assert!(!chosen(now), "it failed just now");
     assert!(chosen(now + Duration::from_secs(10)), "nothing is known against it any more");
 }
+
+/// Tells the counts of `from` to `to`, as a message between nodes of these parts does.
+fn tell(from: (&LoadBook, &str, NodeRole), to: (&mut LoadBook, &str, NodeRole), now: Instant) {
+    let source = CountSource::of(true, from.2, to.2);
+    let (sender, recipient): (NodeId, NodeId) = (Arc::from(from.1), Arc::from(to.1));
+    let counts = from.0.counts_for(source, Some(&recipient), now);
+    to.0.set_peer(&sender, source, counts, now);
+}
+
+#[test]
+fn counts_that_pass_through_hubs_add_up_to_those_of_all_nodes() {
+    use NodeRole::{Hub, Leaf};
+    let now = Instant::now();
+    let head: UpstreamId = Arc::from("a");
+    // Two hubs with two leaves each; every node has one more request than the one before.
+    let mut books: Vec<LoadBook> = (1..=6)
+        .map(|requests| {
+            let mut book = LoadBook::new();
+            (0..requests).for_each(|_| book.start(&head, now));
+            book
+        })
+        .collect();
+    let [hub_a, leaf_a, leaf_b, hub_b, leaf_c, leaf_d] =
+        books.get_disjoint_mut([0, 1, 2, 3, 4, 5]).expect("six books");
+    for _ in 0..3 {
+        tell((leaf_a, "leaf-a", Leaf), (hub_a, "hub-a", Hub), now);
+        tell((leaf_b, "leaf-b", Leaf), (hub_a, "hub-a", Hub), now);
+        tell((leaf_c, "leaf-c", Leaf), (hub_b, "hub-b", Hub), now);
+        tell((leaf_d, "leaf-d", Leaf), (hub_b, "hub-b", Hub), now);
+        tell((hub_a, "hub-a", Hub), (hub_b, "hub-b", Hub), now);
+        tell((hub_b, "hub-b", Hub), (hub_a, "hub-a", Hub), now);
+        tell((hub_a, "hub-a", Hub), (leaf_a, "leaf-a", Leaf), now);
+        tell((hub_a, "hub-a", Hub), (leaf_b, "leaf-b", Leaf), now);
+        tell((hub_b, "hub-b", Hub), (leaf_c, "leaf-c", Leaf), now);
+        // This leaf has changed its hub.
+        tell((hub_a, "hub-a", Hub), (leaf_d, "leaf-d", Leaf), now);
+    }
+    let all = 1 + 2 + 3 + 4 + 5 + 6;
+    for book in [hub_a, leaf_a, leaf_b, hub_b, leaf_c] {
+        assert_eq!(book.total(&head, now), all);
+    }
+}
--- a/crates/eelgrassdeal_gateway/src/front/attempt.rs
+++ b/crates/eelgrassdeal_gateway/src/front/attempt.rs
@@ -136,7 +136,7 @@
     pub(super) fn note_silent(&self, upstream: &UpstreamId) {
         let now = Instant::now();
         self.state.loads.borrow_mut().avoid_for(upstream, now, SILENT_TIME);
-        self.state.note_silent(upstream, true, now);
+        self.state.note_silent(upstream, now, now);
     }
 
     /// Notes that the attempt at `upstream` failed after it may have run.
--- a/crates/eelgrassdeal_gateway/src/lifecycle.rs
+++ b/crates/eelgrassdeal_gateway/src/lifecycle.rs
@@ -7,8 +7,8 @@
 use std::time::{Duration, Instant};
 
 use compio::net::TcpListener;
-use eelgrassdeal_dispatch::{GatewaySettings, NodeStage};
-use eelgrassdeal_platform::{SharedTable, load_settings};
+use eelgrassdeal_dispatch::{GatewaySettings, NodeStage, SharedTable};
+use eelgrassdeal_platform::load_settings;
 use error_stack::{Report, ResultExt};
 
 use crate::entry::EntryHandler;
--- a/crates/eelgrassdeal_gateway/src/mirror.rs
+++ b/crates/eelgrassdeal_gateway/src/mirror.rs
@@ -4,11 +4,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use eelgrassdeal_dispatch::{FleetView, ServiceConfig};
+use eelgrassdeal_dispatch::{
+    FleetView, RowChange, ServiceConfig, SharedTable, TableChanges, TableMirror,
+};
 use eelgrassdeal_platform::{
-    RowChange, SharedTable, TableChanges, decode_config, decode_group, decode_upstream,
-    evacuated_zone,
+    CONFIG_KEY, decode_config, decode_group, decode_upstream, evacuated_zone,
 };
 use eelgrassdeal_types::UpstreamId;
 
@@ -16,74 +16,6 @@
 /// within about two seconds. Until then a missing row does not mean that its upstream is gone.
 const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
 
-/// A table as it was last read.
-#[derive(Debug, Default)]
-pub(crate) struct TableMirror {
-    /// Version of the store that the rows show; `None` until the table was read once.
-    pub(crate) version: Option<u64>,
-    rows: BTreeMap<Arc<str>, (u64, Bytes)>,
-}
-
-impl TableMirror {
-    /// Version of a row.
-    pub(crate) fn row_version(&self, key: &str) -> Option<u64> {
-        self.rows.get(key).map(|(version, _)| *version)
-    }
-
-    /// All rows.
-    pub(crate) fn rows(&self) -> impl Iterator<Item = (&Arc<str>, u64, &Bytes)> {
-        self.rows.iter().map(|(key, (version, value))| (key, *version, value))
-    }
-
-    /// Replaces all rows. Returns the rows that differ.
-    fn replace(&mut self, all: TableChanges) -> Vec<RowChange> {
-        let mut rows = BTreeMap::new();
-        for row in all.rows {
-            if let Some(value) = row.value {
-                rows.insert(row.key, (row.version, value));
-            }
-        }
-        let removed = self
-            .rows
-            .keys()
-            .filter(|key| !rows.contains_key(*key))
-            .map(|key| RowChange { key: key.clone(), version: all.version, value: None });
-        let changed = rows
-            .iter()
-            .filter(|(key, row)| self.rows.get(*key).map(|known| known.0) != Some(row.0))
-            .map(|(key, row)| RowChange {
-                key: key.clone(),
-                version: row.0,
-                value: Some(row.1.clone()),
-            });
-        let differences = removed.chain(changed).collect();
-        self.rows = rows;
-        self.version = Some(all.version);
-        differences
-    }
-
-    /// Applies changes. Returns those that are newer than the known rows.
-    fn apply(&mut self, changes: TableChanges) -> Vec<RowChange> {
-        let is_newer = |row: &RowChange| {
-            self.rows.get(&row.key).is_none_or(|(version, _)| *version < row.version)
-                || row.value.is_none()
-        };
-        let newer: Vec<_> = changes.rows.into_iter().filter(is_newer).collect();
-        for row in &newer {
-            match &row.value {
-                Some(value) => {
-                    self.rows.insert(row.key.clone(), (row.version, value.clone()));
-                }
-                None => {
-                    self.rows.remove(&row.key);
-                }
-            }
-        }
-        self.version = self.version.max(Some(changes.version));
-        newer
-    }
-}
-
 /// All tables, and what they show.
 #[derive(Debug, Default)]
 pub(crate) struct StoreMirror {
@@ -115,7 +47,7 @@
 
     /// Version up to which a table is known.
     pub(crate) fn version(&self, table: SharedTable) -> Option<u64> {
-        self.tables.get(&table).and_then(|mirror| mirror.version)
+        self.tables.get(&table).and_then(TableMirror::version)
     }
 
     /// Whether the tables that serving needs were read.
@@ -129,27 +61,33 @@
         self.grace_until.is_none_or(|until| until <= now)
     }
 
-    /// Notes that the store answers again after an outage.
-    pub(crate) fn note_store_return(&mut self, now: Instant) {
-        self.grace_until = Some(now + LAPSE_GRACE);
-    }
-
-    /// Takes over all rows of a table, unless a newer state is known.
-    pub(crate) fn replace(&mut self, table: SharedTable, all: TableChanges, now: Instant) {
-        if self.version(table).is_some_and(|known| known > all.version) {
-            return;
-        }
-        if table == SharedTable::Upstreams && self.version(table).is_none() {
-            self.note_store_return(now);
+    /// Time since a table was known to be current; `None` if it never was.
+    pub(crate) fn age(&self, table: SharedTable, now: Instant) -> Option<Duration> {
+        self.tables.get(&table)?.age(now)
+    }
+
+    /// Notes that a table showed everything that the store had accepted at `at`. If that was not
+    /// known for longer than `outage`, the store was away, or this node from all others.
+    pub(crate) fn note_fresh(
+        &mut self,
+        table: SharedTable,
+        at: Instant,
+        outage: Duration,
+        now: Instant,
+    ) {
+        let mirror = self.tables.entry(table).or_default();
+        let was_away = mirror.age(at).is_none_or(|age| age > outage);
+        mirror.note_fresh(at);
+        if table == SharedTable::Upstreams && was_away {
+            self.grace_until = Some(now + LAPSE_GRACE);
         }
-        let changes = self.tables.entry(table).or_default().replace(all);
-        self.show(table, &changes, now);
     }
 
-    /// Takes over changes of a table.
-    pub(crate) fn apply(&mut self, table: SharedTable, changes: TableChanges, now: Instant) {
-        let changes = self.tables.entry(table).or_default().apply(changes);
+    /// Takes over changes of a table; false if they show nothing new.
+    pub(crate) fn take(&mut self, table: SharedTable, changes: TableChanges, now: Instant) -> bool {
+        let changes = self.tables.entry(table).or_default().take(changes);
         self.show(table, &changes, now);
+        !changes.is_empty()
     }
 
     /// Removes the upstreams whose grace is over.
@@ -197,7 +135,7 @@
                         false => view.evacuated.remove(&zone),
                     };
                 }
-                (Some(value), None) if &*row.key == SharedTable::CONFIG_KEY => {
+                (Some(value), None) if &*row.key == CONFIG_KEY => {
                     self.show_config(value);
                 }
                 _ => {}
--- a/crates/eelgrassdeal_gateway/src/peers/mod.rs
+++ b/crates/eelgrassdeal_gateway/src/peers/mod.rs
@@ -1,6 +1,6 @@
-//! Exchange with other nodes: heartbeats, counts of requests, and tables of the store.
+//! Exchange with other nodes: heartbeats, counts of requests, and changes of the store's tables.
 //!
-//! Every round a node sends a message to a few others, and each answers with its own. The peers'
+//! Every round a node sends a message to its partners, and each answers with its own. The peers'
 //! address is reachable from the entry VMs only, so messages carry no proof of identity.
 
 mod message;
@@ -12,9 +12,9 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use eelgrassdeal_dispatch::{NodeRole, SharedTable};
 use eelgrassdeal_http::{SendFailure, SendRule, WholeAnswer};
-use eelgrassdeal_platform::SharedTable;
-use eelgrassdeal_schema::gateway::{SyncMessage, TableCopy};
+use eelgrassdeal_schema::gateway::SyncMessage;
 use eelgrassdeal_schema::{decode_message, encode_message};
 use http_body_util::Full;
 use hyper::Request;
@@ -25,98 +25,88 @@
 pub(crate) use relay::relay_order;
 pub(crate) use serve::PeerHandler;
 
-/// Pause between two rounds, and nodes that each round reaches, in a small fleet: all of them, so
-/// that counts are exact.
+/// Pause between two rounds in a small fleet, and in a large one.
 const ROUND_PAUSE: Duration = Duration::from_millis(250);
-const ROUND_PEERS: usize = 6;
-/// The same in a large fleet, where heartbeats pass through others.
-const LARGE_ROUND_PAUSE: Duration = Duration::from_millis(700);
-const LARGE_ROUND_PEERS: usize = 3;
+const LARGE_ROUND_PAUSE: Duration = Duration::from_millis(350);
+/// Shortest pause before news of the store's tables is told.
+const NEWS_PAUSE: Duration = Duration::from_millis(50);
+/// Fewest partners of a round. With fewer, nodes are added that may not run any more.
+const MIN_PARTNERS: usize = 1;
+/// Most nodes of the store's table that are tried in one round.
+const MAX_TRIED: usize = 6;
 const SYNC_PATH: &str = "/sync";
-const TABLE_PATH: &str = "/table/";
 const RELAY_PATH: &str = "/relay";
 /// Longer than an order takes when its upstream cannot be reached.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(1_200);
 const SYNC_TIMEOUT: Duration = Duration::from_millis(500);
-const TABLE_TIMEOUT: Duration = Duration::from_millis(1_000);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 
 /// Exchanges messages with other nodes until the task is dropped.
 pub(crate) async fn exchange_messages(state: Rc<GatewayState>) {
     loop {
+        let news = state.news.listen();
         note_own_beat(&state);
         for peer in round_peers(&state) {
             let state = state.clone();
             compio::runtime::spawn(async move { sync_with(&state, &peer).await }).detach();
         }
+        compio::time::sleep(NEWS_PAUSE).await;
         let is_large = state.directory.borrow().is_large();
-        compio::time::sleep(if is_large { LARGE_ROUND_PAUSE } else { ROUND_PAUSE }).await;
+        let pause = if is_large { LARGE_ROUND_PAUSE } else { ROUND_PAUSE };
+        // A round that ends without news is the usual case.
+        let _ = compio::time::timeout(pause - NEWS_PAUSE, news).await;
     }
 }
 
-/// Tells every live node of a change at once.
+/// Tells every partner of a change at once.
 pub(crate) async fn announce(state: &GatewayState) {
     note_own_beat(state);
-    let peers: Vec<_> = {
-        let directory = state.directory.borrow();
-        directory.live_others(Instant::now()).map(|beat| beat.peer.clone()).collect()
-    };
+    let peers = round_peers(state);
     let syncs = peers.iter().map(|peer| sync_with(state, peer));
     futures_util::future::join_all(syncs).await;
 }
 
-/// Copies a table from a peer that knows a newer version.
-pub(crate) async fn pull_table(state: &GatewayState, table: SharedTable) {
-    let peers = round_peers(state);
-    let Some(peer) = peers.choose(&mut rand::rng()) else { return };
-    let index = SharedTable::ALL.iter().position(|known| *known == table).unwrap_or(0);
-    let known = state.mirror.borrow().version(table).unwrap_or(0);
-    let path = format!("{TABLE_PATH}{index}?since={known}");
-    let Some(body) = call_peer(state, peer, &path, Bytes::new(), TABLE_TIMEOUT).await else {
-        return;
-    };
-    match decode_message::<TableCopy>(&body) {
-        Ok(copy) if copy.version > known => {
-            log::info!(
-                "event=table_from_peer peer={peer} table={table:?} version={} previous={known}",
-                copy.version
-            );
-            let changes = message::table_changes(copy);
-            state.mirror.borrow_mut().replace(table, changes, Instant::now());
-        }
-        Ok(_) => {}
-        Err(error) => log::warn!("event=peer_unreadable peer={peer} reason=\"{error}\""),
-    }
-}
-
-/// Peers of one round: seeds and known nodes, chosen at random when there are many.
+/// Peers of one round: the partners, and when there are none the seeds and nodes of the store's
+/// table.
 fn round_peers(state: &GatewayState) -> Vec<Arc<str>> {
     let settings = state.settings();
-    let directory = state.directory.borrow();
-    let mut known: Vec<Arc<str>> = directory.known_peers().cloned().collect();
-    if known.len() < ROUND_PEERS {
-        known.extend(settings.seeds.iter().cloned());
+    let mut peers = state.directory.borrow().partners(Instant::now());
+    if peers.len() <= MIN_PARTNERS {
         let mirror = state.mirror.borrow();
         let rows = mirror.table(SharedTable::Nodes).into_iter().flat_map(|table| table.rows());
-        known.extend(
-            rows.filter_map(|(_, _, value)| std::str::from_utf8(value).ok()).map(Arc::from),
-        );
+        let mut tried: Vec<Arc<str>> = rows
+            .filter_map(|(_, _, value)| std::str::from_utf8(value).ok())
+            .map(Arc::from)
+            .chain(settings.seeds.iter().cloned())
+            .collect();
+        tried.sort_unstable();
+        tried.dedup();
+        peers.extend(tried.choose_multiple(&mut rand::rng(), MAX_TRIED).cloned());
     }
-    known.sort_unstable();
-    known.dedup();
-    known.retain(|peer| *peer != settings.listen.peers);
-    let count = if directory.is_large() { LARGE_ROUND_PEERS } else { ROUND_PEERS };
-    known.choose_multiple(&mut rand::rng(), count).cloned().collect()
+    peers.sort_unstable();
+    peers.dedup();
+    peers.retain(|peer| *peer != settings.listen.peers);
+    peers
 }
 
 async fn sync_with(state: &GatewayState, peer: &Arc<str>) {
-    let body = encode_message(&message::own_message(state));
+    let asked_at = Instant::now();
+    // One node tells the others what the store shows; the others need not tell it each other.
+    let is_reader = state.directory.borrow().is_reader();
+    let known = state.peer_versions.borrow().get(peer).filter(|_| is_reader).cloned();
+    let message = message::message_to(state, peer, (NodeRole::Hub, None), known.as_ref());
+    let body = encode_message(&message);
     let Some(answer) = call_peer(state, peer, SYNC_PATH, body, SYNC_TIMEOUT).await else {
+        state.directory.borrow_mut().avoid_hub(peer, Instant::now());
+        state.peer_versions.borrow_mut().remove(peer);
         return;
     };
     match decode_message::<SyncMessage>(&answer) {
-        Ok(reply) => message::take_message(state, reply),
+        Ok(reply) => {
+            let (_, _, versions) = message::take_message(state, reply, Some(asked_at));
+            state.peer_versions.borrow_mut().insert(peer.clone(), versions);
+        }
         Err(error) => log::warn!("event=peer_unreadable peer={peer} reason=\"{error}\""),
     }
 }
--- a/crates/eelgrassdeal_gateway/src/peers/serve.rs
+++ b/crates/eelgrassdeal_gateway/src/peers/serve.rs
@@ -4,15 +4,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use eelgrassdeal_platform::SharedTable;
-use eelgrassdeal_schema::gateway::{RelayedOrder, SyncMessage, TableCopy};
+use eelgrassdeal_schema::gateway::{RelayedOrder, SyncMessage};
 use eelgrassdeal_schema::{decode_message, encode_message};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
 use prost::Message;
 
-use super::{MAX_ANSWER_BYTES, RELAY_PATH, SYNC_PATH, TABLE_PATH, message, relay};
+use super::{MAX_ANSWER_BYTES, RELAY_PATH, SYNC_PATH, message, relay};
 use crate::observe::render_metrics;
 use crate::server::{Reply, RequestHandler, whole_reply};
 use crate::state::GatewayState;
@@ -37,8 +36,10 @@
     async fn sync(&self, body: Incoming) -> Reply {
         match read_message::<SyncMessage>(body).await {
             Ok(sync) => {
-                message::take_message(&self.state, sync);
-                binary_reply(encode_message(&message::own_message(&self.state)))
+                let (role, node, versions) = message::take_message(&self.state, sync, None);
+                let recipient = (role, Some(&node));
+                let reply = message::message_to(&self.state, &node, recipient, Some(&versions));
+                binary_reply(encode_message(&reply))
             }
             Err(reply) => reply,
         }
@@ -52,34 +53,18 @@
             Err(reply) => reply,
         }
     }
-
-    fn table(&self, index: &str, query: &str) -> Reply {
-        let table = index.parse::<usize>().ok().and_then(|index| SharedTable::ALL.get(index));
-        let since = query.strip_prefix("since=").and_then(|since| since.parse().ok()).unwrap_or(0);
-        match table {
-            Some(table) if self.state.mirror.borrow().version(*table) > Some(since) => {
-                binary_reply(encode_message(&message::table_copy(&self.state, *table)))
-            }
-            Some(_) => binary_reply(encode_message(&TableCopy::default())),
-            None => refusal(StatusCode::NOT_FOUND, "no such table"),
-        }
-    }
 }
 
 impl RequestHandler for PeerHandler {
     async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Reply {
         let path = request.uri().path().to_owned();
-        let query = request.uri().query().unwrap_or_default().to_owned();
         match path.as_str() {
             SYNC_PATH => self.sync(request.into_body()).await,
             RELAY_PATH => self.relay(request.into_body()).await,
             METRICS_PATH => {
                 whole_reply(StatusCode::OK, TEXT, Bytes::from(render_metrics(&self.state)))
             }
-            path => match path.strip_prefix(TABLE_PATH) {
-                Some(index) => self.table(index, &query),
-                None => refusal(StatusCode::NOT_FOUND, "no such path"),
-            },
+            _ => refusal(StatusCode::NOT_FOUND, "no such path"),
         }
     }
 
--- a/crates/eelgrassdeal_gateway/src/plan.rs
+++ b/crates/eelgrassdeal_gateway/src/plan.rs
@@ -7,9 +7,9 @@
 use bytes::Bytes;
 use eelgrassdeal_dispatch::{
     FleetView, GroupPlanner, GroupRecord, NodeStage, OrderKind, OrderOutcome, PlanStep,
-    PlannerSettings, ProbeTarget, ServiceConfig, UpstreamOrder,
+    PlannerSettings, ProbeTarget, ServiceConfig, SharedTable, UpstreamOrder,
 };
-use eelgrassdeal_platform::{SharedTable, encode_group};
+use eelgrassdeal_platform::encode_group;
 use eelgrassdeal_store::{
     CONTROL_PARTITION, HeldLease, LeaseKeeper, RowCondition, RowKey, RowWrite, StoreError,
     TableName, TableStore,
@@ -78,10 +78,13 @@
                 }
                 return;
             }
-            let is_candidate = self.state.directory.borrow().is_planner_candidate(Instant::now());
+            let is_candidate = self.state.directory.borrow().is_planner_candidate();
             if is_candidate || keeper.held(Instant::now()).is_some() {
                 match keeper.renew().await {
-                    Ok(lease) => self.note_lease(lease),
+                    Ok(lease) => {
+                        self.state.contact.note_answer(Instant::now());
+                        self.note_lease(lease);
+                    }
                     Err(report) => {
                         log::debug!("event=lease_unanswered reason=\"{report}\"");
                         self.note_lease(keeper.held(Instant::now()));
@@ -96,6 +99,7 @@
 
     fn note_lease(&self, lease: Option<HeldLease>) {
         let previous = self.lease.replace(lease);
+        self.state.is_planner.set(lease.is_some());
         match (previous, lease) {
             (None, Some(lease)) => log::info!("event=lease_taken fencing={}", lease.fencing),
             (Some(lease), None) => log::info!("event=lease_lost fencing={}", lease.fencing),
@@ -212,9 +216,7 @@
         }
         let condition =
             known.map_or(RowCondition::Absent, |row| RowCondition::VersionIs(row.version));
-        store.transact(vec![RowWrite::put(term_key(), condition, body.clone())]).await?;
-        let written = TableStore::get(store, term_key()).await?;
-        Ok(written.filter(|row| row.body == body).map(|row| row.version))
+        store.transact(vec![RowWrite::put(term_key(), condition, body)]).await
     }
 
     fn give(self: Rc<Self>, order: UpstreamOrder, fencing: FencingNumber) {
--- a/crates/eelgrassdeal_gateway/src/state.rs
+++ b/crates/eelgrassdeal_gateway/src/state.rs
@@ -7,39 +7,47 @@
 
 use eelgrassdeal_dispatch::{
     FleetLoad, FleetView, GatewaySettings, LoadBook, NodeBeat, NodeDirectory, NodeStage, RateShare,
-    RetryAllowance, ServiceConfig, UpstreamRecord,
+    RetryAllowance, ServiceConfig, SharedTable, TableChanges, TablePace, UpstreamRecord,
 };
 use eelgrassdeal_http::ConnectionPool;
 use eelgrassdeal_platform::{PlatformStore, UpstreamCalls};
 use eelgrassdeal_types::{ServiceId, UpstreamId};
+use event_listener::Event;
 
 use crate::mirror::StoreMirror;
 
-/// A store that did not answer for this long counts as lost.
+/// A node whose calls had no answer for this long has lost the store.
 const STORE_PATIENCE: Duration = Duration::from_millis(1_500);
+/// Added to the age from which on a copy of a table is not relied on: the store, or this node, was
+/// away when no copy was current for so long.
+const OUTAGE_MARGIN: Duration = Duration::from_millis(400);
 
 /// Whether the store answers this node.
 #[derive(Debug, Default)]
 pub(crate) struct StoreContact {
     last_answer: Cell<Option<Instant>>,
+    /// When the first of the calls began that failed since the last answer.
+    failing_since: Cell<Option<Instant>>,
     is_lost: Cell<bool>,
 }
 
 impl StoreContact {
-    /// Notes an answer; true if the store was lost before.
-    pub(crate) fn note_answer(&self, now: Instant) -> bool {
+    /// Notes an answer.
+    pub(crate) fn note_answer(&self, now: Instant) {
         self.last_answer.set(Some(now));
-        let was_lost = self.is_lost.replace(false);
-        if was_lost {
+        self.failing_since.set(None);
+        if self.is_lost.replace(false) {
             log::info!("event=store_regained");
         }
-        was_lost
     }
 
-    /// Notes a call without an answer.
-    pub(crate) fn note_failure(&self, now: Instant) {
-        if !self.is_reached(now) && !self.is_lost.replace(true) {
-            log::warn!("event=store_lost");
+    /// Notes that a call which began at `called_at` had no answer.
+    pub(crate) fn note_failure(&self, called_at: Instant, now: Instant) {
+        let since = self.failing_since.get().unwrap_or(called_at);
+        self.failing_since.set(Some(since));
+        let age = now.saturating_duration_since(since);
+        if age >= STORE_PATIENCE && !self.is_lost.replace(true) {
+            log::warn!("event=store_lost failing_for_ms={}", age.as_millis());
         }
     }
 
@@ -47,24 +55,18 @@
     pub(crate) fn is_reached(&self, now: Instant) -> bool {
         self.last_answer.get().is_some_and(|at| now.saturating_duration_since(at) < STORE_PATIENCE)
     }
+
+    /// Whether the last calls had no answer. A node that calls nothing has not lost the store.
+    pub(crate) fn is_lost(&self) -> bool {
+        self.is_lost.get()
+    }
 }
 
 /// How long the silence of an upstream is told to other nodes and considered by the planner.
 const SILENCE_LIFETIME: Duration = Duration::from_millis(800);
 
-/// An upstream that sent nothing to running requests.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct SilentUpstream {
-    noted_at: Instant,
-    /// Whether this node saw it.
-    is_own: bool,
-}
-
-impl SilentUpstream {
-    fn is_fresh(&self, now: Instant) -> bool {
-        now.duration_since(self.noted_at) < SILENCE_LIFETIME
-    }
-}
+/// What a peer last said of its copies of the tables, by table.
+pub(crate) type PeerVersions = HashMap<SharedTable, u64>;
 
 /// State that all tasks of a gateway share.
 pub(crate) struct GatewayState {
@@ -80,13 +82,21 @@
     pub(crate) directory: RefCell<NodeDirectory>,
     pub(crate) loads: RefCell<LoadBook>,
     /// Upstreams that were silent towards this node or another, and when.
-    pub(crate) silent: RefCell<HashMap<UpstreamId, SilentUpstream>>,
+    pub(crate) silent: RefCell<HashMap<UpstreamId, Instant>>,
+    /// What other nodes last said of their tables, by their peer address.
+    pub(crate) peer_versions: RefCell<HashMap<Arc<str>, PeerVersions>>,
+    /// When other nodes were last told the heartbeats, by their peer address.
+    pub(crate) beats_told: RefCell<HashMap<Arc<str>, Instant>>,
+    /// Told when the store shows something new.
+    pub(crate) news: Event,
     pub(crate) cold_shares: RefCell<HashMap<UpstreamId, RateShare>>,
     pub(crate) retries: RefCell<HashMap<ServiceId, RetryAllowance>>,
     pub(crate) stage: Cell<NodeStage>,
     /// When SIGTERM came.
     pub(crate) leaving_since: Cell<Option<Instant>>,
     pub(crate) has_traffic: Cell<bool>,
+    /// Whether this node holds the planner's lease.
+    pub(crate) is_planner: Cell<bool>,
     pub(crate) in_flight: Cell<u32>,
     pub(crate) connections: Cell<u32>,
 }
@@ -99,9 +109,11 @@
             beat: 0,
             stage: NodeStage::Starting,
             has_store: false,
+            is_planner: false,
             front: settings.listen.front.clone().unwrap_or_else(|| Arc::from("")),
             peer: settings.listen.peers.clone(),
             data_centre: settings.data_centre.clone(),
+            processor_share: settings.processor_share,
         };
         Self {
             store: PlatformStore::new(control_pool.clone(), settings.store.address.clone()),
@@ -113,11 +125,15 @@
             directory: RefCell::new(NodeDirectory::new(own)),
             loads: RefCell::default(),
             silent: RefCell::default(),
+            peer_versions: RefCell::default(),
+            beats_told: RefCell::default(),
+            news: Event::new(),
             cold_shares: RefCell::default(),
             retries: RefCell::default(),
             stage: Cell::new(NodeStage::Starting),
             leaving_since: Cell::new(None),
             has_traffic: Cell::new(false),
+            is_planner: Cell::new(false),
             in_flight: Cell::new(0),
             connections: Cell::new(0),
             settings: RefCell::new(Arc::new(settings)),
@@ -162,28 +178,53 @@
         share.try_take(now, per_s, nodes)
     }
 
-    /// Notes that an upstream is silent, as this node saw or another told.
-    pub(crate) fn note_silent(&self, upstream: &UpstreamId, is_own: bool, now: Instant) {
+    /// Notes that an upstream was silent at `at`, as this node saw or another told.
+    pub(crate) fn note_silent(&self, upstream: &UpstreamId, at: Instant, now: Instant) {
         let mut silent = self.silent.borrow_mut();
-        silent.insert(upstream.clone(), SilentUpstream { noted_at: now, is_own });
-        silent.retain(|_, known| known.is_fresh(now));
+        let known = silent.entry(upstream.clone()).or_insert(at);
+        *known = at.max(*known);
+        silent.retain(|_, at| now.saturating_duration_since(*at) < SILENCE_LIFETIME);
     }
 
     /// Whether an upstream was silent lately towards this node or another.
     pub(crate) fn is_silent(&self, upstream: &UpstreamId, now: Instant) -> bool {
-        self.silent.borrow().get(upstream).is_some_and(|known| known.is_fresh(now))
+        let silent = self.silent.borrow();
+        silent.get(upstream).is_some_and(|at| now.saturating_duration_since(*at) < SILENCE_LIFETIME)
     }
 
-    /// Upstreams that were silent lately; only those that this node saw itself if `is_own`.
-    pub(crate) fn silent_upstreams(&self, is_own: bool, now: Instant) -> Vec<UpstreamId> {
+    /// Upstreams that were silent lately, and for how long that is known.
+    pub(crate) fn silent_upstreams(&self, now: Instant) -> Vec<(UpstreamId, Duration)> {
         self.silent
             .borrow()
             .iter()
-            .filter(|(_, known)| known.is_fresh(now) && (known.is_own || !is_own))
-            .map(|(upstream, _)| upstream.clone())
+            .map(|(upstream, at)| (upstream.clone(), now.saturating_duration_since(*at)))
+            .filter(|(_, age)| *age < SILENCE_LIFETIME)
             .collect()
     }
 
+    /// How often `table` is read.
+    pub(crate) fn pace(&self, table: SharedTable) -> TablePace {
+        self.settings().bounds.pace(table)
+    }
+
+    /// Takes over what was learned of a table. `fresh_at` is a time at which the store had accepted
+    /// nothing that `changes` and the known copy do not show. Returns whether there was news.
+    pub(crate) fn take_table(
+        &self,
+        table: SharedTable,
+        changes: Option<TableChanges>,
+        fresh_at: Option<Instant>,
+    ) -> bool {
+        let now = Instant::now();
+        let outage = self.pace(table).patience + OUTAGE_MARGIN;
+        let mut mirror = self.mirror.borrow_mut();
+        // Whether the store was away decides what missing rows mean.
+        if let Some(at) = fresh_at {
+            mirror.note_fresh(table, at, outage, now);
+        }
+        changes.is_some_and(|changes| mirror.take(table, changes, now))
+    }
+
     /// What this node knows of the work of all nodes.
     pub(crate) fn fleet_load(&self, config: &ServiceConfig, now: Instant) -> FleetLoad {
         let (view, loads) = (self.view(), self.loads.borrow());
@@ -201,7 +242,7 @@
         }
         FleetLoad {
             has_traffic: self.has_traffic.get(),
-            silent: self.silent_upstreams(false, now),
+            silent: self.silent_upstreams(now).into_iter().map(|(upstream, _)| upstream).collect(),
             pressure,
         }
     }
--- a/crates/eelgrassdeal_gateway/tests/failures.rs
+++ b/crates/eelgrassdeal_gateway/tests/failures.rs
@@ -127,6 +127,43 @@
     }
 }
 
+/// Calls a second that a fleet without changes makes: one node waits for news of three tables in
+/// calls of 0.8 s, one renews the planner's lease and one watches it every 0.7 s.
+const MAX_IDLE_CALLS_PER_S: u64 = 3 * 2 + 2 * 2;
+
+#[compio::test]
+async fn one_node_follows_the_store_for_all() {
+    let platform = PlayedPlatform::new().await.with_desks(1).await.with_gateways(5).await;
+    compio::time::sleep(Duration::from_secs(4)).await;
+    let calls = || {
+        let calls = platform.store.calls();
+        calls.reads + calls.writes
+    };
+    let before = calls();
+    compio::time::sleep(Duration::from_secs(5)).await;
+    let made = calls() - before;
+    assert!(made <= 5 * MAX_IDLE_CALLS_PER_S, "{made} calls in 5 s");
+}
+
+#[compio::test]
+async fn a_change_is_in_force_in_time_when_the_node_that_follows_the_store_has_died() {
+    let mut platform = PlayedPlatform::new().await.with_desks(1).await.with_gateways(4).await;
+    // By now one node follows the store and the others rely on it.
+    compio::time::sleep(Duration::from_secs(4)).await;
+    let planner = platform.gateways.iter().position(|node| node.log().contains("lease_taken"));
+    let planner = planner.expect("a node plans");
+    platform.gateways[planner].kill();
+    platform.configure(2, &["key-2"]);
+    compio::time::sleep(NOTICE_TIME).await;
+    for gateway in (0..4).filter(|gateway| *gateway != planner) {
+        let status = async |key: &str| {
+            platform.ask(gateway, "/look/x", "b", key).await.expect("an answer").status
+        };
+        assert_eq!(status(KEY).await, 401, "a key that was taken away");
+        assert_eq!(status("key-2").await, 200);
+    }
+}
+
 #[compio::test]
 async fn a_leaving_worker_gets_no_new_requests_even_when_the_feed_is_silent() {
     let platform = PlayedPlatform::new().await.with_desks(2).await.with_gateways(2).await;
--- a/crates/eelgrassdeal_node/src/fleet_sync/heartbeat.rs
+++ b/crates/eelgrassdeal_node/src/fleet_sync/heartbeat.rs
@@ -46,7 +46,7 @@
     };
     let write = RowWrite::put(key.clone(), condition, encode_message(&record));
     match state.platform.table.transact(vec![write]).await {
-        Ok(()) => match condition {
+        Ok(_) => match condition {
             RowCondition::Absent => Some(RowCondition::VersionIs(1)),
             RowCondition::VersionIs(version) => Some(RowCondition::VersionIs(version + 1)),
         },
--- a/crates/eelgrassdeal_store/src/config_log/mod.rs
+++ b/crates/eelgrassdeal_store/src/config_log/mod.rs
@@ -201,7 +201,7 @@
         let writes = append_writes(base, &change);
         for number in 0..WRITE_TRIES {
             match self.store.transact(writes.clone()).await {
-                Ok(()) => return AppendOutcome::Accepted,
+                Ok(_) => return AppendOutcome::Accepted,
                 Err(report) if matches!(report.current_context(), StoreError::Conflict { .. }) => {
                     match self.read_row(change.revision).await {
                         Some(row) if row == change => return AppendOutcome::Accepted,
--- a/crates/eelgrassdeal_store/src/lease.rs
+++ b/crates/eelgrassdeal_store/src/lease.rs
@@ -57,6 +57,9 @@
     wall_clock: Rc<dyn Fn() -> SystemTime>,
     seen: Option<SeenRow>,
     granted: Option<GrantedLease>,
+    /// Version of the row that this keeper wrote last, and its fencing number, if no other write
+    /// may have followed unseen.
+    written: Option<(u64, FencingNumber)>,
 }
 
 impl LeaseKeeper {
@@ -65,7 +68,17 @@
         let key = RowKey::new(TableName::Leases, CONTROL_PARTITION, name);
         let mark = new_writer_mark();
         let wall_clock = Rc::new(SystemTime::now);
-        Self { store, key, holder, mark, duration, wall_clock, seen: None, granted: None }
+        Self {
+            store,
+            key,
+            holder,
+            mark,
+            duration,
+            wall_clock,
+            seen: None,
+            granted: None,
+            written: None,
+        }
     }
 
     /// Replaces the wall clock. It only shortens the validity, for the case that the steady clock
@@ -93,8 +106,15 @@
     /// whose answer was lost is recognised by the next call.
     pub async fn renew(&mut self) -> StoreResult<Option<HeldLease>> {
         let (started, wall_started) = (Instant::now(), (self.wall_clock)());
-        let row = self.store.get(self.key.clone()).await?;
-        let Some((condition, fencing)) = self.judge(row)? else {
+        let known = match self.written.take() {
+            // A holder need not read what it wrote: another's write makes the condition fail.
+            Some((version, fencing)) => Some((RowCondition::VersionIs(version), fencing)),
+            None => {
+                let row = self.store.get(self.key.clone()).await?;
+                self.judge(row)?
+            }
+        };
+        let Some((condition, fencing)) = known else {
             self.granted = None;
             return Ok(None);
         };
@@ -105,7 +125,8 @@
         };
         let write = RowWrite::put(self.key.clone(), condition, encode_message(&record));
         match self.store.transact(vec![write]).await {
-            Ok(()) => {
+            Ok(version) => {
+                self.written = version.map(|version| (version, fencing));
                 let lease = HeldLease { fencing, valid_until: started + self.validity() };
                 self.granted = Some(GrantedLease { lease, since: wall_started });
                 Ok(self.held(Instant::now()))
@@ -127,6 +148,7 @@
     /// When the store gives no answer.
     pub async fn release(&mut self) -> StoreResult<()> {
         self.granted = None;
+        self.written = None;
         let Some(row) = self.store.get(self.key.clone()).await? else { return Ok(()) };
         let record: LeaseRecord =
             decode_message(&row.body).change_context(StoreError::Malformed)?;
@@ -136,7 +158,7 @@
         let freed = LeaseRecord { fencing: record.fencing, ..LeaseRecord::default() };
         let condition = RowCondition::VersionIs(row.version);
         let write = RowWrite::put(self.key.clone(), condition, encode_message(&freed));
-        self.store.transact(vec![write]).await
+        self.store.transact(vec![write]).await.map(|_| ())
     }
 
     /// The condition and fencing number of the next write; `None` while another keeper may hold the
--- a/crates/eelgrassdeal_store/src/table/http.rs
+++ b/crates/eelgrassdeal_store/src/table/http.rs
@@ -14,7 +14,7 @@
 
 use super::{
     RowCondition, RowKey, RowRange, RowWrite, StoreError, StoreResult, StoredRow, TableStore,
-    WriteAction,
+    WriteAction, first_version,
 };
 use crate::http_call::HttpCaller;
 
@@ -122,10 +122,11 @@
         self.query_all(range).boxed_local()
     }
 
-    fn transact(&self, writes: Vec<RowWrite>) -> LocalBoxFuture<'_, StoreResult<()>> {
+    fn transact(&self, writes: Vec<RowWrite>) -> LocalBoxFuture<'_, StoreResult<Option<u64>>> {
         async move {
             let items: Vec<Value> = writes.iter().map(write_json).collect();
-            self.call("TransactWriteItems", json!({ "TransactItems": items })).await.map(|_| ())
+            self.call("TransactWriteItems", json!({ "TransactItems": items })).await?;
+            Ok(first_version(&writes))
         }
         .boxed_local()
     }
@@ -152,9 +153,9 @@
 }
 
 fn write_json(write: &RowWrite) -> Value {
-    let (condition, next_version) = match write.condition {
-        RowCondition::Absent => (json!("attribute_not_exists(pk)"), 1),
-        RowCondition::VersionIs(version) => (json!("ver = :ver"), version + 1),
+    let condition = match write.condition {
+        RowCondition::Absent => "attribute_not_exists(pk)",
+        RowCondition::VersionIs(_) => "ver = :ver",
     };
     let mut item = json!({
         "TableName": write.key.table.name(),
@@ -166,7 +167,7 @@
     match &write.action {
         WriteAction::Put { body, expires_unix_ms } => {
             let mut attributes = key_json(&write.key);
-            attributes["ver"] = json!({ "N": next_version.to_string() });
+            attributes["ver"] = json!({ "N": write.condition.next_version().to_string() });
             attributes["body"] = json!({ "B": BASE64.encode(body) });
             if *expires_unix_ms > 0 {
                 let expires_unix_s = expires_unix_ms.div_ceil(1000);
--- a/crates/eelgrassdeal_store/src/table/memory.rs
+++ b/crates/eelgrassdeal_store/src/table/memory.rs
@@ -10,7 +10,7 @@
 
 use super::{
     RowCondition, RowKey, RowRange, RowWrite, StoreError, StoreResult, StoredRow, TableStore,
-    WriteAction,
+    WriteAction, first_version,
 };
 
 /// Rows kept in memory. Clones share the rows.
@@ -106,7 +106,8 @@
         ready(Ok(self.read_range(&range))).boxed_local()
     }
 
-    fn transact(&self, writes: Vec<RowWrite>) -> LocalBoxFuture<'_, StoreResult<()>> {
-        ready(self.apply(&writes).map_err(Report::new)).boxed_local()
+    fn transact(&self, writes: Vec<RowWrite>) -> LocalBoxFuture<'_, StoreResult<Option<u64>>> {
+        let version = first_version(&writes);
+        ready(self.apply(&writes).map(|()| version).map_err(Report::new)).boxed_local()
     }
 }
--- a/crates/eelgrassdeal_store/src/table/mod.rs
+++ b/crates/eelgrassdeal_store/src/table/mod.rs
@@ -97,6 +97,16 @@
     VersionIs(u64),
 }
 
+impl RowCondition {
+    /// The version of a row that is stored under this condition, where versions count the writes.
+    pub(crate) fn next_version(self) -> u64 {
+        match self {
+            Self::Absent => 1,
+            Self::VersionIs(version) => version + 1,
+        }
+    }
+}
+
 /// What a write does to its row.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum WriteAction {
@@ -149,6 +159,12 @@
     }
 }
 
+/// The version of the first row that `writes` store, where versions count the writes of a row.
+pub(crate) fn first_version(writes: &[RowWrite]) -> Option<u64> {
+    let is_put = |write: &&RowWrite| matches!(write.action, WriteAction::Put { .. });
+    writes.iter().find(is_put).map(|write| write.condition.next_version())
+}
+
 /// Why the store gave no answer that can be used.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StoreError {
@@ -193,6 +209,7 @@
     /// Reads the rows of a range in the order of their sort keys.
     fn query(&self, range: RowRange) -> LocalBoxFuture<'_, StoreResult<Vec<StoredRow>>>;
 
-    /// Applies all writes or none. At most 25 writes, each of another row.
-    fn transact(&self, writes: Vec<RowWrite>) -> LocalBoxFuture<'_, StoreResult<()>>;
+    /// Applies all writes or none. At most 25 writes, each of another row. Returns the version that
+    /// the first of the stored rows has now; `None` if no row is stored.
+    fn transact(&self, writes: Vec<RowWrite>) -> LocalBoxFuture<'_, StoreResult<Option<u64>>>;
 }
--- a/crates/eelgrassdeal_store/src/write_batch.rs
+++ b/crates/eelgrassdeal_store/src/write_batch.rs
@@ -202,7 +202,7 @@
     async fn transact(&self, batch: &[QueuedWrite]) -> Result<(), StoreError> {
         self.inner.transactions.set(self.inner.transactions.get() + 1);
         let writes = batch.iter().map(|queued| queued.write.clone()).collect();
-        self.inner.store.transact(writes).await.map_err(|report| {
+        self.inner.store.transact(writes).await.map(|_| ()).map_err(|report| {
             log::debug!("write of {} rows: {report:?}", batch.len());
             report.current_context().clone()
         })
--- a/crates/eelgrassdeal_store/tests/lease.rs
+++ b/crates/eelgrassdeal_store/tests/lease.rs
@@ -79,6 +79,27 @@
     assert!(renewed.valid_until > first.valid_until);
 }
 
+/// Guards against a holder that reads before each renewal, and against one that trusts its own last
+/// write after another's.
+#[compio::test]
+async fn a_holder_renews_with_one_call_until_another_takes_over() {
+    let (fake, _server, store) = serve_table().await;
+    let duration = Duration::from_millis(200);
+    let mut holder = new_keeper(&store, "n1", duration);
+    let mut other = new_keeper(&store, "n2", duration);
+    holder.renew().await.unwrap().unwrap();
+    let before = fake.stats().calls;
+    for _ in 0..5 {
+        holder.renew().await.unwrap().unwrap();
+    }
+    assert_eq!(fake.stats().calls - before, 5);
+    assert_eq!(other.renew().await.unwrap(), None);
+    compio::time::sleep(duration * 2).await;
+    assert_eq!(other.renew().await.unwrap().unwrap().fencing, 2);
+    assert_eq!(holder.renew().await.unwrap(), None, "the row has another writer now");
+    assert_eq!(holder.renew().await.unwrap(), None, "the other holds it");
+}
+
 /// Guards against a holder that works on through an outage longer than its lease, and against two
 /// holders after it.
 #[compio::test]
