Let only some nodes of a large fleet send to a cold upstream

Cause: each of n nodes saved up one request of the rate that a cold upstream bears, so that n requests could come at once beyond the rate.

Change: as many nodes as the tolerance covers, with two fifths left for nodes that do not know of each other, are senders of a cold upstream, by a hash of both names; the others place elsewhere meanwhile. A new group is headed by its member that stays cold for the shortest time.

--- a/crates/eelgrassdeal_dispatch/src/directory.rs
+++ b/crates/eelgrassdeal_dispatch/src/directory.rs
@@ -225,14 +225,27 @@
         self.others.values().filter(may_run).map(|known| known.beat.peer.clone()).collect()
     }
 
-    /// Number of nodes that share the limits, this one included. Nodes that were silent for a
-    /// while count: they may be cut off from this node only.
-    pub fn sharing_nodes(&self, now: Instant) -> usize {
-        let is_counted = |known: &&KnownNode| {
+    /// Other nodes that share the limits. Nodes that were silent for a while count: they may be cut
+    /// off from this node only.
+    fn sharing_others(&self, now: Instant) -> impl Iterator<Item = &NodeId> {
+        let is_counted = move |known: &&KnownNode| {
             let age = now.duration_since(known.advanced_at);
             age < LIVE_TIME || (age < COUNTED_TIME && known.beat.stage != NodeStage::Leaving)
         };
-        1 + self.others.values().filter(is_counted).count()
+        self.others.values().filter(is_counted).map(|known| &known.beat.node)
+    }
+
+    /// Number of nodes that share the limits, this one included.
+    pub fn sharing_nodes(&self, now: Instant) -> usize {
+        1 + self.sharing_others(now).count()
+    }
+
+    /// Whether this node is one of `count` that use what is named `name`. Every node names the same
+    /// ones, as far as they know of each other, and others for another name.
+    pub fn is_among(&self, name: &str, count: usize, now: Instant) -> bool {
+        let rank = |node: &str| name_hash(&format!("{name}/{node}"));
+        let own = rank(&self.own.node);
+        self.sharing_others(now).filter(|node| rank(node) < own).count() < count
     }
 
     /// Front addresses of the nodes that take callers.
@@ -341,10 +354,14 @@
     }
 }
 
-/// A number that is the same on every node, to spread choices by name (FNV-1a).
+/// A number that is the same on every node, to spread choices by name (FNV-1a with a final mix).
 fn name_hash(name: &str) -> usize {
     const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
     const PRIME: u64 = 0x0100_0000_01b3;
+    const MIXER: u64 = 0x9e37_79b9_7f4a_7c15;
     let step = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(PRIME);
-    name.bytes().fold(OFFSET, step) as usize
+    let hash = name.bytes().fold(OFFSET, step);
+    // Names that differ in their last letters only differ in few bits until here.
+    let mixed = (hash ^ (hash >> 32)).wrapping_mul(MIXER);
+    (mixed ^ (mixed >> 29)) as usize
 }
--- a/crates/eelgrassdeal_dispatch/src/lib.rs
+++ b/crates/eelgrassdeal_dispatch/src/lib.rs
@@ -4,7 +4,7 @@
 //! - What the fleet reports: [`UpstreamRecord`], [`GroupRecord`], gathered in a [`FleetView`].
 //! - Replicas: [`GroupPlanner`] forms, watches and repairs groups of upstreams.
 //! - Placement: [`LoadBook`] chooses the upstream of a request.
-//! - Limits over all nodes: [`RateShare`] and [`RetryAllowance`].
+//! - Limits over all nodes: [`ColdShare`] and [`RetryAllowance`].
 //! - Nodes: [`NodeDirectory`] knows the others by their heartbeats.
 //! - The store's tables: [`TableMirror`] is a copy that nodes keep and pass on.
 //!
@@ -30,7 +30,7 @@
     FleetSummary, FleetView, GroupMembership, GroupRecord, GroupState, Replica, UpstreamRecord,
     UpstreamState,
 };
-pub use limit::{RateShare, RetryAllowance};
+pub use limit::{ColdBound, ColdShare, RetryAllowance};
 pub use placement::{LoadBook, PlacementNeed, PlacementRefusal, PlacementTarget};
 pub use planner::{
     FleetLoad, GroupPlanner, OrderKind, OrderOutcome, PlanStep, PlannerSettings, ProbeOutcome,
--- a/crates/eelgrassdeal_dispatch/src/limit.rs
+++ b/crates/eelgrassdeal_dispatch/src/limit.rs
@@ -30,22 +30,46 @@
     }
 }
 
-/// A rate limit of which every node uses an equal share.
+/// Requests that a cold upstream bears, over all nodes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdBound {
+    /// Requests a second.
+    pub per_s: f64,
+    /// Requests in one second that are tolerated, in terms of the rate.
+    pub overshoot: f64,
+    /// Further requests that are tolerated in one second.
+    pub slack: f64,
+}
+
+impl ColdBound {
+    /// Part of the tolerated requests that the nodes use. The rest is for nodes that do not know of
+    /// each other and send more than their share.
+    const USED_PART: f64 = 0.6;
+
+    /// How many of `nodes` nodes may send requests. Each may send one more than its share of the
+    /// rate, so that many nodes together would send too many.
+    pub fn senders(&self, nodes: usize) -> usize {
+        let tolerated = self.per_s * (self.overshoot - 1.0) + self.slack;
+        ((tolerated * Self::USED_PART) as usize).clamp(1, nodes.max(1))
+    }
+}
+
+/// A node's share of the requests that a cold upstream bears.
 #[derive(Clone, Debug)]
-pub struct RateShare(TokenBucket);
+pub struct ColdShare(TokenBucket);
 
-impl RateShare {
+impl ColdShare {
     /// Starts with one request.
     pub fn new(now: Instant) -> Self {
         Self(TokenBucket::new(now, 1.0))
     }
 
-    /// Takes one request of `per_s` over `nodes` nodes; false if the share is used up.
+    /// Takes one request; false if the share is used up.
     ///
-    /// At most one request is saved, so that the nodes together never send more than one each
+    /// At most one request is saved, so that the senders together never send more than one each
     /// beyond the rate.
-    pub fn try_take(&mut self, now: Instant, per_s: f64, nodes: usize) -> bool {
-        self.0.try_take(now, per_s / nodes.max(1) as f64, 1.0)
+    pub fn try_take(&mut self, now: Instant, bound: &ColdBound, senders: usize) -> bool {
+        self.0.try_take(now, bound.per_s / senders.max(1) as f64, 1.0)
     }
 }
 
--- a/crates/eelgrassdeal_dispatch/src/planner/form.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/form.rs
@@ -385,6 +385,9 @@
     ) -> GroupRecord {
         let generation = self.next_generation;
         self.next_generation += 1;
+        // The head takes all requests, of which a cold one bears few.
+        let mut members = members.clone();
+        members.sort_by_key(|record| record.cold_left);
         GroupRecord {
             group: Arc::from(format!("g{generation}")),
             generation,
--- a/crates/eelgrassdeal_dispatch/src/settings.rs
+++ b/crates/eelgrassdeal_dispatch/src/settings.rs
@@ -60,6 +60,10 @@
     pub free_retries: f64,
     /// Window of the retry bound.
     pub retry_window: Duration,
+    /// Requests in one second that a cold upstream tolerates, in terms of its rate.
+    pub cold_overshoot: f64,
+    /// Further requests that a cold upstream tolerates in one second.
+    pub cold_slack: f64,
     /// Time after which an engine gives up work that depends on a lost member.
     pub stall: Duration,
     /// Window in which loads from the weight store are counted.
--- a/crates/eelgrassdeal_gateway/src/state.rs
+++ b/crates/eelgrassdeal_gateway/src/state.rs
@@ -6,8 +6,8 @@
 use std::time::{Duration, Instant};
 
 use eelgrassdeal_dispatch::{
-    FleetLoad, FleetView, GatewaySettings, LoadBook, NodeBeat, NodeDirectory, NodeStage, RateShare,
-    RetryAllowance, ServiceConfig, SharedTable, TableChanges, TablePace, UpstreamRecord,
+    ColdBound, ColdShare, FleetLoad, FleetView, GatewaySettings, LoadBook, NodeBeat, NodeDirectory,
+    NodeStage, RetryAllowance, ServiceConfig, SharedTable, TableChanges, TablePace, UpstreamRecord,
 };
 use eelgrassdeal_http::ConnectionPool;
 use eelgrassdeal_platform::{PlatformStore, UpstreamCalls};
@@ -89,7 +89,7 @@
     pub(crate) beats_told: RefCell<HashMap<Arc<str>, Instant>>,
     /// Told when the store shows something new.
     pub(crate) news: Event,
-    pub(crate) cold_shares: RefCell<HashMap<UpstreamId, RateShare>>,
+    pub(crate) cold_shares: RefCell<HashMap<UpstreamId, ColdShare>>,
     pub(crate) retries: RefCell<HashMap<ServiceId, RetryAllowance>>,
     pub(crate) stage: Cell<NodeStage>,
     /// When SIGTERM came.
@@ -172,10 +172,16 @@
         if per_s <= 0.0 {
             return true;
         }
-        let nodes = self.sharing_nodes();
+        let bounds = &self.settings().bounds;
+        let bound = ColdBound { per_s, overshoot: bounds.cold_overshoot, slack: bounds.cold_slack };
+        let directory = self.directory.borrow();
+        let senders = bound.senders(directory.sharing_nodes(now));
+        if !directory.is_among(&record.upstream, senders, now) {
+            return false;
+        }
         let mut shares = self.cold_shares.borrow_mut();
-        let share = shares.entry(record.upstream.clone()).or_insert_with(|| RateShare::new(now));
-        share.try_take(now, per_s, nodes)
+        let share = shares.entry(record.upstream.clone()).or_insert_with(|| ColdShare::new(now));
+        share.try_take(now, &bound, senders)
     }
 
     /// Notes that an upstream was silent at `at`, as this node saw or another told.
