--- a/crates/eelgrassdeal_dispatch/src/fleet.rs
+++ b/crates/eelgrassdeal_dispatch/src/fleet.rs
@@ -158,10 +158,14 @@
         group.members.iter().map(find).collect()
     }
 
-    /// Upstreams that belong to a group, with the starts of their lives.
-    pub fn grouped_upstreams(&self) -> BTreeSet<(&UpstreamId, u64)> {
+    /// Upstreams that belong to a group that `is_counted`, with the starts of their lives.
+    pub fn grouped_upstreams(
+        &self,
+        is_counted: impl Fn(&GroupRecord) -> bool,
+    ) -> BTreeSet<(&UpstreamId, u64)> {
         self.groups
             .values()
+            .filter(|group| is_counted(group))
             .flat_map(|group| group.members.iter().map(|(upstream, born)| (upstream, *born)))
             .collect()
     }
@@ -216,7 +220,7 @@
                 (false, None) => summary.forming += 1,
             }
         }
-        let grouped = self.grouped_upstreams();
+        let grouped = self.grouped_upstreams(|_| true);
         let is_spare = |record: &&Arc<UpstreamRecord>| {
             &*record.service == service && !grouped.contains(&(&record.upstream, record.born))
         };
--- a/crates/eelgrassdeal_dispatch/src/lib.rs
+++ b/crates/eelgrassdeal_dispatch/src/lib.rs
@@ -33,8 +33,8 @@
 pub use limit::{ColdBound, ColdShare, RetryAllowance};
 pub use placement::{LoadBook, PlacementNeed, PlacementRefusal, PlacementTarget};
 pub use planner::{
-    FleetLoad, GroupPlanner, OrderKind, OrderOutcome, PlanStep, PlannerSettings, ProbeOutcome,
-    ProbeTarget, UpstreamOrder,
+    FleetLoad, GroupPlanner, GroupWrite, OrderKind, OrderOutcome, PlanStep, PlannerSettings,
+    ProbeOutcome, ProbeTarget, UpstreamOrder, WriteOutcome,
 };
 pub use settings::{GatewaySettings, LimitBounds, ListenAddresses, StoreAddress, TablePace};
 pub use table::{RowChange, SharedTable, TableChanges, TableMirror, VersionGap};
--- a/crates/eelgrassdeal_dispatch/src/planner/mod.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/mod.rs
@@ -6,17 +6,22 @@
 //! joins a group while the head of its former group may still serve.
 
 mod dismantle;
+mod far;
 mod form;
+mod home;
+mod layout;
+mod load;
 mod memory;
+mod spare;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use eelgrassdeal_types::{FencingNumber, Generation, GroupId, ModelId, UpstreamId};
 
 use crate::config::{EngineSpec, ServiceConfig};
-use crate::fleet::{FleetView, GroupRecord, GroupState, UpstreamState};
+use crate::fleet::{FleetView, GroupRecord, GroupState, UpstreamRecord, UpstreamState};
 use memory::PlannerMemory;
 
 /// Generations that one planner may use before the next fencing number begins.
@@ -122,19 +127,47 @@
     pub address: Arc<str>,
 }
 
-/// A step of the plan.
+/// A change of the stored groups.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum PlanStep {
+pub enum GroupWrite {
     /// Store a new group.
     Create(GroupRecord),
     /// Store that a group is taken apart.
     MarkClosing(GroupRecord),
     /// Remove a group.
     Remove(GroupId),
+}
+
+impl GroupWrite {
+    /// The group that is written.
+    pub fn group(&self) -> &GroupId {
+        match self {
+            Self::Create(record) | Self::MarkClosing(record) => &record.group,
+            Self::Remove(group) => group,
+        }
+    }
+}
+
+/// How a write of groups ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WriteOutcome {
+    /// The groups are stored.
+    Done,
+    /// Nothing was written.
+    Failed,
+    /// No answer; the groups may be stored.
+    Unknown,
+}
+
+/// A step of the plan.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PlanStep {
+    /// Write all of these groups or none.
+    Write(Vec<GroupWrite>),
     /// Give an order.
     Order(UpstreamOrder),
-    /// Ask the upstream whether it is there.
-    Probe(ProbeTarget),
+    /// Ask the members of a group whether they are there.
+    Probe(Vec<ProbeTarget>),
 }
 
 /// Plans the groups of all services.
@@ -143,13 +176,24 @@
     settings: PlannerSettings,
     memory: PlannerMemory,
     next_generation: Generation,
+    draft: PlanDraft,
+}
+
+/// A plan that is being made.
+#[derive(Debug, Default)]
+struct PlanDraft {
+    writes: Vec<GroupWrite>,
+    steps: Vec<PlanStep>,
+    /// Groups whose members are free once the writes are done.
+    removed: HashSet<GroupId>,
 }
 
 impl GroupPlanner {
     /// Plans under a lease with the fencing number `fencing`.
     pub fn new(settings: PlannerSettings, fencing: FencingNumber) -> Self {
         let next_generation = fencing * GENERATIONS_PER_TERM;
-        Self { settings, memory: PlannerMemory::default(), next_generation }
+        let (memory, draft) = (PlannerMemory::default(), PlanDraft::default());
+        Self { settings, memory, next_generation, draft }
     }
 
     /// The steps that are due at `now`. Orders without an outcome are not repeated.
@@ -164,20 +208,29 @@
     ) -> Vec<PlanStep> {
         self.memory.forget_old(now);
         self.memory.pressure.clone_from(&load.pressure);
-        let mut steps = Vec::new();
+        self.memory.note_silent(&load.silent, now);
+        let view = self.memory.with_own_writes(view, now);
         for group in view.groups.values() {
             if group.members.first().is_some_and(|(head, _)| load.silent.contains(head)) {
-                self.probe_members(view, group, now, &mut steps);
+                self.probe_members(&view, group, now);
             }
             let engine = config.services.get(&group.service).and_then(|spec| spec.engine.as_ref());
-            self.tend_group(view, group, engine, now, &mut steps);
+            self.tend_group(&view, group, engine, now);
         }
         for spec in config.services.values() {
             if let Some(engine) = &spec.engine {
-                self.form_groups(view, &spec.service, engine, load.has_traffic, now, &mut steps);
+                self.form_groups(&view, &spec.service, engine, load.has_traffic, now);
             }
         }
-        steps
+        let draft = std::mem::take(&mut self.draft);
+        // One transaction frees the members of a group and takes them into the next.
+        let write = (!draft.writes.is_empty()).then_some(PlanStep::Write(draft.writes));
+        write.into_iter().chain(draft.steps).collect()
+    }
+
+    /// Notes how a write ended.
+    pub fn note_write(&mut self, writes: &[GroupWrite], outcome: WriteOutcome, now: Instant) {
+        self.memory.note_write(writes, outcome, now);
     }
 
     /// Notes how an order ended.
@@ -195,27 +248,17 @@
 
     /// Probes the members of a group whose head is silent: one of them may be lost, which shows in
     /// the fleet's records only seconds later.
-    fn probe_members(
-        &mut self,
-        view: &FleetView,
-        group: &GroupRecord,
-        now: Instant,
-        steps: &mut Vec<PlanStep>,
-    ) {
-        if group.is_closing || !self.memory.try_probe(&group.group, now) {
+    fn probe_members(&mut self, view: &FleetView, group: &GroupRecord, now: Instant) {
+        let is_closing = self.memory.closing_since.contains_key(&group.group);
+        if group.is_closing || is_closing || !self.memory.try_probe(&group.group, now) {
             return;
         }
-        for record in view.present_members(group).into_iter().flatten() {
-            steps.push(PlanStep::Probe(ProbeTarget {
-                upstream: record.upstream.clone(),
-                address: record.address.clone(),
-            }));
-        }
-    }
-
-    /// Notes that a write was not carried out, so that it is planned anew.
-    pub fn note_write_failure(&mut self, group: &GroupId) {
-        self.memory.pending_groups.remove(group);
+        let target = |record: &Arc<UpstreamRecord>| ProbeTarget {
+            upstream: record.upstream.clone(),
+            address: record.address.clone(),
+        };
+        let members = view.present_members(group).into_iter().flatten();
+        self.draft.steps.push(PlanStep::Probe(members.map(target).collect()));
     }
 
     fn tend_group(
@@ -224,16 +267,12 @@
         group: &GroupRecord,
         engine: Option<&EngineSpec>,
         now: Instant,
-        steps: &mut Vec<PlanStep>,
     ) {
         self.memory.pending_groups.remove(&group.group);
+        let is_closing = group.is_closing || self.memory.closing_since.contains_key(&group.group);
         let spec = engine.and_then(|engine| engine.model(&group.model));
-        if group.is_closing {
-            self.dismantle(view, group, now, steps);
-            return;
-        }
-        let Some(spec) = spec else {
-            self.begin_dismantle(group, now, steps);
+        let Some(spec) = spec.filter(|_| !is_closing) else {
+            self.dismantle(view, group, now);
             return;
         };
         let members = view.present_members(group);
@@ -255,7 +294,7 @@
         let patience = spec.load_time * FORM_PATIENCE_FACTOR;
         let is_late = !was_open && self.memory.age(&group.group, now) > patience;
         if is_lost || is_broken || is_late {
-            self.begin_dismantle(group, now, steps);
+            self.dismantle(view, group, now);
             return;
         }
         let is_ready = |state: &Option<GroupState>| {
@@ -281,14 +320,14 @@
                 group: Some((group.group.clone(), group.generation)),
                 kind,
             };
-            self.push_order(order, now, steps);
+            self.push_order(order, now);
         }
     }
 
     /// Adds an order unless the same one was given lately.
-    fn push_order(&mut self, order: UpstreamOrder, now: Instant, steps: &mut Vec<PlanStep>) {
+    fn push_order(&mut self, order: UpstreamOrder, now: Instant) {
         if self.memory.try_send(&order, now) {
-            steps.push(PlanStep::Order(order));
+            self.draft.steps.push(PlanStep::Order(order));
         }
     }
 }
--- a/crates/eelgrassdeal_dispatch/tests/common/mod.rs
+++ b/crates/eelgrassdeal_dispatch/tests/common/mod.rs
@@ -9,8 +9,8 @@
 
 use eelgrassdeal_dispatch::{
     EngineSpec, FleetLoad, FleetView, GroupMembership, GroupPlanner, GroupRecord, GroupState,
-    ModelSpec, OrderKind, OrderOutcome, PlanStep, PlannerSettings, ProbeOutcome, ServiceConfig,
-    ServiceSpec, UpstreamOrder, UpstreamRecord, UpstreamState,
+    GroupWrite, ModelSpec, OrderKind, OrderOutcome, PlanStep, PlannerSettings, ProbeOutcome,
+    ServiceConfig, ServiceSpec, UpstreamOrder, UpstreamRecord, UpstreamState, WriteOutcome,
 };
 
 pub const SERVICE: &str = "engines";
@@ -194,22 +194,33 @@
 
     fn carry_out(&mut self, step: PlanStep) {
         match step {
-            PlanStep::Create(group) => {
-                assert!(!self.view.groups.contains_key(&group.group), "a row is overwritten");
-                self.view.groups.insert(group.group.clone(), Arc::new(group));
-            }
-            PlanStep::MarkClosing(group) => {
-                self.view.groups.insert(group.group.clone(), Arc::new(group));
-            }
-            PlanStep::Remove(group) => {
-                self.view.groups.remove(&group);
+            PlanStep::Write(writes) => {
+                for write in writes.clone() {
+                    match write {
+                        GroupWrite::Create(group) => {
+                            let is_known = self.view.groups.contains_key(&group.group);
+                            assert!(!is_known, "a row is overwritten");
+                            self.view.groups.insert(group.group.clone(), Arc::new(group));
+                        }
+                        GroupWrite::MarkClosing(group) => {
+                            self.view.groups.insert(group.group.clone(), Arc::new(group));
+                        }
+                        GroupWrite::Remove(group) => {
+                            self.view.groups.remove(&group);
+                        }
+                    }
+                }
+                self.check_members();
+                self.planner.note_write(&writes, WriteOutcome::Done, self.now);
             }
-            PlanStep::Probe(target) => {
-                let outcome = match self.cut.contains(&target.upstream) {
-                    true => ProbeOutcome::Lost,
-                    false => ProbeOutcome::Alive,
-                };
-                self.planner.note_probe(&target.upstream, outcome, self.now);
+            PlanStep::Probe(targets) => {
+                for target in targets {
+                    let outcome = match self.cut.contains(&target.upstream) {
+                        true => ProbeOutcome::Lost,
+                        false => ProbeOutcome::Alive,
+                    };
+                    self.planner.note_probe(&target.upstream, outcome, self.now);
+                }
             }
             PlanStep::Order(order) => {
                 let is_close = matches!(order.kind, OrderKind::Close { .. });
@@ -225,6 +236,18 @@
         }
     }
 
+    /// No upstream belongs to two groups, and none twice to one.
+    fn check_members(&mut self) {
+        let mut seen = std::collections::BTreeSet::new();
+        for group in self.view.groups.values() {
+            for member in &group.members {
+                if !seen.insert(member.clone()) {
+                    self.violations.push(format!("{} is in two places", member.0));
+                }
+            }
+        }
+    }
+
     fn obey(&mut self, order: &UpstreamOrder) -> OrderOutcome {
         let known = self.real.get(&order.upstream).cloned();
         let next = match (&order.kind, &order.group) {
--- a/crates/eelgrassdeal_dispatch/tests/limits.rs
+++ b/crates/eelgrassdeal_dispatch/tests/limits.rs
@@ -23,7 +23,7 @@
         processor_share: 120,
     };
     let mut directory = NodeDirectory::new(beat(index));
-    let known = (0..nodes).filter(|other| (index + other) % missed != 0);
+    let known = (0..nodes).filter(|other| !(index + other).is_multiple_of(missed));
     known.for_each(|other| directory.merge(beat(other), now));
     directory
 }
--- /dev/null
+++ b/crates/eelgrassdeal_emulator/src/spec.rs
@@ -0,0 +1,95 @@
+//! Size and work of an emulated fleet.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use eelgrassdeal_dispatch::{EngineSpec, ModelSpec, ServiceConfig, ServiceSpec};
+use eelgrassdeal_types::ServiceId;
+
+/// Size and work of a fleet.
+#[derive(Clone, Debug)]
+pub struct FleetSpec {
+    /// Data centres.
+    pub data_centres: usize,
+    /// Fabric domains of each data centre.
+    pub domains: usize,
+    /// Upstreams of each domain.
+    pub domain_size: usize,
+    /// Engine and models.
+    pub engine: EngineSpec,
+    /// Work for each model, in groups that serve it without queues: a quarter more than it keeps
+    /// fully busy.
+    pub demand: Vec<f64>,
+}
+
+impl FleetSpec {
+    /// The fleets of today: 54 upstreams, models of 4 and 3 members, as in the users' site files.
+    pub fn today() -> Self {
+        let models =
+            vec![model("first", 4, 0.57, 1.0, 16.0, 1.6), model("second", 3, 0.43, 0.6, 12.0, 1.1)];
+        Self {
+            data_centres: 3,
+            domains: 2,
+            domain_size: 9,
+            engine: engine(models, 4.5, 6),
+            demand: vec![5.1, 5.1],
+        }
+    }
+
+    /// The grown fleets: 222 upstreams, models of 16 and 4 members, as in the users' site files.
+    pub fn grown() -> Self {
+        let models =
+            vec![model("first", 16, 0.5, 1.0, 16.0, 1.6), model("second", 4, 0.5, 0.6, 12.0, 1.1)];
+        Self {
+            data_centres: 3,
+            domains: 2,
+            domain_size: 37,
+            engine: engine(models, 18.0, 27),
+            demand: vec![5.2, 20.5],
+        }
+    }
+
+    pub(crate) fn service(&self) -> ServiceId {
+        Arc::from("engines")
+    }
+
+    pub(crate) fn config(&self) -> ServiceConfig {
+        let spec = ServiceSpec {
+            service: self.service(),
+            max_connections: 400,
+            cold_rate: 30.0,
+            engine: Some(self.engine.clone()),
+        };
+        ServiceConfig::new(1).with_services(vec![spec])
+    }
+}
+
+fn model(name: &str, size: usize, share: f64, pace: f64, load_s: f64, warm_s: f64) -> ModelSpec {
+    ModelSpec {
+        model: Arc::from(name),
+        size,
+        share,
+        pace,
+        load_time: Duration::from_secs_f64(load_s),
+        warm_time: Duration::from_secs_f64(warm_s),
+    }
+}
+
+fn engine(models: Vec<ModelSpec>, load_rate: f64, loads_at_once: u32) -> EngineSpec {
+    EngineSpec {
+        models,
+        slots: 26,
+        kv_memory_tokens: 1_590_000,
+        step_time: Duration::from_secs_f64(0.00595),
+        per_sequence_ms: 0.0445,
+        per_context_ms: 0.00813,
+        read_per_s: 50_700.0,
+        stride: 7,
+        load_rate,
+        loads_at_once,
+        form_time: Duration::from_millis(300),
+        far_factor: 2.5,
+        usual_prompt: 1_115.0,
+        usual_answer: 178.0,
+    }
+}
--- a/crates/eelgrassdeal_gateway/src/follow.rs
+++ b/crates/eelgrassdeal_gateway/src/follow.rs
@@ -16,6 +16,8 @@
 
 /// Pause between two watches of a table, so that changes that come together cost one call.
 const WATCH_PAUSE: Duration = Duration::from_millis(100);
+/// The same for the planner, which acts on each change.
+const PLANNER_PAUSE: Duration = Duration::from_millis(30);
 /// Longest pause of a node that relies on others, until it looks again.
 const REST_PAUSE: Duration = Duration::from_millis(200);
 /// Pause after a call that failed.
@@ -73,6 +75,7 @@
             NextRead::Check(since) => self.watch(since, Duration::ZERO).await,
         };
         match (is_answered, self.state.contact.is_lost()) {
+            (true, _) if self.state.is_planner.get() => PLANNER_PAUSE,
             (true, _) => WATCH_PAUSE,
             (false, false) => RETRY_PAUSE,
             (false, true) => LOST_PAUSE,
--- a/crates/eelgrassdeal_gateway/src/plan.rs
+++ b/crates/eelgrassdeal_gateway/src/plan.rs
@@ -1,13 +1,15 @@
 //! Carries out the plan of the groups, on the node that holds the planner's lease.
 
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use eelgrassdeal_dispatch::{
-    FleetView, GroupPlanner, GroupRecord, NodeStage, OrderKind, OrderOutcome, PlanStep,
-    PlannerSettings, ProbeTarget, ServiceConfig, SharedTable, UpstreamOrder,
+    FleetView, GroupPlanner, GroupRecord, GroupWrite, NodeStage, OrderKind, OrderOutcome, PlanStep,
+    PlannerSettings, ProbeOutcome, ProbeTarget, ServiceConfig, SharedTable, UpstreamOrder,
+    WriteOutcome,
 };
 use eelgrassdeal_platform::encode_group;
 use eelgrassdeal_store::{
@@ -15,6 +17,7 @@
     TableName, TableStore,
 };
 use eelgrassdeal_types::{FencingNumber, GroupId};
+use event_listener::Event;
 
 use crate::peers::relay_order;
 use crate::state::GatewayState;
@@ -25,11 +28,19 @@
 const LEASE_TIME: Duration = Duration::from_millis(2_400);
 /// Pause between two renewals.
 const RENEW_PAUSE: Duration = Duration::from_millis(700);
-/// Pause between two plans.
+/// Longest pause between two plans, and the shortest, which lets news that come together cost one
+/// plan.
 const PLAN_PAUSE: Duration = Duration::from_millis(50);
+const MIN_PAUSE: Duration = Duration::from_millis(3);
 /// Pause of a node that does not plan.
 const IDLE_PAUSE: Duration = Duration::from_millis(300);
 
+/// Groups that are written in one transaction: the table service takes 25 rows, one of which is the
+/// term's.
+const MAX_WRITES: usize = 24;
+/// Time after which an upstream that does not answer counts as lost if most members of its group
+/// have answered. Usual answers take a few ms.
+const SHORT_PROBE: Duration = Duration::from_millis(130);
 /// Pause between two lines on the groups and spares.
 const FLEET_LOG_PAUSE: Duration = Duration::from_secs(1);
 
@@ -47,6 +58,10 @@
     lease: RefCell<Option<HeldLease>>,
     term: RefCell<Option<PlanTerm>>,
     logged_at: Cell<Option<Instant>>,
+    /// Versions of the rows that this planner wrote.
+    versions: RefCell<HashMap<GroupId, u64>>,
+    /// Told when an order, a probe or a write has ended.
+    wake: Event,
 }
 
 /// Competes for the lease, and plans while it is held, until the task is dropped.
@@ -56,12 +71,17 @@
         lease: RefCell::default(),
         term: RefCell::default(),
         logged_at: Cell::default(),
+        versions: RefCell::default(),
+        wake: Event::new(),
     });
     let renewing = runner.clone();
     compio::runtime::spawn(async move { renewing.keep_lease().await }).detach();
     loop {
-        let is_planning = runner.clone().plan_once();
-        compio::time::sleep(if is_planning { PLAN_PAUSE } else { IDLE_PAUSE }).await;
+        let wake = futures_util::future::select(runner.wake.listen(), state.news.listen());
+        let pause = if runner.clone().plan_once() { PLAN_PAUSE } else { IDLE_PAUSE };
+        // A pause that ends without news is the usual case.
+        let _ = compio::time::timeout(pause, wake).await;
+        compio::time::sleep(MIN_PAUSE).await;
     }
 }
 
@@ -132,10 +152,8 @@
         for step in steps {
             match step {
                 PlanStep::Order(order) => self.clone().give(order, lease.fencing),
-                PlanStep::Create(group) => self.clone().create(group),
-                PlanStep::MarkClosing(group) => self.clone().mark_closing(group),
-                PlanStep::Remove(group) => self.clone().remove(group),
-                PlanStep::Probe(target) => self.clone().probe(target),
+                PlanStep::Write(writes) => self.clone().write(writes),
+                PlanStep::Probe(targets) => self.clone().probe(targets),
             }
         }
         self.log_fleet(&state.view(), &config, now);
@@ -236,70 +254,126 @@
             if let Some(term) = self.term.borrow_mut().as_mut() {
                 term.planner.note_outcome(&order, outcome, Instant::now());
             }
+            self.wake.notify(1);
         })
         .detach();
     }
 
-    fn probe(self: Rc<Self>, target: ProbeTarget) {
+    /// Asks the members of a group whether they are there. Once most have answered, the others count
+    /// as lost a little later.
+    fn probe(self: Rc<Self>, targets: Vec<ProbeTarget>) {
+        let (count, answered) = (targets.len(), Rc::new(Cell::new(0)));
+        for target in targets {
+            let (runner, answered) = (self.clone(), answered.clone());
+            compio::runtime::spawn(async move {
+                let asked_at = Instant::now();
+                let mut probe = std::pin::pin!(runner.state.orders.probe(&target));
+                let first = compio::time::timeout(SHORT_PROBE, probe.as_mut()).await;
+                let outcome = match first {
+                    Ok(outcome) => outcome,
+                    Err(_) if answered.get() * 2 > count => ProbeOutcome::Lost,
+                    Err(_) => probe.await,
+                };
+                answered.set(answered.get() + usize::from(outcome == ProbeOutcome::Alive));
+                log::info!(
+                    "event=probe upstream={} outcome={outcome:?} answered={} of={count} took_ms={}",
+                    target.upstream,
+                    answered.get(),
+                    asked_at.elapsed().as_millis()
+                );
+                if let Some(term) = runner.term.borrow_mut().as_mut() {
+                    term.planner.note_probe(&target.upstream, outcome, Instant::now());
+                }
+                runner.wake.notify(1);
+            })
+            .detach();
+        }
+    }
+
+    /// Writes groups under the condition that no later term has begun, in one transaction if the
+    /// store takes so many rows. A part is left out when the one before it was not carried out.
+    fn write(self: Rc<Self>, writes: Vec<GroupWrite>) {
         compio::runtime::spawn(async move {
-            let outcome = self.state.orders.probe(&target).await;
-            log::info!("event=probe upstream={} outcome={outcome:?}", target.upstream);
-            if let Some(term) = self.term.borrow_mut().as_mut() {
-                term.planner.note_probe(&target.upstream, outcome, Instant::now());
+            let mut is_done = true;
+            for part in writes.chunks(MAX_WRITES) {
+                let outcome = match is_done {
+                    true => self.write_part(part).await,
+                    false => WriteOutcome::Failed,
+                };
+                is_done = outcome == WriteOutcome::Done;
+                self.note_write(part, outcome);
             }
         })
         .detach();
     }
 
-    fn create(self: Rc<Self>, group: GroupRecord) {
-        self.put(group, RowCondition::Absent);
+    async fn write_part(&self, writes: &[GroupWrite]) -> WriteOutcome {
+        let term = self.term.borrow().as_ref().and_then(|term| term.row_version);
+        let Some(term_version) = term else { return WriteOutcome::Failed };
+        let mut rows = vec![RowWrite::check(term_key(), RowCondition::VersionIs(term_version))];
+        rows.extend(writes.iter().map(|write| self.row_write(write)));
+        let result = self.state.store.transact(rows).await;
+        let error = result.as_ref().err().map(|report| report.current_context().clone());
+        for write in writes {
+            log::info!("event=plan group={} write={write:?} error={error:?}", write.group());
+        }
+        let is_term_over = error.as_ref().is_some_and(|error| *error != StoreError::Unreachable);
+        if let Some(term) = self.term.borrow_mut().as_mut().filter(|_| is_term_over) {
+            // A late write fails once the term's row has a new version, and so does this planner
+            // if a later term has begun.
+            term.row_version = None;
+        }
+        match (result, error) {
+            (Ok(version), _) => {
+                self.note_versions(writes, version);
+                WriteOutcome::Done
+            }
+            (Err(_), Some(StoreError::OutcomeUnknown)) => WriteOutcome::Unknown,
+            (Err(_), _) => WriteOutcome::Failed,
+        }
     }
 
-    fn mark_closing(self: Rc<Self>, group: GroupRecord) {
-        let condition = self.row_condition(&group.group);
-        self.put(group, condition);
+    fn note_write(&self, writes: &[GroupWrite], outcome: WriteOutcome) {
+        if let Some(term) = self.term.borrow_mut().as_mut() {
+            term.planner.note_write(writes, outcome, Instant::now());
+        }
+        self.wake.notify(1);
     }
 
-    fn put(self: Rc<Self>, group: GroupRecord, condition: RowCondition) {
-        let body = Bytes::from(encode_group(&group));
-        let write = RowWrite::put(group_key(&group.group), condition, body);
-        let text = format!("{group:?}");
-        self.spawn_write(group.group, write, text);
+    /// Remembers the versions of rows that the table may not show yet.
+    fn note_versions(&self, writes: &[GroupWrite], version: Option<u64>) {
+        let mut versions = self.versions.borrow_mut();
+        for write in writes {
+            match (write, version) {
+                (GroupWrite::Remove(group), _) => {
+                    versions.remove(group);
+                }
+                (_, Some(version)) => {
+                    versions.insert(write.group().clone(), version);
+                }
+                (_, None) => {}
+            }
+        }
     }
 
-    fn remove(self: Rc<Self>, group: GroupId) {
-        let condition = self.row_condition(&group);
-        if condition != RowCondition::Absent {
-            let delete = RowWrite::delete(group_key(&group), condition);
-            self.spawn_write(group, delete, "removed".to_owned());
+    fn row_write(&self, write: &GroupWrite) -> RowWrite {
+        let key = group_key(write.group());
+        let body = |group: &GroupRecord| Bytes::from(encode_group(group));
+        match write {
+            GroupWrite::Create(group) => RowWrite::put(key, RowCondition::Absent, body(group)),
+            GroupWrite::MarkClosing(group) => {
+                RowWrite::put(key, self.row_condition(&group.group), body(group))
+            }
+            GroupWrite::Remove(group) => RowWrite::delete(key, self.row_condition(group)),
         }
     }
 
+    /// The row of a group as this planner wrote it or the table shows it, whichever is newer.
     fn row_condition(&self, group: &GroupId) -> RowCondition {
         let mirror = self.state.mirror.borrow();
-        let version = mirror.table(SharedTable::Groups).and_then(|table| table.row_version(group));
-        version.map_or(RowCondition::Absent, RowCondition::VersionIs)
-    }
-
-    fn spawn_write(self: Rc<Self>, group: GroupId, write: RowWrite, text: String) {
-        let term = self.term.borrow().as_ref().and_then(|term| term.row_version);
-        let Some(term_version) = term else { return };
-        compio::runtime::spawn(async move {
-            let check = RowWrite::check(term_key(), RowCondition::VersionIs(term_version));
-            let result = self.state.store.transact(vec![check, write]).await;
-            let error = result.err().map(|report| report.current_context().clone());
-            log::info!("event=plan group={group} record=\"{text}\" error={error:?}");
-            let Some(error) = error else { return };
-            let mut term = self.term.borrow_mut();
-            let Some(term) = term.as_mut() else { return };
-            term.planner.note_write_failure(&group);
-            if !matches!(error, StoreError::Unreachable) {
-                // A late write fails once the term's row has a new version, and so does this
-                // planner if a later term has begun.
-                term.row_version = None;
-            }
-        })
-        .detach();
+        let shown = mirror.table(SharedTable::Groups).and_then(|table| table.row_version(group));
+        let written = self.versions.borrow().get(group).copied();
+        written.max(shown).map_or(RowCondition::Absent, RowCondition::VersionIs)
     }
 }
 
--- a/crates/eelgrassdeal_measure/src/main.rs
+++ b/crates/eelgrassdeal_measure/src/main.rs
@@ -6,6 +6,7 @@
 mod fast_caller;
 mod figures;
 mod front;
+mod losses;
 mod process_fleet;
 mod slow_readers;
 
@@ -34,6 +35,8 @@
     Slots(SlotsOptions),
     #[options(help = "group downtime and stranded accelerators")]
     Groups(eelgrassdeal_measure::GroupsOptions),
+    #[options(help = "groups that serve on days of losses")]
+    Losses(losses::LossesOptions),
     #[options(help = "bytes that a node holds for callers that stopped reading")]
     SlowReaders(slow_readers::SlowReadersOptions),
 }
@@ -59,6 +62,7 @@
             }
         }
         Some(MeasureCommand::Slots(_)) => eelgrassdeal_measure::run_slots(),
+        Some(MeasureCommand::Losses(options)) => losses::run(&options),
         Some(MeasureCommand::Failures(options)) => failures::run(&options),
         None => {
             eprintln!("{}", MeasureOptions::usage());
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -8,6 +8,8 @@
 
 echo "== group downtime and stranded accelerators"
 "$measure" groups --seed 1
+echo "== groups that serve on days of losses"
+"$measure" losses
 echo "== service while a data centre leaves and returns"
 "$measure" centre
 echo "== bytes held for slow readers"
