Place requests by room, let a leaf talk to one hub, and compress large rows

Each leaf exchanged messages with seven nodes instead of one (the list of known nodes was added to a single partner), and each answer held the whole configuration of 450 KB, so that no exchange ended within its 500 ms on a link of 20 Mbit/s.

Ruled out: choosing the better of two replicas drawn by room.

Change: other nodes are tried only when there is no partner; values of 4 KB and more are compressed (LZ4); a request goes to a replica drawn by its room. Replicas whose streams pause for longer than usual get few requests before they count as silent.

--- a/crates/eelgrassdeal_dispatch/src/placement.rs
+++ b/crates/eelgrassdeal_dispatch/src/placement.rs
@@ -21,8 +21,14 @@
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(2);
 /// A failure share below this one counts as none.
 const FORGOTTEN_SHARE: f64 = 0.03;
-/// Requests that count as waiting for each unit of failure share when upstreams are compared.
-const FAILURE_PENALTY: f64 = 2.0;
+/// Weight that an upstream whose answers all failed keeps, so that its recovery shows.
+const MIN_HEALTH: f64 = 0.02;
+/// Weight of an upstream whose streams pause for longer than usual: it may have lost a member.
+const HESITANT_WEIGHT: f64 = 0.05;
+/// Times the usual gap between two signs of life after which an upstream pauses.
+const HESITANT_GAPS: f64 = 1.5;
+/// Shorter pauses are usual.
+const MIN_HESITATION: Duration = Duration::from_millis(120);
 
 /// An upstream that may run a request.
 #[derive(Clone, Debug)]
@@ -52,9 +58,6 @@
     }
 }
 
-/// More than any other cost: an upstream that is avoided is used when no other is left.
-const AVOIDED_COST: f64 = 1_000.0;
-
 /// What a request needs.
 #[derive(Clone, Copy, Debug)]
 pub struct PlacementNeed<'a> {
@@ -97,6 +100,13 @@
         let share = self.failure_share * 0.5_f64.powf(age / FAILURE_HALF_LIFE.as_secs_f64());
         if share < FORGOTTEN_SHARE { 0.0 } else { share }
     }
+
+    /// Whether its streams pause for longer than usual.
+    fn is_hesitant(&self, now: Instant) -> bool {
+        let limit = self.usual_gap.mul_f64(HESITANT_GAPS).max(MIN_HESITATION);
+        let is_late = |at: Instant| now.saturating_duration_since(at) > limit;
+        self.writing > 0 && self.last_progress.is_some_and(is_late)
+    }
 }
 
 /// Requests at each upstream, as far as this node knows.
@@ -222,7 +232,8 @@
         own + self.others.total(upstream, now)
     }
 
-    /// The upstream with the fewest requests per slot; `draw` in 0..1 breaks ties.
+    /// An upstream with room, drawn by its room: the fullest ones get the fewest requests, and nodes
+    /// whose counts are late do not all send to the same few. `draw` is uniform in 0..1.
     ///
     /// # Errors
     ///
@@ -241,17 +252,23 @@
         if usable.is_empty() {
             return Err(PlacementRefusal::NoneServing);
         }
-        let first = (draw * usable.len() as f64) as usize;
-        let in_turn = usable.iter().cycle().skip(first).take(usable.len());
-        let has_room = |target: &&&PlacementTarget| {
-            let total = f64::from(self.total(&target.record.upstream, now));
-            total < need.max_per_slot * target.slots
-        };
-        in_turn
-            .filter(has_room)
-            .min_by(|left, right| self.cost(left, now).total_cmp(&self.cost(right, now)))
-            .map(|target| (*target).clone())
-            .ok_or(PlacementRefusal::AllFull)
+        let mut weighted: Vec<_> = usable
+            .into_iter()
+            .map(|target| (target, self.weight(target, need.max_per_slot, now)))
+            .filter(|(_, weight)| *weight > 0.0)
+            .collect();
+        if weighted.iter().any(|(target, _)| !self.is_avoided(target, now)) {
+            weighted.retain(|(target, _)| !self.is_avoided(target, now));
+        }
+        let sum: f64 = weighted.iter().map(|(_, weight)| weight).sum();
+        let mut position = draw * sum;
+        let drawn = weighted.iter().find(|(_, weight)| {
+            position -= weight;
+            position < 0.0
+        });
+        // Rounding can leave a rest behind the last one.
+        let drawn = drawn.or(weighted.last());
+        drawn.map(|(target, _)| (*target).clone()).ok_or(PlacementRefusal::AllFull)
     }
 
     /// Forgets upstreams without requests that `is_known` does not know.
@@ -259,14 +276,18 @@
         self.loads.retain(|upstream, load| load.own > 0 || is_known(upstream));
     }
 
-    /// Requests per slot once one more is placed, and what speaks against the target.
-    fn cost(&self, target: &PlacementTarget, now: Instant) -> f64 {
+    /// Room of a target, less what speaks against it.
+    fn weight(&self, target: &PlacementTarget, max_per_slot: f64, now: Instant) -> f64 {
         let upstream = &target.record.upstream;
-        let total = f64::from(self.total(upstream, now) + 1);
-        let load = self.loads.get(upstream);
-        let failures = load.map_or(0.0, |load| load.failures(now));
-        let is_avoided = load.and_then(|load| load.avoid_until).is_some_and(|until| now < until);
-        let avoided = if is_avoided { AVOIDED_COST } else { 0.0 };
-        total / target.slots + failures * FAILURE_PENALTY + avoided
+        let room = max_per_slot * target.slots - f64::from(self.total(upstream, now));
+        let Some(load) = self.loads.get(upstream) else { return room };
+        let hesitant = if load.is_hesitant(now) { HESITANT_WEIGHT } else { 1.0 };
+        room * (1.0 - load.failures(now)).max(MIN_HEALTH) * hesitant
+    }
+
+    /// Whether a target is used only when no other is left.
+    fn is_avoided(&self, target: &PlacementTarget, now: Instant) -> bool {
+        let load = self.loads.get(&target.record.upstream);
+        load.and_then(|load| load.avoid_until).is_some_and(|until| now < until)
     }
 }
--- a/crates/eelgrassdeal_gateway/src/peers/message.rs
+++ b/crates/eelgrassdeal_gateway/src/peers/message.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use eelgrassdeal_dispatch::{
     CountSource, NodeBeat, NodeCondition, NodeRole, NodeStage, RowChange, SharedTable,
     TableChanges, VersionGap,
@@ -18,6 +19,10 @@
 /// node does are told at once.
 const BEATS_PAUSE: Duration = Duration::from_millis(1_800);
 
+/// Values from this size on are compressed: a configuration with many routes would fill the link of
+/// a small node for longer than an exchange may take.
+const MIN_COMPRESSED_BYTES: usize = 4 * 1024;
+
 /// Begins a new heartbeat of this node.
 pub(crate) fn note_own_beat(state: &GatewayState) {
     let now = Instant::now();
@@ -132,7 +137,9 @@
     let mut versions = PeerVersions::new();
     for copy in message.changes {
         let Some(table) = table_of(copy.table) else { continue };
-        state.take_table(table, Some(decode_changes(copy)), None);
+        if let Some(changes) = decode_changes(copy) {
+            state.take_table(table, Some(changes), None);
+        }
     }
     for known in message.tables {
         let Some(table) = table_of(known.table) else { continue };
@@ -160,11 +167,15 @@
 }
 
 fn encode_changes(table: SharedTable, changes: TableChanges) -> TableCopy {
-    let rows = changes.rows.into_iter().map(|row| RowCopy {
-        key: row.key.to_string(),
-        version: row.version,
-        is_removed: row.value.is_none(),
-        value: row.value.unwrap_or_default(),
+    let rows = changes.rows.into_iter().map(|row| {
+        let (is_compressed, value) = match row.value.clone().unwrap_or_default() {
+            value if value.len() >= MIN_COMPRESSED_BYTES => {
+                (true, Bytes::from(lz4_flex::compress_prepend_size(&value)))
+            }
+            value => (false, value),
+        };
+        let (key, is_removed) = (row.key.to_string(), row.value.is_none());
+        RowCopy { key, version: row.version, value, is_removed, is_compressed }
     });
     TableCopy {
         table: table_number(table),
@@ -179,20 +190,27 @@
     gateway::VersionGap { before: gap.before, after: gap.after }
 }
 
-fn decode_changes(copy: TableCopy) -> TableChanges {
-    let rows = copy.rows.into_iter().map(|row| RowChange {
-        key: Arc::from(row.key),
-        version: row.version,
-        value: (!row.is_removed).then_some(row.value),
-    });
+/// `None` if a row cannot be read: without it the changes would not be complete.
+fn decode_changes(copy: TableCopy) -> Option<TableChanges> {
+    let mut rows = Vec::with_capacity(copy.rows.len());
+    for row in copy.rows {
+        let value = match (row.is_removed, row.is_compressed) {
+            (true, _) => None,
+            (false, false) => Some(row.value),
+            (false, true) => match lz4_flex::decompress_size_prepended(&row.value) {
+                Ok(value) => Some(Bytes::from(value)),
+                Err(error) => {
+                    log::warn!("event=peer_unreadable row={} reason=\"{error}\"", row.key);
+                    return None;
+                }
+            },
+        };
+        rows.push(RowChange { key: Arc::from(row.key), version: row.version, value });
+    }
     let gaps = copy.gaps.into_iter();
     let gaps = gaps.map(|gap| VersionGap { before: gap.before, after: gap.after });
-    TableChanges {
-        since: copy.since,
-        version: copy.version,
-        rows: rows.collect(),
-        gaps: gaps.collect(),
-    }
+    let (since, version) = (copy.since, copy.version);
+    Some(TableChanges { since, version, rows, gaps: gaps.collect() })
 }
 
 fn encode_beat(beat: &NodeBeat) -> NodeHeartbeat {
--- a/crates/eelgrassdeal_gateway/src/peers/mod.rs
+++ b/crates/eelgrassdeal_gateway/src/peers/mod.rs
@@ -30,8 +30,6 @@
 const LARGE_ROUND_PAUSE: Duration = Duration::from_millis(350);
 /// Shortest pause before news of the store's tables is told.
 const NEWS_PAUSE: Duration = Duration::from_millis(50);
-/// Fewest partners of a round. With fewer, nodes are added that may not run any more.
-const MIN_PARTNERS: usize = 1;
 /// Most nodes of the store's table that are tried in one round.
 const MAX_TRIED: usize = 6;
 const SYNC_PATH: &str = "/sync";
@@ -72,7 +70,7 @@
 fn round_peers(state: &GatewayState) -> Vec<Arc<str>> {
     let settings = state.settings();
     let mut peers = state.directory.borrow().partners(Instant::now());
-    if peers.len() <= MIN_PARTNERS {
+    if peers.is_empty() {
         let mirror = state.mirror.borrow();
         let rows = mirror.table(SharedTable::Nodes).into_iter().flat_map(|table| table.rows());
         let mut tried: Vec<Arc<str>> = rows
