Count retries in a sliding window, and let one node alone follow the store

Cause: (1) A node saved up at most 15 retries (7 nodes). When a domain goes dark more streams than that break at once, and requests ended with 502 as "the retry budget of the service is spent" although the bound allows those of the last ten seconds. (2) Five of 82 nodes waited at the store at once, 76 calls a second. (4) Two attempts at heads that fell silent before their answer began used up the route's two attempts.

Change: retries and requests are counted in steps of a sliding window; only the first of the ranked nodes waits at the store, hubs ask it themselves somewhat earlier than leaves; the lease lasts 1.5 s instead of 2.4 s; an attempt at an engine that fell silent before the head of its answer does not count against the route's limit, for two attempts at most. New connections are given 300 ms instead of 500 ms.

--- a/crates/eelgrassdeal_dispatch/src/directory.rs
+++ b/crates/eelgrassdeal_dispatch/src/directory.rs
@@ -289,14 +289,19 @@
         &self.ranked[..self.hub_count.min(self.ranked.len())]
     }
 
-    /// Whether this node follows the store on behalf of the others.
+    /// Whether this node follows the store on behalf of all others.
     pub fn is_reader(&self) -> bool {
-        self.hubs().contains(&self.own.node)
+        self.ranked.first() == Some(&self.own.node)
+    }
+
+    /// Whether this node is one of few that exchange messages with all others of them.
+    pub fn is_hub(&self) -> bool {
+        self.is_large() && self.hubs().contains(&self.own.node)
     }
 
     /// The part that this node plays.
     pub fn role(&self) -> NodeRole {
-        if !self.is_large() || self.is_reader() { NodeRole::Hub } else { NodeRole::Leaf }
+        if !self.is_large() || self.is_hub() { NodeRole::Hub } else { NodeRole::Leaf }
     }
 
     /// Peer addresses of the nodes to exchange messages with.
--- a/crates/eelgrassdeal_dispatch/src/lib.rs
+++ b/crates/eelgrassdeal_dispatch/src/lib.rs
@@ -30,7 +30,7 @@
     FleetSummary, FleetView, GroupMembership, GroupRecord, GroupState, Replica, UpstreamRecord,
     UpstreamState,
 };
-pub use limit::{ColdBound, ColdShare, RetryAllowance};
+pub use limit::{ColdBound, ColdShare, RetryAllowance, RetryBound};
 pub use placement::{LoadBook, PlacementNeed, PlacementRefusal, PlacementTarget};
 pub use planner::{
     FleetLoad, GroupPlanner, GroupWrite, OrderKind, OrderOutcome, PlanStep, PlannerSettings,
--- a/crates/eelgrassdeal_dispatch/src/limit.rs
+++ b/crates/eelgrassdeal_dispatch/src/limit.rs
@@ -1,10 +1,8 @@
 //! Limits that hold over all nodes: each node uses an equal share.
 
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-/// Shortest window that is told apart from none.
-const SHORTEST_WINDOW_S: f64 = 0.001;
-
 /// Permissions that are saved up at a rate, to a bound.
 #[derive(Clone, Debug)]
 struct TokenBucket {
@@ -73,35 +71,75 @@
     }
 }
 
-/// Share of the retries of one service that this node may use.
-#[derive(Clone, Debug)]
-pub struct RetryAllowance(TokenBucket);
+/// Part of the window in which requests and retries are counted together.
+const STEPS_PER_WINDOW: u32 = 20;
+
+/// Bound of the retries of a service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryBound {
+    /// Retries for each request.
+    pub ratio: f64,
+    /// Further retries in a window, over all nodes.
+    pub slack: f64,
+    /// Window in which retries are counted.
+    pub window: Duration,
+}
+
+/// Requests and retries of one step of a window.
+#[derive(Clone, Copy, Debug)]
+struct RetryStep {
+    began_at: Instant,
+    requests: u32,
+    retries: u32,
+}
+
+/// Share of the retries of one service that this node may use: in each window its part of the slack
+/// and those that its own requests allow.
+#[derive(Clone, Debug, Default)]
+pub struct RetryAllowance {
+    /// Steps of the last window, oldest first.
+    steps: VecDeque<RetryStep>,
+}
 
 impl RetryAllowance {
-    /// Part of the demanded bound that the nodes use together.
+    /// Part of the demanded bound that the nodes use together. The rest is for nodes that do not know
+    /// of each other, and for requests whose end is counted in another window than their start.
     const USED_PART: f64 = 0.8;
 
-    /// Starts with the node's part of the retries that need no requests.
-    pub fn new(now: Instant, slack: f64, nodes: usize) -> Self {
-        Self(TokenBucket::new(now, Self::capacity(slack, nodes)))
-    }
-
     /// Counts a request that a caller sent.
-    pub fn note_request(&mut self, ratio: f64) {
-        self.0.saved += ratio * Self::USED_PART;
+    pub fn note_request(&mut self, bound: &RetryBound, now: Instant) {
+        self.step(bound, now).requests += 1;
     }
 
-    /// Takes one retry. In a window the nodes together get `slack` retries and those that their
-    /// requests allow.
-    pub fn try_retry(&mut self, now: Instant, slack: f64, window: Duration, nodes: usize) -> bool {
-        // Half of the slack is saved up at most and half refilled over a window, so that no
-        // window sees more than the whole.
-        let capacity = Self::capacity(slack, nodes);
-        let per_s = capacity / window.as_secs_f64().max(SHORTEST_WINDOW_S);
-        self.0.try_take(now, per_s, capacity * 2.0)
+    /// Takes one retry, where `nodes` nodes share the bound; false if the share is used up.
+    pub fn try_retry(&mut self, bound: &RetryBound, nodes: usize, now: Instant) -> bool {
+        self.step(bound, now);
+        let length = bound.window / STEPS_PER_WINDOW;
+        let age = |step: &RetryStep| now.saturating_duration_since(step.began_at);
+        // The last retry of a step may be as late as its end.
+        let retries: u32 = self.steps.iter().map(|step| step.retries).sum();
+        let recent = self.steps.iter().filter(|step| age(step) + length <= bound.window);
+        let current = self.steps.back().filter(|step| age(step) < length);
+        let requests: u32 = recent.chain(current).map(|step| step.requests).sum();
+        let allowed = bound.slack / nodes.max(1) as f64 + bound.ratio * f64::from(requests);
+        let is_allowed = f64::from(retries) + 1.0 <= (allowed * Self::USED_PART).max(1.0);
+        if is_allowed {
+            self.step(bound, now).retries += 1;
+        }
+        is_allowed
     }
 
-    fn capacity(slack: f64, nodes: usize) -> f64 {
-        slack * Self::USED_PART / 2.0 / nodes.max(1) as f64
+    /// The current step.
+    fn step(&mut self, bound: &RetryBound, now: Instant) -> &mut RetryStep {
+        let length = bound.window / STEPS_PER_WINDOW;
+        let age = |step: &RetryStep| now.saturating_duration_since(step.began_at);
+        while self.steps.front().is_some_and(|step| age(step) >= bound.window + length) {
+            self.steps.pop_front();
+        }
+        if self.steps.back().is_none_or(|step| age(step) >= length) {
+            self.steps.push_back(RetryStep { began_at: now, requests: 0, retries: 0 });
+        }
+        let last = self.steps.len() - 1;
+        &mut self.steps[last]
     }
 }
--- a/crates/eelgrassdeal_dispatch/src/settings.rs
+++ b/crates/eelgrassdeal_dispatch/src/settings.rs
@@ -5,6 +5,7 @@
 
 use eelgrassdeal_types::{DataCentreId, NodeId};
 
+use crate::limit::RetryBound;
 use crate::table::SharedTable;
 
 /// Addresses that a process listens on. A role that does not serve one has `None` there.
@@ -28,9 +29,12 @@
 }
 
 /// Part of the time in which a change must be in force that a reader waits for news in one call.
-const WAIT_PART: f64 = 0.4;
-/// Part of that time after which a node without news from another asks the store itself. What is
-/// left covers the call and the requests that are on their way.
+const WAIT_PART: f64 = 0.3;
+/// Part of that time after which a hub without news from another node asks the store itself: after
+/// a wait of the reader and a message, and before the leaves that rely on the hub do so.
+const HUB_PATIENCE_PART: f64 = 0.45;
+/// The same for every other node. What is left covers the call and the requests that are on their
+/// way.
 const PATIENCE_PART: f64 = 0.6;
 /// The same for the addresses of nodes, which only a node that starts needs.
 const NODES_WAIT: Duration = Duration::from_secs(10);
@@ -41,6 +45,8 @@
 pub struct TablePace {
     /// Longest wait of one call for news.
     pub wait: Duration,
+    /// Age from which on a copy is not relied on by a hub of a large fleet.
+    pub hub_patience: Duration,
     /// Age from which on a copy is not relied on.
     pub patience: Duration,
 }
@@ -75,13 +81,23 @@
 }
 
 impl LimitBounds {
+    /// Bound of the retries of a service.
+    pub fn retry_bound(&self) -> RetryBound {
+        RetryBound { ratio: self.retry_ratio, slack: self.free_retries, window: self.retry_window }
+    }
+
     /// How often `table` is read.
     pub fn pace(&self, table: SharedTable) -> TablePace {
         let notice = self.drain_notice.min(self.config_notice);
         match table {
-            SharedTable::Nodes => TablePace { wait: NODES_WAIT, patience: NODES_PATIENCE },
+            SharedTable::Nodes => TablePace {
+                wait: NODES_WAIT,
+                hub_patience: NODES_PATIENCE,
+                patience: NODES_PATIENCE,
+            },
             SharedTable::Operators | SharedTable::Upstreams | SharedTable::Groups => TablePace {
                 wait: notice.mul_f64(WAIT_PART),
+                hub_patience: notice.mul_f64(HUB_PATIENCE_PART),
                 patience: notice.mul_f64(PATIENCE_PART),
             },
         }
--- a/crates/eelgrassdeal_emulator/src/upstream.rs
+++ b/crates/eelgrassdeal_emulator/src/upstream.rs
@@ -44,6 +44,8 @@
     /// Members of its group, the head first.
     pub(crate) members: Vec<UpstreamId>,
     pub(crate) model: Option<ModelId>,
+    /// Model of its last group since its start.
+    last_model: Option<ModelId>,
     pub(crate) pending: Option<PendingChange>,
     pub(crate) load: Option<RunningLoad>,
     highest_generation: u64,
@@ -58,6 +60,7 @@
             is_alive: true,
             members: Vec::new(),
             model: None,
+            last_model: None,
             pending: None,
             load: None,
             highest_generation: 0,
@@ -119,6 +122,7 @@
                 if !matches!(state, GroupState::Open | GroupState::Closing) =>
             {
                 self.record.membership = None;
+                self.record.loaded = None;
                 self.members.clear();
                 self.pending = None;
                 OrderOutcome::Accepted
@@ -139,6 +143,7 @@
         self.pending = None;
         if next == GroupState::Ready {
             self.record.loaded = self.model.clone();
+            self.last_model = self.model.clone();
         }
         self.set_state(next);
         true
@@ -195,9 +200,7 @@
         let Some(spec) = engine.model(model) else { return OrderOutcome::Conflict };
         self.highest_generation = generation;
         let pending = match &self.load {
-            _ if self.record.loaded.as_ref() == Some(model) => {
-                PendingChange::Ready(now + REJOIN_TIME)
-            }
+            _ if self.last_model.as_ref() == Some(model) => PendingChange::Ready(now + REJOIN_TIME),
             _ if self.record.staged.contains(model) => PendingChange::Ready(now + spec.warm_time),
             Some(load) if load.model == *model => PendingChange::ReadyAfterLoad,
             _ => {
--- a/crates/eelgrassdeal_gateway/src/follow.rs
+++ b/crates/eelgrassdeal_gateway/src/follow.rs
@@ -1,6 +1,6 @@
 //! Following the tables of the store.
 //!
-//! Some nodes, the readers, wait at the store for changes and pass them on with the messages between
+//! One node, the reader, waits at the store for changes and passes them on with the messages between
 //! nodes. The others ask the store only when no node has told them for a while that their copies are
 //! current.
 
@@ -85,9 +85,13 @@
     fn next_read(&self, now: Instant) -> NextRead {
         let mirror = self.state.mirror.borrow();
         let Some(version) = mirror.version(self.table) else { return NextRead::Whole };
-        // The planner waits for changes itself, to act on them at once.
-        let is_reader = self.state.is_planner.get() || self.state.directory.borrow().is_reader();
-        let patience = self.state.pace(self.table).patience;
+        let (is_reader, is_hub) = {
+            let directory = self.state.directory.borrow();
+            // The planner waits for changes itself, to act on them at once.
+            (directory.is_reader() || self.state.is_planner.get(), directory.is_hub())
+        };
+        let pace = self.state.pace(self.table);
+        let patience = if is_hub { pace.hub_patience } else { pace.patience };
         let is_stale = mirror.age(self.table, now).is_none_or(|age| age > patience);
         let is_read = self.read_at.is_some_and(|at| now.duration_since(at) <= REREAD_TIME);
         let has_called = self.called_at.is_some_and(|at| now.duration_since(at) < CONTACT_PAUSE);
--- a/crates/eelgrassdeal_gateway/src/front/attempt.rs
+++ b/crates/eelgrassdeal_gateway/src/front/attempt.rs
@@ -19,6 +19,9 @@
 
 /// Sends of one request, those that upstreams rejected included.
 const MAX_SENDS: u32 = 5;
+/// Attempts of one request beyond the limit of its route, at engines that fell silent before their
+/// answer began.
+const MAX_UNBEGUN: u32 = 2;
 /// Longest wait for a place. Callers give up a stream whose first event takes two seconds.
 const PLACE_PATIENCE: Duration = Duration::from_millis(1_200);
 /// Part of the time left that a request may wait for a place, so that it can still finish.
@@ -114,6 +117,9 @@
     arrivals: u32,
     /// Attempts that may have run.
     pub(super) runs: u32,
+    /// Attempts at engines that fell silent before their answer began. An engine that works begins
+    /// its answer with the first token, so that these hardly ran.
+    unbegun: u32,
 }
 
 impl AttemptRunner {
@@ -124,12 +130,14 @@
             excluded: Vec::new(),
             arrivals: 0,
             runs: 0,
+            unbegun: 0,
         }
     }
 
     /// Whether another attempt may run, after the earlier ones may have run.
     pub(super) fn may_run_again(&self) -> bool {
-        self.call.route.kind.may_repeat() && self.runs < self.call.route.attempt_limit
+        let limit = self.call.route.attempt_limit + self.unbegun.min(MAX_UNBEGUN);
+        self.call.route.kind.may_repeat() && self.runs < limit
     }
 
     /// Notes that a head sends nothing to any request of this node.
@@ -387,6 +395,7 @@
             }
             Ok(Err(failure)) => self.after_run(record, &format!("{failure:?}")),
             Err(WaitEnd::Silent) => {
+                self.unbegun += 1;
                 let refusal = self.after_run(record, "silent");
                 self.note_silent(&record.upstream);
                 refusal
--- a/crates/eelgrassdeal_gateway/src/plan.rs
+++ b/crates/eelgrassdeal_gateway/src/plan.rs
@@ -24,10 +24,10 @@
 
 const LEASE_NAME: &str = "planner";
 const TERM_NAME: &str = "planner-term";
-/// A node takes over when the holder has not renewed for this long.
-const LEASE_TIME: Duration = Duration::from_millis(2_400);
-/// Pause between two renewals.
-const RENEW_PAUSE: Duration = Duration::from_millis(700);
+/// A node takes over when the holder has not renewed for this long. Nobody repairs groups meanwhile.
+const LEASE_TIME: Duration = Duration::from_millis(1_500);
+/// Pause between two renewals: two may fail within the lease.
+const RENEW_PAUSE: Duration = Duration::from_millis(450);
 /// Longest pause between two plans, and the shortest, which lets news that come together cost one
 /// plan.
 const PLAN_PAUSE: Duration = Duration::from_millis(50);
--- a/crates/eelgrassdeal_gateway/src/state.rs
+++ b/crates/eelgrassdeal_gateway/src/state.rs
@@ -255,32 +255,17 @@
 
     /// Counts a caller's request for the retry budget of `service`.
     pub(crate) fn note_request(&self, service: &ServiceId, now: Instant) {
-        let ratio = self.settings().bounds.retry_ratio;
-        self.with_allowance(service, now, |allowance, _| allowance.note_request(ratio));
+        let bound = self.settings().bounds.retry_bound();
+        let mut retries = self.retries.borrow_mut();
+        retries.entry(service.clone()).or_default().note_request(&bound, now);
     }
 
     /// Takes one retry of the budget of `service`.
     pub(crate) fn take_retry(&self, service: &ServiceId, now: Instant) -> bool {
-        let settings = self.settings();
-        let bounds = &settings.bounds;
-        self.with_allowance(service, now, |allowance, nodes| {
-            allowance.try_retry(now, bounds.free_retries, bounds.retry_window, nodes)
-        })
-    }
-
-    fn with_allowance<T>(
-        &self,
-        service: &ServiceId,
-        now: Instant,
-        action: impl FnOnce(&mut RetryAllowance, usize) -> T,
-    ) -> T {
-        let slack = self.settings().bounds.free_retries;
+        let bound = self.settings().bounds.retry_bound();
         let nodes = self.sharing_nodes();
         let mut retries = self.retries.borrow_mut();
-        let allowance = retries
-            .entry(service.clone())
-            .or_insert_with(|| RetryAllowance::new(now, slack, nodes));
-        action(allowance, nodes)
+        retries.entry(service.clone()).or_default().try_retry(&bound, nodes, now)
     }
 }
 
--- a/crates/eelgrassdeal_http/src/pool.rs
+++ b/crates/eelgrassdeal_http/src/pool.rs
@@ -65,7 +65,7 @@
 impl Default for SendRule {
     fn default() -> Self {
         Self {
-            connect_timeout: Duration::from_millis(500),
+            connect_timeout: Duration::from_millis(300),
             max_idle: Duration::from_secs(60),
             max_connections: usize::MAX,
         }
