Keep spares in their domain; replace as few cross-domain groups as needed

When traffic starts, the spares of all domains join a cross-domain group. The next loss in one of these domains finds no spare there, so every cross-domain group with a member in it was torn down, each by a graceful close of 3.4 to 7.8 s. The VMs that this released formed cross-domain groups again, which were torn down again (three of them 0.7 s after they opened). The model of six VMs fell from 5 serving groups to 1.

Ruled out: late detection. The three lost members before 9 s were noticed in 0.35 to 0.6 s, and a group whose head answers was closed and left in 20 ms.

Change: spares of a domain that has a group of the model stay there. Of the cross-domain groups whose members could complete a group in one domain, only as many are torn down as that group needs, and none while another group of the model is being torn down.

Test: the_loss_of_a_member_closes_no_other_group fails before (it closes d1-8 beside d1-0). The test idle_upstreams_of_two_domains_form_a_stable_cross_domain_group assumed that two spares beside a group of four are idle; that is the fault. It now leaves three VMs in each domain, too few for a group of their own, with the same assertions.

--- a/crates/eelgrassdeal_dispatch/src/planner/cross_domain.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/cross_domain.rs
@@ -37,6 +37,7 @@
             })
             .map(|group| group.model.clone())
             .collect();
+        let served_models = self.served_models(view);
         let reserved_models = self.tear_down_cross_domain_groups(view, context);
         let is_candidate =
             |spec: &&ModelSpec| spec.size > 1 && !teardown_models.contains(&spec.model);
@@ -45,7 +46,9 @@
                 .pools
                 .iter()
                 .filter(|(domain, _)| {
-                    !reserved_models.contains(&((*domain).clone(), spec.model.clone()))
+                    let domain_model = ((*domain).clone(), spec.model.clone());
+                    !reserved_models.contains(&domain_model)
+                        && !served_models.contains(&domain_model)
                 })
                 .flat_map(|(_, pool)| self.state.upstreams_holding(pool, &spec.model, context.now))
                 .cloned()
@@ -60,39 +63,70 @@
         }
     }
 
-    /// Tears down cross-domain groups whose members, together with free upstreams, suffice for a
-    /// group within one domain. Returns each such domain with the model of that group: the domain's
-    /// free upstreams that hold the model are reserved for it.
+    /// The domains with a group of their own, each with the model of that group. The spares of such
+    /// a domain stay there: one of them replaces a lost member of the group within a second, while
+    /// in a cross-domain group they would first have to complete its requests.
+    fn served_models(&self, view: &FleetView) -> HashSet<DomainModel> {
+        let is_kept = |group: &&Arc<GroupRecord>| {
+            !group.is_closing
+                && !self.state.teardown_since.contains_key(&group.group)
+                && !view.is_cross_domain(group)
+        };
+        let groups = view.groups.values().filter(is_kept);
+        groups
+            .flat_map(|group| {
+                domains_of(view, group).into_iter().map(|domain| (domain, group.model.clone()))
+            })
+            .collect()
+    }
+
+    /// For each model, tears down the fewest cross-domain groups whose members in one domain, together
+    /// with the free upstreams there, suffice for a group within that domain. Nothing is torn down
+    /// while another group of the model is, since their capacity is missing until new groups open.
+    /// Returns each such domain with the model: the domain's free upstreams that hold the model are
+    /// reserved for the new group.
     fn tear_down_cross_domain_groups(
         &mut self,
         view: &FleetView,
         context: &ServiceContext<'_>,
     ) -> HashSet<DomainModel> {
         let mut reserved_models = HashSet::new();
-        let is_cross_domain = |group: &&Arc<GroupRecord>| {
-            group.service == *context.service && !group.is_closing && view.is_cross_domain(group)
-        };
-        let cross_domain_groups: Vec<_> = view.groups.values().filter(is_cross_domain).collect();
+        let groups: Vec<_> =
+            view.groups.values().filter(|group| group.service == *context.service).collect();
         for spec in &context.engine.models {
+            let of_model = || groups.iter().filter(|group| group.model == spec.model);
+            let is_torn_down = |group: &GroupRecord| {
+                group.is_closing || self.state.teardown_since.contains_key(&group.group)
+            };
+            let closing_domains = of_model()
+                .filter(|group| is_torn_down(group))
+                .flat_map(|group| domains_of(view, group));
+            let closing_domains: Vec<_> = closing_domains.collect();
+            if !closing_domains.is_empty() {
+                // Upstreams that are about to be released may complete a group.
+                reserved_models
+                    .extend(closing_domains.into_iter().map(|domain| (domain, spec.model.clone())));
+                continue;
+            }
             let cross_domain_groups: Vec<_> =
-                cross_domain_groups.iter().filter(|group| group.model == spec.model).collect();
-            for domain in domains_of(view, &cross_domain_groups) {
-                let members_in_domain = |group: &GroupRecord| {
-                    let members = view.present_members(group).into_iter().flatten();
-                    members.filter(|record| record.domain.as_ref() == Some(&domain)).count()
-                };
-                let free = context.pools.get(&domain).map_or(0, |pool| {
-                    self.state.upstreams_holding(pool, &spec.model, context.now).count()
-                });
-                let grouped: usize =
-                    cross_domain_groups.iter().map(|group| members_in_domain(group)).sum();
-                if free < spec.size && free + grouped >= spec.size {
-                    reserved_models.insert((domain.clone(), spec.model.clone()));
-                    for group in
-                        cross_domain_groups.iter().filter(|group| members_in_domain(group) > 0)
-                    {
-                        self.tear_down_group(view, group, context.now);
-                    }
+                of_model().filter(|group| view.is_cross_domain(group)).collect();
+            let domains: BTreeSet<_> =
+                cross_domain_groups.iter().flat_map(|group| domains_of(view, group)).collect();
+            let smallest = domains
+                .into_iter()
+                .filter_map(|domain| {
+                    let free = context.pools.get(&domain).map_or(0, |pool| {
+                        self.state.upstreams_holding(pool, &spec.model, context.now).count()
+                    });
+                    let missing = spec.size.saturating_sub(free);
+                    let groups = fewest_groups(view, &cross_domain_groups, &domain, missing)?;
+                    Some((groups, domain))
+                })
+                .min_by_key(|(groups, _)| groups.len());
+            if let Some((groups, domain)) = smallest {
+                reserved_models.insert((domain, spec.model.clone()));
+                for group in groups {
+                    self.tear_down_group(view, group, context.now);
                 }
             }
         }
@@ -100,12 +134,37 @@
     }
 }
 
-/// Fabric domains of all members of `groups`.
-fn domains_of(view: &FleetView, groups: &[&&Arc<GroupRecord>]) -> BTreeSet<Arc<str>> {
-    groups
-        .iter()
-        .flat_map(|group| view.present_members(group))
-        .flatten()
-        .filter_map(|record| record.domain.clone())
-        .collect()
+/// Fabric domains of the present members of a group.
+fn domains_of(view: &FleetView, group: &GroupRecord) -> BTreeSet<Arc<str>> {
+    let members = view.present_members(group).into_iter().flatten();
+    members.filter_map(|record| record.domain.clone()).collect()
+}
+
+/// The fewest of `groups` that together have `missing` members in a fabric domain. `None` if all of
+/// them have fewer.
+fn fewest_groups<'a>(
+    view: &FleetView,
+    groups: &[&&'a Arc<GroupRecord>],
+    domain: &Arc<str>,
+    missing: usize,
+) -> Option<Vec<&'a Arc<GroupRecord>>> {
+    let mut counted: Vec<_> =
+        groups.iter().map(|group| (member_count(view, group, domain), **group)).collect();
+    counted.sort_by_key(|(members, _)| std::cmp::Reverse(*members));
+    let mut found = 0;
+    let mut fewest = Vec::new();
+    for (members, group) in counted.into_iter().take_while(|(members, _)| *members > 0) {
+        if found >= missing {
+            break;
+        }
+        found += members;
+        fewest.push(group);
+    }
+    (found >= missing && !fewest.is_empty()).then_some(fewest)
+}
+
+/// Number of present members of a group in a fabric domain.
+fn member_count(view: &FleetView, group: &GroupRecord, domain: &Arc<str>) -> usize {
+    let members = view.present_members(group).into_iter().flatten();
+    members.filter(|record| record.domain.as_ref() == Some(domain)).count()
 }
--- a/crates/eelgrassdeal_dispatch/tests/planner.rs
+++ b/crates/eelgrassdeal_dispatch/tests/planner.rs
@@ -175,7 +175,7 @@
 #[test]
 fn idle_upstreams_of_two_domains_form_a_stable_cross_domain_group() {
     let mut fleet = formed_fleet(4, 9);
-    // Each domain of the big model keeps six upstreams: one group of four and two idle ones.
+    // Each domain of the big model keeps three upstreams, too few for a group of its own.
     let domains: HashSet<_> = (0..4)
         .filter(|domain| {
             let record = &fleet.view.upstreams[format!("d{domain}-0").as_str()];
@@ -183,7 +183,7 @@
         })
         .collect();
     for domain in &domains {
-        for index in 0..3 {
+        for index in 0..6 {
             let name = format!("d{domain}-{index}");
             fleet.kill(&name);
             fleet.expire_record(&name);
@@ -280,3 +280,26 @@
         }
     }
 }
+
+/// A spare that has become a member of a cross-domain group is not free when its own domain needs
+/// it: the loss of one member would then close a second group.
+#[test]
+fn the_loss_of_a_member_closes_no_other_group() {
+    let mut fleet = formed_fleet(6, 10);
+    fleet.run(Duration::from_secs(2));
+    let head = fleet.head_of(BIG);
+    let lost = fleet.member_of(&head);
+    let orders_before = fleet.orders.len();
+    fleet.kill(&lost);
+    fleet.silent = vec![head.clone()];
+    fleet.run(Duration::from_millis(100));
+    fleet.silent.clear();
+    fleet.run(REPAIR_TIME);
+    let closed: HashSet<_> = fleet.orders[orders_before..]
+        .iter()
+        .filter(|order| matches!(order.kind, OrderKind::Close { .. }))
+        .map(|order| order.upstream.clone())
+        .collect();
+    assert_eq!(closed, HashSet::from([head]));
+    assert_eq!(fleet.violations, Vec::<String>::new());
+}
