Divide each domain's upstreams among the models by expected capacity

Each domain had one primary model for good, and what was left beside its groups was filled with groups of the other model: 4 groups of six and 10 of three VMs, where the shares of the work ask for twice as many VMs for the first model.

Ruled out: a switch of models at run time as the first step.

Change: planner/domain_split.rs divides the VMs that hold no model. It maximises the sum over the models of share times logarithm of the expected capacity after losses, with all data centres and with each missing in turn.

--- a/crates/eelgrassdeal_dispatch/src/planner/formation.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/formation.rs
@@ -78,7 +78,7 @@
                 // with a member that has yet to load the model would occupy the members that hold
                 // it, which could form other groups in the meantime.
                 let can_load_members = !context.has_traffic
-                    && context.is_primary(domain, spec)
+                    && context.wants_group(domain, spec)
                     && self.may_start_loads(
                         context.engine,
                         loads,
--- a/crates/eelgrassdeal_dispatch/src/planner/mod.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/mod.rs
@@ -10,9 +10,9 @@
 //! group of its own to load the model that its host has a copy of. These groups never open.
 
 mod cross_domain;
+mod domain_split;
 mod formation;
 mod load;
-mod primary_model;
 mod service_context;
 mod spare;
 mod state;
--- a/crates/eelgrassdeal_dispatch/src/planner/service_context.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/service_context.rs
@@ -8,13 +8,11 @@
 use eelgrassdeal_types::{GroupId, ModelId, ServiceId};
 
 use crate::config::{EngineSpec, ModelSpec};
-use crate::fleet::{FleetView, GroupState, UpstreamRecord};
+use crate::fleet::{FleetView, GroupRecord, GroupState, UpstreamRecord};
 
-use super::primary_model::{PrimaryModels, primary_models};
+use super::domain_split::{DomainContent, DomainSplit};
 use super::state::PlannerState;
 
-/// A domain keeps one spare per this many group members.
-const MEMBERS_PER_SPARE: usize = 8;
 /// Added to the requests per slot of a model, so that the demand of an idle model does not become 0
 /// and the model keeps some spares.
 const REQUESTS_PER_SLOT_OFFSET: f64 = 0.2;
@@ -53,9 +51,10 @@
     group_counts: HashMap<ModelId, usize>,
     /// Requests in progress divided by the slots of all serving groups of a model.
     requests_per_slot: HashMap<ModelId, f64>,
-    primary_models: PrimaryModels,
-    /// Number of the service's upstreams in each fabric domain, with or without a group.
-    domain_sizes: HashMap<Arc<str>, usize>,
+    /// How many upstreams of each domain are to hold each model.
+    split: DomainSplit,
+    /// Number of group members by domain and model.
+    grouped_holders: HashMap<DomainModel, usize>,
 }
 
 impl<'a> ServiceContext<'a> {
@@ -74,11 +73,14 @@
         for group in groups.filter(|group| !group.is_closing && !is_torn_down(&group.group)) {
             *group_counts.entry(group.model.clone()).or_default() += 1;
         }
-        let mut domain_sizes = HashMap::new();
-        let service_upstreams = view.upstreams.values().filter(|record| record.service == *service);
-        for domain in service_upstreams.filter_map(|record| record.domain.clone()) {
-            *domain_sizes.entry(domain).or_default() += 1;
-        }
+        let requests_per_slot = state.requests_per_slot.clone();
+        let weight = |spec: &ModelSpec| {
+            let load = requests_per_slot.get(&spec.model).copied().unwrap_or(1.0);
+            spec.share * (load + REQUESTS_PER_SLOT_OFFSET)
+        };
+        let weights: Vec<f64> = engine.models.iter().map(weight).collect();
+        let split =
+            DomainSplit::new(&domain_contents(view, service, engine, state, now), engine, &weights);
         Self {
             service,
             engine,
@@ -86,9 +88,9 @@
             now,
             pools: free_pools(view, service, state, removed_groups, now),
             group_counts,
-            requests_per_slot: state.requests_per_slot.clone(),
-            primary_models: primary_models(view, service, engine),
-            domain_sizes,
+            requests_per_slot,
+            split,
+            grouped_holders: grouped_holders(view, service, removed_groups),
         }
     }
 
@@ -109,23 +111,22 @@
             * (requests_per_slot + REQUESTS_PER_SLOT_OFFSET).powi(2)
     }
 
-    /// Whether `spec` is the primary model of a domain.
-    pub(super) fn is_primary(&self, domain: &Arc<str>, spec: &ModelSpec) -> bool {
-        self.primary_models.get(domain) == Some(&spec.model)
+    /// Whether the division of a domain has room for another group of `spec`.
+    pub(super) fn wants_group(&self, domain: &Arc<str>, spec: &ModelSpec) -> bool {
+        self.missing_holders(domain, spec, 0) >= spec.size
     }
 
-    /// Number of spares that a domain keeps for groups of its primary model. A group that loses a
-    /// member is torn down, and its other members need a spare to form a new group. A loss costs
-    /// more the larger the group is, so the number is one per [`MEMBERS_PER_SPARE`] members of all
-    /// groups that fit into the domain, not one per group.
-    pub(super) fn spare_target(&self, domain: &Arc<str>) -> usize {
-        let primary =
-            self.primary_models.get(domain).and_then(|primary| self.engine.model(primary));
-        let upstreams = self.domain_sizes.get(domain).copied().unwrap_or(0);
-        primary.map_or(0, |primary| {
-            let size = primary.size.max(1);
-            (upstreams / size * size).div_ceil(MEMBERS_PER_SPARE)
-        })
+    /// Number of upstreams of `domain` that are still to load the model of `spec`, if `spares` free
+    /// upstreams hold or are loading it.
+    pub(super) fn missing_holders(
+        &self,
+        domain: &Arc<str>,
+        spec: &ModelSpec,
+        spares: usize,
+    ) -> usize {
+        let key = (domain.clone(), spec.model.clone());
+        let grouped = self.grouped_holders.get(&key).copied().unwrap_or(0);
+        self.split.wanted(domain, &spec.model).saturating_sub(grouped + spares)
     }
 
     /// Removes the members of a new group from the pools and counts the group.
@@ -134,6 +135,9 @@
             pool.retain(|record| !members.iter().any(|member| member.upstream == record.upstream));
         }
         *self.group_counts.entry(model.clone()).or_default() += 1;
+        for domain in members.iter().filter_map(|member| member.domain.clone()) {
+            *self.grouped_holders.entry((domain, model.clone())).or_default() += 1;
+        }
     }
 }
 
@@ -196,6 +200,64 @@
     }
 }
 
+/// Counts the members of the groups that are not in `removed_groups`, by domain and model.
+fn grouped_holders(
+    view: &FleetView,
+    service: &ServiceId,
+    removed_groups: &HashSet<GroupId>,
+) -> HashMap<DomainModel, usize> {
+    let mut holders = HashMap::new();
+    let is_counted = |group: &&Arc<GroupRecord>| {
+        group.service == *service && !removed_groups.contains(&group.group)
+    };
+    for group in view.groups.values().filter(is_counted) {
+        let members = view.present_members(group).into_iter().flatten();
+        for domain in members.filter_map(|record| record.domain.clone()) {
+            *holders.entry((domain, group.model.clone())).or_default() += 1;
+        }
+    }
+    holders
+}
+
+/// Counts the upstreams of each fabric domain that may serve, by the model that they hold. A member
+/// of a group counts as holding the group's model.
+fn domain_contents(
+    view: &FleetView,
+    service: &ServiceId,
+    engine: &EngineSpec,
+    state: &PlannerState,
+    now: Instant,
+) -> BTreeMap<Arc<str>, DomainContent> {
+    let group_models: HashMap<_, _> = view
+        .groups
+        .values()
+        .flat_map(|group| group.members.iter().map(|(upstream, _)| (upstream, &group.model)))
+        .collect();
+    let mut contents: BTreeMap<Arc<str>, DomainContent> = BTreeMap::new();
+    let may_serve = |record: &&Arc<UpstreamRecord>| {
+        record.service == *service
+            && view.may_place(record)
+            && !state.is_lost(&record.upstream, now)
+    };
+    for record in view.upstreams.values().filter(may_serve) {
+        let Some(domain) = &record.domain else { continue };
+        let content = contents.entry(domain.clone()).or_insert_with(|| DomainContent {
+            data_centre: record.data_centre.clone(),
+            holders: vec![0; engine.models.len()],
+            empty: 0,
+        });
+        let is_held = |spec: &ModelSpec| match group_models.get(&record.upstream) {
+            Some(model) => **model == spec.model,
+            None => state.join_cost(record, &spec.model, now) < JoinCost::Missing,
+        };
+        match engine.models.iter().position(is_held) {
+            Some(model) => content.holders[model] += 1,
+            None => content.empty += 1,
+        }
+    }
+    contents
+}
+
 /// Free upstreams of a service, by fabric domain: those that accept work, are not treated as lost,
 /// are in no stored group, and do not report that they are the head of an open or closing group
 /// that is not in the store. Groups in `removed_groups`, whose deletion is part of this draft or
--- a/crates/eelgrassdeal_dispatch/src/planner/spare.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/spare.rs
@@ -13,13 +13,9 @@
 use super::service_context::{DomainModel, JoinCost, ServiceContext};
 use super::{GroupPlanner, OrderKind, UpstreamOrder};
 
-/// Relative value of a load of the domain's primary model if the domain has too few free upstreams
-/// without a model to complete another group. The upstream still becomes a spare. The value is 1 if
-/// the group can be completed.
-const PARTIAL_GROUP_VALUE: f64 = 0.4;
-/// Relative value of a load for a group of a model that is not the primary model of the domain. The
-/// domain keeps no spares for the members of such a group.
-const OTHER_MODEL_VALUE: f64 = 0.7;
+/// Relative value of a load if the domain lacks the upstreams to complete another group. The upstream
+/// becomes a spare. The value is 1 if the group can be completed.
+const SPARE_VALUE: f64 = 0.4;
 /// Lower bound on the load time in the value of a load; avoids a division by 0.
 const MIN_LOAD_TIME_S: f64 = 0.1;
 
@@ -89,26 +85,17 @@
             let without_model: Vec<_> =
                 pool.iter().filter(|record| self.has_no_model(record, context)).collect();
             let Some(record) = without_model.first() else { continue };
-            let primary =
-                context.engine.models.iter().find(|spec| context.is_primary(domain, spec));
-            // Free upstreams that hold or are loading the primary model, or could still load it.
-            let potential_spares = primary.map_or(0, |primary| spare_count(domain, &primary.model))
-                + without_model.len();
             for spec in &context.engine.models {
+                let spares = spare_count(domain, &spec.model);
+                let missing = context.missing_holders(domain, spec, spares);
+                if missing == 0 {
+                    continue;
+                }
                 // Number of loads that complete the next group of this model. It is the full group
                 // size if the spares make up complete groups, with none left over.
-                let loads = spec.size - spare_count(domain, &spec.model) % spec.size;
+                let loads = spec.size - spares % spec.size;
                 let load_time = spec.load_time.as_secs_f64().max(MIN_LOAD_TIME_S);
-                // Whether these loads would leave too few upstreams for the spares of the primary
-                // model.
-                let has_too_few_spares = potential_spares < context.spare_target(domain) + loads;
-                let value_factor =
-                    match (loads <= without_model.len(), context.is_primary(domain, spec)) {
-                        (true, true) => 1.0,
-                        (true, false) if !has_too_few_spares => OTHER_MODEL_VALUE,
-                        (false, true) => PARTIAL_GROUP_VALUE,
-                        (_, false) => 0.0,
-                    };
+                let value_factor = if loads <= missing { 1.0 } else { SPARE_VALUE };
                 let value = context.demand(spec) * value_factor / (loads as f64 * load_time);
                 if value > 0.0 && best.as_ref().is_none_or(|(best_value, _)| value > *best_value) {
                     best = Some((value, LoadCandidate { record: (*record).clone(), spec }));
--- a/crates/eelgrassdeal_dispatch/tests/planner.rs
+++ b/crates/eelgrassdeal_dispatch/tests/planner.rs
@@ -303,3 +303,22 @@
     assert_eq!(closed, HashSet::from([head]));
     assert_eq!(fleet.violations, Vec::<String>::new());
 }
+
+/// Where a group of the big model leaves room for a group of the small one in each domain, the small
+/// model must not take what its share of the work does not call for.
+#[test]
+fn models_hold_upstreams_by_their_share_of_the_work() {
+    let mut fleet = SimulatedFleet::new(6, 11);
+    let engine = fleet.config.services.values_mut().next().and_then(|spec| spec.engine.as_mut());
+    let models = &mut engine.expect("the service has an engine").models;
+    (models[0].size, models[0].share) = (6, 0.67);
+    (models[1].size, models[1].share) = (3, 0.33);
+    fleet.run(Duration::from_secs(5));
+    let holders = |model: &str| {
+        let records = fleet.view.upstreams.values();
+        records.filter(|record| record.staged.iter().any(|staged| &**staged == model)).count()
+    };
+    let wanted = 0.67 * fleet.view.upstreams.len() as f64;
+    assert!((holders(BIG) as f64 - wanted).abs() <= 6.0, "{} of {wanted}", holders(BIG));
+    assert_eq!(holders(BIG) + holders(SMALL), 66);
+}
--- a/crates/eelgrassdeal_emulator/src/spec.rs
+++ b/crates/eelgrassdeal_emulator/src/spec.rs
@@ -37,6 +37,20 @@
         }
     }
 
+    /// A fleet in which a group of one model leaves room for a group of the other: 66 upstreams in
+    /// domains of 11, and groups of 6 and 3 members.
+    pub fn shared_domains() -> Self {
+        let models =
+            vec![model("first", 6, 0.67, 1.0, 16.0, 1.6), model("second", 3, 0.33, 0.6, 12.0, 1.1)];
+        Self {
+            data_centres: 3,
+            domains: 2,
+            domain_size: 11,
+            engine: engine(models, 5.5, 8),
+            demand: vec![5.0, 5.0],
+        }
+    }
+
     /// A large fleet: 222 upstreams and groups of 16 and 4 members.
     pub fn large() -> Self {
         let models =
--- a/crates/eelgrassdeal_emulator/tests/losses.rs
+++ b/crates/eelgrassdeal_emulator/tests/losses.rs
@@ -15,7 +15,7 @@
 
 #[test]
 fn all_demand_is_served_without_losses() {
-    for spec in [FleetSpec::small(), FleetSpec::large()] {
+    for spec in [FleetSpec::small(), FleetSpec::shared_domains(), FleetSpec::large()] {
         let mut fleet = EmulatedFleet::new(spec, 1);
         let report = fleet.run(&LossScenario::without_events(Duration::from_secs(5)));
         assert_eq!(report.served_share(), 1.0);
@@ -80,3 +80,20 @@
     let after = fleet.run(&LossScenario::without_events(Duration::from_secs(22)));
     assert_eq!(after.served_share(), 1.0);
 }
+
+/// Guards against a model that loses its groups one after the other while the other model keeps more
+/// groups than it needs. Target: no model is served less than half as well as the other.
+#[test]
+fn no_model_starves_beside_one_with_smaller_groups() {
+    let spec = FleetSpec::shared_domains();
+    let (mut first, mut second) = (0.0, 0.0);
+    for seed in 0..SCENARIOS {
+        let scenario = LossScenario::heavy_losses(&spec, &mut StdRng::seed_from_u64(seed));
+        let mut fleet = EmulatedFleet::new(spec.clone(), seed);
+        let report = fleet.run(&scenario);
+        assert_eq!(fleet.violations(), &[] as &[String], "seed {seed}");
+        first += report.model_served_share(0);
+        second += report.model_served_share(1);
+    }
+    assert!(first >= 0.5 * second && second >= 0.5 * first, "first {first}, second {second}");
+}
