--- a/crates/eelgrassdeal_dispatch/src/planner/domain_split.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/domain_split.rs
@@ -21,7 +21,7 @@
 
 /// Fraction of the upstreams that are assumed to be lost before other upstreams have loaded their
 /// model.
-const EXPECTED_LOSS_FRACTION: f64 = 0.2;
+const EXPECTED_LOSS_FRACTION: f64 = 0.1;
 /// Added to the capacity of a model, in upstreams, so that its logarithm is defined without any.
 const CAPACITY_OFFSET: f64 = 0.5;
 /// Maximum number of passes over the domains. Each pass adjusts every domain to the others.
--- a/crates/eelgrassdeal_dispatch/src/planner/service_context.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/service_context.rs
@@ -17,6 +17,11 @@
 /// and the model keeps some spares.
 const REQUESTS_PER_SLOT_OFFSET: f64 = 0.2;
 
+/// The weight of a model in the division of the domains is its share of the work to this power. A
+/// power above 1 favours the models with most of the work: the larger a group is, the more capacity
+/// each lost upstream takes away until the group is repaired, which the expected capacity leaves out.
+const WORK_WEIGHT_POWER: f64 = 1.5;
+
 /// Records of several upstreams, such as the free ones of a fabric domain or the members of a new
 /// group.
 pub(super) type UpstreamRecords = Vec<Arc<UpstreamRecord>>;
@@ -76,7 +81,7 @@
         let requests_per_slot = state.requests_per_slot.clone();
         let weight = |spec: &ModelSpec| {
             let load = requests_per_slot.get(&spec.model).copied().unwrap_or(1.0);
-            spec.share * (load + REQUESTS_PER_SLOT_OFFSET)
+            spec.share.powf(WORK_WEIGHT_POWER) * (load + REQUESTS_PER_SLOT_OFFSET)
         };
         let weights: Vec<f64> = engine.models.iter().map(weight).collect();
         let split =
