Keep the planner's own writes in view until the table copy contains them

The planner overlays its own writes on the copy of the groups table for 3 s; where the copy lags for longer, a group that exists is missing from the view and its members count as free.

Change: a write stays in the overlay until the copy has reached the version that the store returned. Without a version, for 3 s as before.

Test: members_of_a_group_that_the_view_does_not_show_yet_join_no_other_group fails before with "d0-1 joins while d0-0 is open".

--- a/crates/eelgrassdeal_dispatch/src/fleet.rs
+++ b/crates/eelgrassdeal_dispatch/src/fleet.rs
@@ -149,6 +149,8 @@
     pub upstreams: BTreeMap<UpstreamId, Arc<UpstreamRecord>>,
     /// Groups by id.
     pub groups: BTreeMap<GroupId, Arc<GroupRecord>>,
+    /// Version of the groups table that `groups` shows.
+    pub groups_version: u64,
     /// Data centres that operators have taken out of service.
     pub evacuated: BTreeSet<DataCentreId>,
 }
--- a/crates/eelgrassdeal_dispatch/src/planner/mod.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/mod.rs
@@ -170,7 +170,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WriteOutcome {
     /// All records of the transaction were written.
-    Done,
+    Done {
+        /// Version of the groups table that contains them, if the store told it.
+        version: Option<u64>,
+    },
     /// No record of the transaction was written.
     Failed,
     /// The store did not answer; the records may have been written.
--- a/crates/eelgrassdeal_dispatch/src/planner/state.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/state.rs
@@ -21,7 +21,8 @@
 /// `Gone`, `Unreachable` or `PartlyUnreachable`. If it has terminated, its record has expired by
 /// then.
 const LOST_DURATION: Duration = Duration::from_secs(5);
-/// The planner's own writes appear in the fleet view within this time.
+/// The planner's own writes are assumed to appear in the fleet view within this time if the store did
+/// not tell their version.
 const OWN_WRITE_RETENTION: Duration = Duration::from_secs(3);
 /// The fleet view shows a write without a response within this time if the write was executed. Nor
 /// can the write be executed later: each write requires that the row that the store keeps for the
@@ -92,6 +93,8 @@
     /// `None` if the write deleted the group.
     record: Option<Arc<GroupRecord>>,
     written_at: Instant,
+    /// Version of the groups table from which on it contains the write, if known.
+    version: Option<u64>,
 }
 
 /// Observations and pending actions that the planner keeps between two plans.
@@ -215,9 +218,11 @@
         view: &'a FleetView,
         now: Instant,
     ) -> Cow<'a, FleetView> {
-        // `view` may show an earlier version of the group for up to `OWN_WRITE_RETENTION`.
-        self.own_writes.retain(|_, write| {
-            now.saturating_duration_since(write.written_at) < OWN_WRITE_RETENTION
+        // A group whose creation is not in `view` yet would otherwise look as if its members were
+        // free, however long the node takes to read the table.
+        self.own_writes.retain(|_, write| match write.version {
+            Some(version) => view.groups_version < version,
+            None => now.saturating_duration_since(write.written_at) < OWN_WRITE_RETENTION,
         });
         if self.own_writes.is_empty() {
             return Cow::Borrowed(view);
@@ -248,11 +253,12 @@
                 GroupWrite::Remove(_) => None,
             };
             match outcome {
-                WriteOutcome::Done => {
+                WriteOutcome::Done { version } => {
                     if record.is_none() {
                         self.clear_group(group);
                     }
-                    self.own_writes.insert(group.clone(), OwnWrite { record, written_at: now });
+                    self.own_writes
+                        .insert(group.clone(), OwnWrite { record, written_at: now, version });
                     self.pending_groups.remove(group);
                 }
                 WriteOutcome::Failed => {
--- a/crates/eelgrassdeal_dispatch/tests/common/mod.rs
+++ b/crates/eelgrassdeal_dispatch/tests/common/mod.rs
@@ -99,6 +99,10 @@
     pub has_unresponsive_nodes: bool,
     /// Whether orders to close are lost: they are not executed and get no answer.
     pub drops_close_orders: bool,
+    /// Whether the view does not show any further writes of groups.
+    pub is_group_view_stale: bool,
+    /// Version of the groups table in the store.
+    version: u64,
     /// Head of each group by the group's id.
     heads: BTreeMap<Arc<str>, Arc<str>>,
 }
@@ -133,6 +137,8 @@
             requests_per_slot: HashMap::new(),
             has_unresponsive_nodes: false,
             drops_close_orders: false,
+            is_group_view_stale: false,
+            version: 0,
             heads: BTreeMap::new(),
         }
     }
@@ -205,7 +211,15 @@
     fn execute_step(&mut self, step: PlanStep) {
         match step {
             PlanStep::Write(writes) => {
-                for write in writes.clone() {
+                self.version += 1;
+                let stored = match self.is_group_view_stale {
+                    true => Vec::new(),
+                    false => writes.clone(),
+                };
+                if !self.is_group_view_stale {
+                    self.view.groups_version = self.version;
+                }
+                for write in stored {
                     match write {
                         GroupWrite::Create(group) => {
                             let is_known = self.view.groups.contains_key(&group.group);
@@ -221,7 +235,8 @@
                     }
                 }
                 self.check_members();
-                self.planner.record_write_outcome(&writes, WriteOutcome::Done, self.now);
+                let outcome = WriteOutcome::Done { version: Some(self.version) };
+                self.planner.record_write_outcome(&writes, outcome, self.now);
             }
             PlanStep::Probe(targets) => {
                 for target in targets {
--- a/crates/eelgrassdeal_dispatch/tests/planner.rs
+++ b/crates/eelgrassdeal_dispatch/tests/planner.rs
@@ -322,3 +322,17 @@
     assert!((holders(BIG) as f64 - wanted).abs() <= 6.0, "{} of {wanted}", holders(BIG));
     assert_eq!(holders(BIG) + holders(SMALL), 66);
 }
+
+/// On a slow node, the copy of the groups table may lag behind the planner's own writes for longer
+/// than any fixed time. The members of a group that the copy does not show yet are not free.
+#[test]
+fn members_of_a_group_that_the_view_does_not_show_yet_join_no_other_group() {
+    let mut fleet = SimulatedFleet::new(2, 9);
+    fleet.is_group_view_stale = true;
+    fleet.run(Duration::from_secs(8));
+    assert_eq!(fleet.violations, Vec::<String>::new());
+    let joins = fleet.orders.iter().filter(|order| matches!(order.kind, OrderKind::Join { .. }));
+    let groups: HashSet<_> = joins.filter_map(|order| order.group.clone()).collect();
+    let stored = groups.iter().filter(|(group, _)| group.starts_with('g')).count();
+    assert!(stored <= 18 / 3, "{stored} groups of at least 3 from 18 upstreams");
+}
--- a/crates/eelgrassdeal_emulator/src/fleet.rs
+++ b/crates/eelgrassdeal_emulator/src/fleet.rs
@@ -363,7 +363,11 @@
             }
             DelayedEffect::WriteCompleted(writes) => {
                 if let Some(planner) = &mut self.planner {
-                    planner.record_write_outcome(&writes, WriteOutcome::Done, self.now);
+                    planner.record_write_outcome(
+                        &writes,
+                        WriteOutcome::Done { version: None },
+                        self.now,
+                    );
                 }
                 let visible = DelayedEffect::WriteVisible(writes);
                 self.effects.push((self.now + WRITE_DELAY, visible));
--- a/crates/eelgrassdeal_gateway/src/mirror.rs
+++ b/crates/eelgrassdeal_gateway/src/mirror.rs
@@ -98,8 +98,13 @@
         changes: TableChanges,
         now: Instant,
     ) -> bool {
-        let changes = self.tables.entry(table).or_default().apply(changes);
+        let mirror = self.tables.entry(table).or_default();
+        let changes = mirror.apply(changes);
+        let version = mirror.version().unwrap_or_default();
         self.apply_rows(table, &changes, now);
+        if table == SharedTable::Groups && self.view.groups_version != version {
+            Arc::make_mut(&mut self.view).groups_version = version;
+        }
         !changes.is_empty()
     }
 
--- a/crates/eelgrassdeal_gateway/src/plan.rs
+++ b/crates/eelgrassdeal_gateway/src/plan.rs
@@ -319,7 +319,7 @@
                     true => self.write_chunk(chunk).await,
                     false => WriteOutcome::Failed,
                 };
-                is_previous_done = outcome == WriteOutcome::Done;
+                is_previous_done = matches!(outcome, WriteOutcome::Done { .. });
                 self.record_write(chunk, outcome);
             }
         })
@@ -347,7 +347,7 @@
         match (result, error) {
             (Ok(version), _) => {
                 self.record_versions(writes, version);
-                WriteOutcome::Done
+                WriteOutcome::Done { version }
             }
             (Err(_), Some(StoreError::OutcomeUnknown)) => WriteOutcome::Unknown,
             (Err(_), _) => WriteOutcome::Failed,
