Keep a group whose member only lost its record

Change: the head opens only after every member was ready, so a member without a record may still be one. Nodes keep placing on such a group while its head is open and not silent.

Test: a_group_whose_member_only_lost_its_record_keeps_serving fails before (orders to close) and checks that a member that is lost later is noticed without requests.

--- a/crates/eelgrassdeal_dispatch/src/fleet.rs
+++ b/crates/eelgrassdeal_dispatch/src/fleet.rs
@@ -193,15 +193,18 @@
     }
 
     /// The replica that `group` provides; `None` unless the head is open and accepts new work and
-    /// every member is [`GroupState::Ready`] or [`GroupState::Open`].
+    /// every member with a record is [`GroupState::Ready`] or [`GroupState::Open`]. The head opens
+    /// only after all members were ready, so a member whose record has expired since may still be
+    /// one: it may only be partitioned from the store. If it is lost, the head becomes silent.
     pub fn replica(&self, group: &GroupRecord) -> Option<Replica> {
         if group.is_closing {
             return None;
         }
         let members = self.present_members(group);
-        let is_complete = members.iter().all(|member| {
+        let is_complete = group.members.iter().zip(&members).all(|((upstream, _), member)| {
             let state = member.and_then(|record| record.state_in(&group.group, group.generation));
-            matches!(state, Some(GroupState::Ready | GroupState::Open))
+            let is_unregistered = !self.upstreams.contains_key(upstream);
+            is_unregistered || matches!(state, Some(GroupState::Ready | GroupState::Open))
         });
         let head = members.first().copied().flatten()?;
         let is_open = head.state_in(&group.group, group.generation) == Some(GroupState::Open);
--- a/crates/eelgrassdeal_dispatch/src/planner/mod.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/mod.rs
@@ -284,7 +284,7 @@
         now: Instant,
     ) {
         match outcome {
-            ProbeOutcome::Alive => self.state.clear_lost(upstream),
+            ProbeOutcome::Alive => self.state.mark_alive(upstream, now),
             ProbeOutcome::Lost => self.state.mark_lost(upstream, now),
         }
     }
@@ -304,6 +304,34 @@
         self.draft.steps.push(PlanStep::Probe(members.map(target).collect()));
     }
 
+    /// Members of an open group that have no record but are assumed to take part, and are probed
+    /// again when it is due: they may only be partitioned from the store.
+    fn check_unregistered_members(
+        &mut self,
+        view: &FleetView,
+        group: &GroupRecord,
+        now: Instant,
+    ) -> HashSet<UpstreamId> {
+        let has_formed =
+            self.state.formed_groups.contains(&group.group) || view.replica(group).is_some();
+        let is_missing =
+            |upstream: &&UpstreamId| has_formed && !view.upstreams.contains_key(*upstream);
+        // The head gets no requests without a record.
+        let missing: Vec<_> =
+            group.members.iter().skip(1).map(|(upstream, _)| upstream).filter(is_missing).collect();
+        let mut kept = HashSet::new();
+        let mut targets = Vec::new();
+        for upstream in missing {
+            let Some(address) = self.state.check_unregistered(upstream, now) else { continue };
+            kept.insert(upstream.clone());
+            targets.push(ProbeTarget { upstream: upstream.clone(), address });
+        }
+        if !targets.is_empty() && self.state.record_probe_if_due(&group.group, now) {
+            self.draft.steps.push(PlanStep::Probe(targets));
+        }
+        kept
+    }
+
     /// Orders the next step in forming a group. Tears the group down if a member is lost or
     /// draining, or if the group has failed, was not formed in time or is no longer configured.
     fn maintain_group(
@@ -321,14 +349,24 @@
             return;
         };
         let members = view.present_members(group);
-        let has_unavailable_member = members.iter().any(|member| {
-            member.is_none_or(|record| {
+        for record in members.iter().copied().flatten() {
+            self.state.remember_member(record);
+        }
+        let unregistered = self.check_unregistered_members(view, group, now);
+        let is_unregistered = |index: usize| unregistered.contains(&group.members[index].0);
+        let has_unavailable_member = members.iter().enumerate().any(|(index, member)| {
+            member.map_or(!is_unregistered(index), |record| {
                 record.state == UpstreamState::Draining || self.state.is_lost(&record.upstream, now)
             })
         });
         let states: Vec<_> = members
             .iter()
-            .map(|member| member.and_then(|record| record.state_in(&group.group, group.generation)))
+            .enumerate()
+            .map(|(index, member)| match member {
+                None if is_unregistered(index) => Some(GroupState::Ready),
+                None => None,
+                Some(record) => record.state_in(&group.group, group.generation),
+            })
             .collect();
         let has_formed = self.state.formed_groups.contains(&group.group)
             || matches!(states.first(), Some(Some(GroupState::Open | GroupState::Closing)));
--- a/crates/eelgrassdeal_dispatch/src/planner/state.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/state.rs
@@ -7,7 +7,7 @@
 
 use eelgrassdeal_types::{GroupId, ModelId, ServiceId, UpstreamId};
 
-use crate::fleet::{FleetView, GroupRecord};
+use crate::fleet::{FleetView, GroupRecord, UpstreamRecord};
 
 use super::{GroupWrite, OrderKind, OrderOutcome, UpstreamOrder, WriteOutcome};
 
@@ -34,6 +34,12 @@
 /// A spare that has not reported its model as loaded this long after it was ordered to warm up is
 /// ordered again.
 const WARM_UP_RETRY_INTERVAL: Duration = Duration::from_secs(20);
+/// A group member without a record is assumed to run for this long after its last answer to a probe.
+/// Probes are repeated after [`RESEND_INTERVAL`].
+const MAX_ANSWER_AGE: Duration = Duration::from_millis(1_500);
+/// Time after which a group is torn down although its member without a record still answers. A member
+/// that leaves without announcing it serves for some seconds after its record was removed.
+const MAX_UNREGISTERED: Duration = Duration::from_secs(8);
 /// Time after which entries about orders and other actions, silent periods and warm-ups are
 /// dropped. Expired loads are normally removed by `remove_finished_loads`; if it is not called,
 /// they are dropped this long after their expiry.
@@ -97,6 +103,16 @@
     version: Option<u64>,
 }
 
+/// A group member that may outlive its record.
+#[derive(Clone, Debug)]
+struct KnownMember {
+    address: Arc<str>,
+    /// Since when it has no record; `None` while it has one.
+    missing_since: Option<Instant>,
+    /// When it last answered a probe.
+    answered_at: Option<Instant>,
+}
+
 /// Observations and pending actions that the planner keeps between two plans.
 #[derive(Debug, Default)]
 pub(super) struct PlannerState {
@@ -130,6 +146,8 @@
     silent_periods: HashMap<UpstreamId, (Instant, Instant)>,
     /// When each spare was last ordered to warm up.
     warm_ups: HashMap<UpstreamId, Instant>,
+    /// Members of groups that this planner has seen.
+    members: HashMap<UpstreamId, KnownMember>,
     /// Until when an upstream is treated as lost, see [`LOST_DURATION`].
     lost_until: HashMap<UpstreamId, Instant>,
     /// Requests in progress divided by the slots of all serving groups of a model.
@@ -189,9 +207,41 @@
         self.lost_until.insert(upstream.clone(), now + LOST_DURATION);
     }
 
-    /// Stops treating an upstream as lost, because it answered.
-    pub(super) fn clear_lost(&mut self, upstream: &UpstreamId) {
+    /// Records that an upstream answered, so that it is not treated as lost.
+    pub(super) fn mark_alive(&mut self, upstream: &UpstreamId, now: Instant) {
         self.lost_until.remove(upstream);
+        if let Some(member) = self.members.get_mut(upstream) {
+            member.answered_at = Some(now);
+        }
+    }
+
+    /// Remembers the address of a group member for the time after its record expires.
+    pub(super) fn remember_member(&mut self, record: &UpstreamRecord) {
+        let known = self.members.get(&record.upstream);
+        if known
+            .is_none_or(|known| known.missing_since.is_some() || known.address != record.address)
+        {
+            let address = record.address.clone();
+            let member = KnownMember { address, missing_since: None, answered_at: None };
+            self.members.insert(record.upstream.clone(), member);
+        }
+    }
+
+    /// Returns the address of a group member without a record if the member is assumed to run: its
+    /// record has just expired, or it has answered since, and neither is long ago.
+    pub(super) fn check_unregistered(
+        &mut self,
+        upstream: &UpstreamId,
+        now: Instant,
+    ) -> Option<Arc<str>> {
+        let is_lost = self.is_lost(upstream, now);
+        let member = self.members.get_mut(upstream)?;
+        let since = *member.missing_since.get_or_insert(now);
+        let last_sign = member.answered_at.unwrap_or(since).max(since);
+        let is_kept = !is_lost
+            && now.saturating_duration_since(last_sign) < MAX_ANSWER_AGE
+            && now.saturating_duration_since(since) < MAX_UNREGISTERED;
+        is_kept.then(|| member.address.clone())
     }
 
     /// Whether an upstream is treated as lost, see [`LOST_DURATION`].
@@ -310,7 +360,7 @@
                 self.mark_lost(&order.upstream, now);
             }
             OrderOutcome::Unknown => {}
-            _ => self.clear_lost(&order.upstream),
+            _ => self.mark_alive(&order.upstream, now),
         }
         let Some((group, _)) = &order.group else { return };
         match (&order.kind, outcome) {
@@ -401,6 +451,11 @@
         self.lost_until.retain(|_, until| now < *until);
         self.silent_periods
             .retain(|_, (_, last)| now.saturating_duration_since(*last) < ENTRY_RETENTION);
+        self.members.retain(|_, member| {
+            member
+                .missing_since
+                .is_none_or(|since| now.saturating_duration_since(since) < ENTRY_RETENTION)
+        });
         self.warm_ups.retain(|_, at| now.saturating_duration_since(*at) < ENTRY_RETENTION);
     }
 
--- a/crates/eelgrassdeal_dispatch/tests/planner.rs
+++ b/crates/eelgrassdeal_dispatch/tests/planner.rs
@@ -336,3 +336,25 @@
     let stored = groups.iter().filter(|(group, _)| group.starts_with('g')).count();
     assert!(stored <= 18 / 3, "{stored} groups of at least 3 from 18 upstreams");
 }
+
+/// The record of a member that is only partitioned from the store expires while the group runs.
+#[test]
+fn a_group_whose_member_only_lost_its_record_keeps_serving() {
+    let mut fleet = formed_fleet(2, 9);
+    fleet.run(Duration::from_secs(1));
+    let before = fleet.serving(BIG);
+    let head = fleet.head_of(BIG);
+    let member = fleet.member_of(&head);
+    let orders_before = fleet.orders.len();
+    fleet.expire_record(&member);
+    fleet.run(Duration::from_secs(5));
+    let is_close = |kind: &OrderKind| matches!(kind, OrderKind::Close { .. });
+    assert!(!fleet.orders[orders_before..].iter().any(|order| is_close(&order.kind)));
+    assert_eq!(fleet.serving(BIG), before);
+    // Once it is lost, the group is repaired, also if no request shows it.
+    fleet.kill(&member);
+    fleet.run(REPAIR_TIME * 2);
+    assert!(!fleet.view.groups.values().any(|group| group.members[0].0 == head
+        && group.members.iter().any(|(upstream, _)| *upstream == member)));
+    assert_eq!(fleet.violations, Vec::<String>::new());
+}
