--- a/crates/eelgrassdeal_dispatch/src/lib.rs
+++ b/crates/eelgrassdeal_dispatch/src/lib.rs
@@ -8,6 +8,7 @@
 //! - Fleet state: [`UpstreamRecord`] and [`GroupRecord`], collected in a [`FleetView`].
 //! - Replicas: [`GroupPlanner`] forms, monitors and repairs groups of upstreams.
 //! - Placement: [`LoadTracker`] selects the upstream that runs a request.
+//! - Waiting: [`RequestQueue`] orders and bounds the requests that wait for free capacity.
 //! - Fleet-wide limits: [`ColdShare`] and [`RetryShare`] are the shares that one node may use.
 //! - Nodes: [`NodeDirectory`] tracks the other nodes by their heartbeats.
 //! - Store tables: [`TableMirror`] is a local copy that nodes replicate among each other.
@@ -19,6 +20,7 @@
 mod limit;
 mod placement;
 mod planner;
+mod queue;
 mod settings;
 mod table;
 
@@ -38,5 +40,6 @@
     GroupPlanner, GroupWrite, OrderKind, OrderOutcome, PlanStep, PlannerSettings, ProbeOutcome,
     ProbeTarget, TrafficSummary, UpstreamOrder, WriteOutcome,
 };
+pub use queue::{QueueId, RequestQueue, UsualTimeout, WaitingKey, WaitingRequest};
 pub use settings::{GatewaySettings, ListenAddresses, OperatorLimits, StoreAddress, TableTimings};
 pub use table::{RowChange, SharedTable, TableChanges, TableMirror, VersionGap};
--- a/crates/eelgrassdeal_gateway/src/front/attempt.rs
+++ b/crates/eelgrassdeal_gateway/src/front/attempt.rs
@@ -1,16 +1,9 @@
-//! Attempts to run a request on an upstream: placement, sending, retries and the detection of
-//! silent upstreams.
-//!
-//! A service with an engine runs each model on groups of upstreams; the upstream that receives the
-//! requests for a group is its head VM. Without an engine, every upstream receives requests.
+//! Attempts to run a request on an upstream: sending, retries and the detection of silent upstreams.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use eelgrassdeal_dispatch::{
-    EngineSpec, FleetView, ModelSpec, PlacementConstraints, PlacementRefusal, PlacementTarget,
-    Replica, UpstreamRecord,
-};
+use eelgrassdeal_dispatch::UpstreamRecord;
 use eelgrassdeal_http::{PooledResponse, SendFailure, SendOptions};
 use eelgrassdeal_platform::{UpstreamResponse, upstream_headers};
 use eelgrassdeal_types::{ErrorKind, UpstreamId};
@@ -19,6 +12,7 @@
 
 use super::call::GatewayCall;
 use super::refusal::CallRefusal;
+use crate::placing::{LoadGuard, Placement, PlacementNeed, place};
 use crate::state::GatewayState;
 
 /// Maximum number of sends in one call of [`AttemptRunner::start`], including those that upstreams
@@ -33,8 +27,6 @@
 /// Fraction of the time until the deadline that a request may wait for an upstream with free
 /// capacity, so that it can still finish.
 const PLACEMENT_TIME_FRACTION: f64 = 0.4;
-/// Interval between two searches for an upstream with free capacity.
-const PLACEMENT_POLL_INTERVAL: Duration = Duration::from_millis(15);
 /// Interval at which a request that waits for data checks whether its upstream is silent.
 const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(40);
 /// Maximum `retry-after` of a refused request, as a fraction of the time until its deadline.
@@ -43,19 +35,6 @@
 /// Fraction of the `retry-after` time that is randomised, so that refused callers do not all retry
 /// at the same moment.
 const RETRY_AFTER_JITTER: f64 = 0.6;
-/// Number of requests per slot, over all nodes, below which an engine is given a request that is
-/// still within its target latency and of which no earlier attempt may have run. It keeps requests
-/// from queueing inside the engine, which runs them in order of arrival.
-const ON_TIME_REQUESTS_PER_SLOT: f64 = 1.0;
-/// Like [`ON_TIME_REQUESTS_PER_SLOT`], for a request that has exceeded its target latency. The
-/// remaining slots are left to requests that have not.
-const LATE_REQUESTS_PER_SLOT: f64 = 0.88;
-/// Like [`ON_TIME_REQUESTS_PER_SLOT`], for a request of which an earlier attempt may have run, for
-/// example a stream that is resumed.
-const RERUN_REQUESTS_PER_SLOT: f64 = 1.2;
-/// Like [`ON_TIME_REQUESTS_PER_SLOT`], for every request to an upstream of a service without an
-/// engine.
-const PLAIN_REQUESTS_PER_SLOT: f64 = 3.0;
 /// Maximum idle time of a pooled connection that is used for a request that must not be repeated.
 /// The upstream may be closing a connection that was idle for longer.
 const NON_IDEMPOTENT_MAX_IDLE: Duration = Duration::from_millis(300);
@@ -81,37 +60,6 @@
 /// of an engine does not state it.
 const PREFILL_CHUNK_TOKENS: f64 = 2_048.0;
 
-/// Counts a request in the load of its upstream until the guard is dropped.
-pub(super) struct LoadGuard {
-    state: Rc<GatewayState>,
-    pub(super) upstream: UpstreamId,
-    /// Whether data of the response has arrived.
-    has_response_started: bool,
-}
-
-impl LoadGuard {
-    fn new(state: &Rc<GatewayState>, upstream: &UpstreamId) -> Self {
-        state.loads.borrow_mut().start_request(upstream, Instant::now());
-        Self { state: state.clone(), upstream: upstream.clone(), has_response_started: false }
-    }
-
-    /// Records that data of the response arrived.
-    pub(super) fn record_progress(&mut self) {
-        let mut loads = self.state.loads.borrow_mut();
-        if !self.has_response_started {
-            self.has_response_started = true;
-            loads.record_response_start(&self.upstream);
-        }
-        loads.record_progress(&self.upstream, Instant::now());
-    }
-}
-
-impl Drop for LoadGuard {
-    fn drop(&mut self) {
-        self.state.loads.borrow_mut().end_request(&self.upstream, self.has_response_started);
-    }
-}
-
 /// An attempt whose upstream has sent the response headers. Dropping it cancels the request on the
 /// upstream.
 pub(super) struct RunningAttempt {
@@ -130,6 +78,8 @@
     Deadline,
     /// The upstream counts as silent, as decided by `AttemptRunner::counts_as_silent`.
     Silent,
+    /// The response made no progress in time, although the upstream may work.
+    Stalled,
 }
 
 /// Starts the attempts of one request and counts them. An attempt is a send of the request after
@@ -138,8 +88,8 @@
 pub(super) struct AttemptRunner {
     pub(super) state: Rc<GatewayState>,
     pub(super) call: Rc<GatewayCall>,
-    /// Upstreams to which this request is not sent again until all others were tried.
-    excluded: Vec<UpstreamId>,
+    /// What the upstream of the next attempt has to fulfil.
+    need: PlacementNeed,
     /// Sends that may have reached an upstream: the attempts and the sends that were rejected.
     arrivals: u32,
     /// Number of attempts, logged as `runs`.
@@ -154,7 +104,7 @@
         Self {
             state: state.clone(),
             call: call.clone(),
-            excluded: Vec::new(),
+            need: call.placement_need(),
             arrivals: 0,
             attempts: 0,
             unstarted_attempts: 0,
@@ -190,13 +140,14 @@
     /// while if there is an alternative.
     fn exclude(&mut self, upstream: &UpstreamId) {
         self.state.loads.borrow_mut().avoid(upstream, Instant::now());
-        self.excluded.push(upstream.clone());
+        self.need.excluded.push(upstream.clone());
     }
 
     /// Counts a send as an attempt.
     fn count_attempt(&mut self) {
         self.arrivals += 1;
         self.attempts += 1;
+        self.need.is_rerun = true;
     }
 
     /// Tries upstreams until one sends a response that is neither a rejection nor a failure after
@@ -214,7 +165,7 @@
         let placement_deadline = self.placement_deadline();
         let mut sends = 0;
         loop {
-            let target = self.wait_for_placement(placement_deadline).await?;
+            let placement = self.place(placement_deadline).await?;
             if sends >= MAX_SENDS {
                 return Err(
                     self.final_refusal("too many sends to upstreams failed or were rejected")
@@ -225,7 +176,7 @@
                     .final_refusal("this node's share of the service's retry budget is used up"));
             }
             sends += 1;
-            if let Some(attempt) = self.send(&target, last_event).await? {
+            if let Some(attempt) = self.send(placement, last_event).await? {
                 return Ok(attempt);
             }
         }
@@ -250,12 +201,13 @@
         }
     }
 
-    /// Waits for `future` until the deadline of the request, or until the upstream counts as
-    /// silent. Without a `silence_timeout` only the deadline ends the wait.
+    /// Waits for `future` until the deadline of the request, until `stalled_at`, or until the
+    /// upstream counts as silent. Without a `silence_timeout`, silence does not end the wait.
     pub(super) async fn wait_for_bytes<T>(
         &self,
         upstream: &UpstreamId,
         silence_timeout: Option<Duration>,
+        stalled_at: Option<Instant>,
         future: impl Future<Output = T>,
     ) -> Result<T, WaitError> {
         let mut future = std::pin::pin!(future);
@@ -271,6 +223,9 @@
                 return Ok(value);
             }
             let now = Instant::now();
+            if stalled_at.is_some_and(|at| now >= at) {
+                return Err(WaitError::Stalled);
+            }
             if now.duration_since(started) < MIN_SILENCE_TIMEOUT {
                 continue;
             }
@@ -313,100 +268,30 @@
         now + self.call.time_left(now).mul_f64(PLACEMENT_TIME_FRACTION).min(PLACEMENT_TIMEOUT)
     }
 
-    /// Waits for an upstream with free capacity until `until`.
-    async fn wait_for_placement(&mut self, until: Instant) -> Result<PlacementTarget, CallRefusal> {
-        loop {
-            let now = Instant::now();
-            let refusal = match self.choose_upstream(now) {
-                Ok(target) => return Ok(target),
-                Err(refusal) => refusal,
-            };
-            if now >= until {
-                return Err(self.final_refusal(match refusal {
-                    PlacementRefusal::NoneServing => "no upstream is available for the request",
-                    PlacementRefusal::AllFull => "every upstream is at capacity",
-                }));
-            }
-            compio::time::sleep(PLACEMENT_POLL_INTERVAL).await;
-        }
-    }
-
-    /// Chooses an upstream with free capacity that takes the request now.
-    fn choose_upstream(&mut self, now: Instant) -> Result<PlacementTarget, PlacementRefusal> {
-        let view = self.state.view();
-        let mut candidates = self.candidates(&view);
-        loop {
-            let need = PlacementConstraints {
-                excluded: &self.excluded,
-                max_per_slot: self.max_per_slot(),
-            };
-            let choice = self.state.loads.borrow().choose(&candidates, need, rand::random(), now);
-            let target = match choice {
-                Ok(target) => target,
-                // This request excludes every candidate that is left, since sends to them failed or
-                // were rejected. The next search includes them again. If the wait ends before it,
-                // the caller is told that every upstream is at capacity, although some may not be.
-                Err(PlacementRefusal::NoneServing) if !candidates.is_empty() => {
-                    self.excluded.clear();
-                    return Err(PlacementRefusal::AllFull);
-                }
-                Err(refusal) => return Err(refusal),
-            };
-            if self.state.try_take_cold_share(&target.record, now) {
-                return Ok(target);
+    /// Finds an upstream with free capacity, and waits for one until `until` if necessary.
+    async fn place(&mut self, until: Instant) -> Result<Placement, CallRefusal> {
+        let started = Instant::now();
+        match place(&self.state, &mut self.need, until).await {
+            Ok(placement) => {
+                log::debug!(
+                    "event=placed request_id={} upstream={} waited_ms={}",
+                    self.call.request_id,
+                    placement.target.record.upstream,
+                    started.elapsed().as_millis()
+                );
+                Ok(placement)
             }
-            candidates.retain(|other| other.record.upstream != target.record.upstream);
-            if candidates.is_empty() {
-                // All upstreams are cold, and this node may not send to any of them now.
-                return Err(PlacementRefusal::AllFull);
+            Err(failure) => {
+                let refusal = self.final_refusal(failure.reason);
+                Err(refusal.with_retry_at_least(failure.room_in.unwrap_or_default()))
             }
         }
     }
 
-    /// Returns the head VMs that serve the request's model. For a service without an engine or an
-    /// unknown model, returns all upstreams of the service that accept requests.
-    fn candidates(&self, view: &FleetView) -> Vec<PlacementTarget> {
-        let service = &self.call.service;
-        let replicas = self.with_model(|engine, spec| {
-            let target = |replica: Replica| match replica.is_cross_domain {
-                true => {
-                    PlacementTarget::new(replica.head).with_slowdown(engine.cross_domain_factor)
-                }
-                false => PlacementTarget::new(replica.head),
-            };
-            view.replicas(service, &spec.model).into_iter().map(target).collect()
-        });
-        replicas.unwrap_or_else(|| {
-            view.plain_upstreams(service).into_iter().map(PlacementTarget::new).collect()
-        })
-    }
-
-    /// Number of requests per slot below which an upstream still takes this request.
-    fn max_per_slot(&self) -> f64 {
-        match (self.with_model(|_, _| ()).is_some(), self.attempts) {
-            (true, 0) if self.call.received.elapsed() < self.call.route.target_latency => {
-                ON_TIME_REQUESTS_PER_SLOT
-            }
-            (true, 0) => LATE_REQUESTS_PER_SLOT,
-            // Requests that may have run before take precedence over those that have not.
-            (true, _) => RERUN_REQUESTS_PER_SLOT,
-            (false, _) => PLAIN_REQUESTS_PER_SLOT,
-        }
-    }
-
-    /// Calls `read` with the engine and model that the request is for. Returns `None` for a service
-    /// without an engine or an unknown model.
-    fn with_model<T>(&self, read: impl FnOnce(&EngineSpec, &ModelSpec) -> T) -> Option<T> {
-        let config = self.state.config()?;
-        let engine = config.services.get(&self.call.service)?.engine.as_ref()?;
-        let spec = engine.model(self.call.caller.model.as_deref()?)?;
-        Some(read(engine, spec))
-    }
-
     /// Minimum time without data after which an upstream that serves this request counts as silent.
     /// `slowdown` is the factor by which the replica is slower than usual.
     fn silence_timeout(&self, slowdown: f64) -> Duration {
-        let limit = self.with_model(|engine, spec| {
+        let limit = self.need.with_model(&self.state, |engine, spec| {
             let slots = f64::from(engine.slots);
             let context_kilotokens =
                 slots * (engine.mean_prompt_tokens + engine.mean_answer_tokens) / 1_000.0;
@@ -428,9 +313,10 @@
     /// Sends the request to one upstream. Returns `None` if the request may be sent to another one.
     async fn send(
         &mut self,
-        target: &PlacementTarget,
+        placement: Placement,
         last_event: Option<u64>,
     ) -> Result<Option<RunningAttempt>, CallRefusal> {
+        let Placement { target, load } = placement;
         let record = &target.record;
         let now = Instant::now();
         let time_left = self.call.time_left(now);
@@ -442,11 +328,10 @@
                 .call
                 .refuse(ErrorKind::BadRequest, "the path or query of the request is invalid"));
         };
-        let load = LoadGuard::new(&self.state, &record.upstream);
         let is_stream = self.call.route.kind.is_stream();
         let silence_timeout = is_stream.then(|| self.silence_timeout(target.slowdown()));
         let sending = self.state.upstream_pool.send(&record.address, request, self.send_options());
-        let result = self.wait_for_bytes(&record.upstream, silence_timeout, sending).await;
+        let result = self.wait_for_bytes(&record.upstream, silence_timeout, None, sending).await;
         // Logged when the wait for the response headers has ended, with any result: possibly no
         // byte was sent. `arrivals` does not include this send.
         log::debug!(
@@ -469,7 +354,7 @@
                 self.report_silent(&record.upstream);
                 next_step
             }
-            Err(WaitError::Deadline) => {
+            Err(WaitError::Deadline | WaitError::Stalled) => {
                 self.count_attempt();
                 Err(self.final_refusal("no response before the deadline"))
             }
@@ -485,7 +370,7 @@
         );
         match failure {
             // This node's own connection limit was reached, so the upstream is not at fault.
-            SendFailure::TooManyConnections => self.excluded.push(record.upstream.clone()),
+            SendFailure::TooManyConnections => self.need.excluded.push(record.upstream.clone()),
             _ => {
                 let now = Instant::now();
                 self.state.loads.borrow_mut().record_outcome(&record.upstream, true, now);
@@ -519,11 +404,8 @@
     ) -> Result<Option<RunningAttempt>, CallRefusal> {
         let response_info = UpstreamResponse::from_headers(response.inner.headers());
         let status = response.inner.status();
-        let is_for_this_request = response_info
-            .request_id
-            .as_ref()
-            .is_none_or(|id| Some(id) == self.call.caller.request_id.as_ref());
-        if !is_for_this_request {
+        // Upstreams echo the id, and a late copy of another response may lack it.
+        if response_info.request_id != self.call.caller.request_id {
             return self.handle_failed_attempt(record, "response to another request");
         }
         // Status 421: another upstream now responds at the address.
@@ -553,16 +435,19 @@
     }
 
     /// Connection limits for a send: this node's share of the connections that the upstream accepts
-    /// from all nodes, and only recently used connections for a request that must not be repeated.
+    /// from all nodes, and only recently used connections for a request that must not be repeated. A
+    /// request without an id gets a new connection, because nothing would tell its response from a
+    /// late copy of another one.
     fn send_options(&self) -> SendOptions {
         let config = self.state.config();
         let spec = config.as_ref().and_then(|config| config.services.get(&self.call.service));
         let limit = spec.map_or(u32::MAX, |spec| spec.max_connections) as usize;
         let share = (limit / self.state.sharing_node_count().max(1)).max(1);
         let options = SendOptions::default().with_max_connections(share);
-        match self.call.route.kind.may_repeat() {
-            true => options,
-            false => options.with_max_idle(NON_IDEMPOTENT_MAX_IDLE),
+        match (&self.call.caller.request_id, self.call.route.kind.may_repeat()) {
+            (None, _) => options.with_max_idle(Duration::ZERO),
+            (Some(_), true) => options,
+            (Some(_), false) => options.with_max_idle(NON_IDEMPOTENT_MAX_IDLE),
         }
     }
 
--- a/crates/eelgrassdeal_gateway/src/front/buffered.rs
+++ b/crates/eelgrassdeal_gateway/src/front/buffered.rs
@@ -43,7 +43,7 @@
     let RunningAttempt { response, load, .. } = attempt;
     let upstream = load.upstream.clone();
     let response = response.collect(MAX_RESPONSE_BYTES);
-    match runner.wait_for_bytes(&upstream, None, response).await {
+    match runner.wait_for_bytes(&upstream, None, None, response).await {
         Ok(Ok(response)) => Ok(Some(response)),
         Ok(Err(_)) => {
             runner.record_failed_attempt(&upstream, "response incomplete or too large");
--- a/crates/eelgrassdeal_gateway/src/front/call.rs
+++ b/crates/eelgrassdeal_gateway/src/front/call.rs
@@ -15,6 +15,7 @@
 
 use super::refusal::CallRefusal;
 use crate::lifecycle::DRAIN_ACCEPT_PERIOD;
+use crate::placing::PlacementNeed;
 use crate::state::GatewayState;
 
 /// Timeout for receiving the body of a request.
@@ -42,6 +43,8 @@
     pub(super) priority: u32,
     /// When the request's headers were received.
     pub(super) received: Instant,
+    /// Time that the caller spent on earlier attempts, as far as its timeout shows it.
+    pub(super) spent: Duration,
     /// `received` plus the caller's timeout or the route's, whichever is shorter.
     pub(super) deadline: Instant,
 }
@@ -83,6 +86,7 @@
         let body = read_body(body, config.limits.max_body_bytes)
             .await
             .map_err(|(kind, message)| refuse(kind, message))?;
+        let spent = caller.timeout.map(|timeout| state.time_spent(&route.name, timeout));
         let timeout = caller.timeout.unwrap_or(route.timeout).min(route.timeout);
         let path = head.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
         Ok(Self {
@@ -96,11 +100,26 @@
             account,
             priority,
             received,
+            spent: spent.unwrap_or_default(),
             deadline: received + timeout,
             caller,
         })
     }
 
+    /// What the upstream that runs the request has to fulfil, before the first attempt.
+    pub(super) fn placement_need(&self) -> PlacementNeed {
+        PlacementNeed {
+            service: self.service.clone(),
+            model: self.caller.model.clone(),
+            priority: self.priority,
+            account: self.account.clone(),
+            has_returned: !self.spent.is_zero(),
+            target_at: self.received + self.route.target_latency.saturating_sub(self.spent),
+            is_rerun: false,
+            excluded: Vec::new(),
+        }
+    }
+
     /// Time until the deadline; zero once it has passed.
     pub(super) fn time_left(&self, now: Instant) -> Duration {
         self.deadline.saturating_duration_since(now)
--- a/crates/eelgrassdeal_gateway/src/front/mod.rs
+++ b/crates/eelgrassdeal_gateway/src/front/mod.rs
@@ -15,7 +15,7 @@
 use hyper::header::{CONNECTION, HeaderValue};
 
 use crate::server::{Reply, RequestHandler};
-use crate::state::{CountGuard, GatewayState};
+use crate::state::{GatewayState, InFlightGuard};
 use call::GatewayCall;
 
 /// Handles requests of callers, on the listener `listen.front`.
@@ -58,7 +58,7 @@
 
 impl RequestHandler for FrontHandler {
     async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Reply {
-        let _in_flight = CountGuard::new(&self.state.in_flight);
+        let _in_flight = InFlightGuard::new(&self.state);
         let mut reply = self.serve(request).await;
         if self.state.stage.get() == NodeStage::Leaving {
             // Tells the caller not to reuse this connection, since this node is shutting down.
--- a/crates/eelgrassdeal_gateway/src/front/refusal.rs
+++ b/crates/eelgrassdeal_gateway/src/front/refusal.rs
@@ -34,6 +34,12 @@
         self
     }
 
+    /// Lengthens the time after which the caller may retry to `minimum`, if it is told one.
+    pub(super) fn with_retry_at_least(mut self, minimum: Duration) -> Self {
+        self.retry_after = self.retry_after.map(|retry_after| retry_after.max(minimum));
+        self
+    }
+
     pub(super) fn kind(&self) -> ErrorKind {
         self.error.kind
     }
--- a/crates/eelgrassdeal_gateway/src/front/stream.rs
+++ b/crates/eelgrassdeal_gateway/src/front/stream.rs
@@ -3,9 +3,10 @@
 
 use std::io;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
+use eelgrassdeal_dispatch::RouteRule;
 use eelgrassdeal_platform::UpstreamResponse;
 use futures_util::StreamExt;
 use futures_util::stream::unfold;
@@ -16,11 +17,19 @@
 use super::call::GatewayCall;
 use super::refusal::CallRefusal;
 use crate::server::{Reply, stream_reply};
-use crate::state::{CountGuard, GatewayState};
+use crate::state::{GatewayState, InFlightGuard};
 
 /// Maximum size of an event. A response with more bytes before the next end of an event is not a
 /// valid event stream.
-const MAX_EVENT_BYTES: usize = 1024 * 1024;
+const MAX_EVENT_BYTES: usize = 256 * 1024;
+/// Callers are assumed to abandon a stream without a new event after this time, after this multiple
+/// of the target latency, or after this multiple of the target gap, whichever is longest.
+const CALLER_PATIENCE: Duration = Duration::from_secs(2);
+const CALLER_PATIENCE_LATENCIES: u32 = 4;
+const CALLER_PATIENCE_GAPS: u32 = 8;
+/// Fraction of the callers' patience after which a stream without a complete event is resumed on
+/// another upstream. The rest of it is left for the resumption.
+const STALL_FRACTION: f64 = 0.7;
 const EVENT_END: &[u8] = b"\n\n";
 const EVENT_ID_FIELD: &[u8] = b"id:";
 
@@ -66,6 +75,11 @@
     attempt: Option<RunningAttempt>,
     /// Bytes of an event that is not complete.
     partial: BytesMut,
+    /// Number of bytes of `partial` that contain no end of an event.
+    searched: usize,
+    /// When the wait for the next complete event began. Other bytes, such as comments, are no
+    /// progress. The time in which the caller reads does not count.
+    waiting_since: Instant,
     /// Id of the last event that was forwarded, or that the caller already had.
     last_event: Option<u64>,
     is_over: bool,
@@ -75,21 +89,30 @@
     fn new(runner: AttemptRunner, attempt: RunningAttempt) -> Self {
         let last_event = runner.call.caller.last_event;
         let (attempt, partial) = (Some(attempt), BytesMut::new());
-        Self { runner, attempt, partial, last_event, is_over: false }
+        Self {
+            runner,
+            attempt,
+            partial,
+            searched: 0,
+            waiting_since: Instant::now(),
+            last_event,
+            is_over: false,
+        }
     }
 
     fn into_stream(self) -> futures_util::stream::LocalBoxStream<'static, io::Result<Bytes>> {
-        unfold(self, |mut relay| async move {
-            let state = relay.runner.state.clone();
-            let _in_flight = CountGuard::new(&state.in_flight);
+        // The stream counts as in progress until the server drops it, also while the caller reads.
+        let in_flight = InFlightGuard::new(&self.runner.state);
+        unfold((self, in_flight), |(mut relay, in_flight)| async move {
             let item = relay.next().await;
-            item.map(|item| (item, relay))
+            item.map(|item| (item, (relay, in_flight)))
         })
         .boxed_local()
     }
 
     /// Returns the next complete events, or `None` after the end of the stream.
     async fn next(&mut self) -> Option<io::Result<Bytes>> {
+        self.waiting_since = Instant::now();
         while !self.is_over {
             match self.read().await {
                 ReadResult::Bytes(bytes) => {
@@ -97,8 +120,15 @@
                     if let Some(events) = self.take_events() {
                         return Some(Ok(events));
                     }
-                    if self.partial.len() > MAX_EVENT_BYTES {
-                        return self.fail("an event exceeds the size limit");
+                    if self.is_stalled()
+                        && let Err(reason) = self.resume("no complete event").await
+                    {
+                        return self.fail(&reason);
+                    }
+                    if self.partial.len() > MAX_EVENT_BYTES
+                        && let Err(reason) = self.resume("an event exceeds the size limit").await
+                    {
+                        return self.fail(&reason);
                     }
                 }
                 ReadResult::End => return self.finish(),
@@ -113,13 +143,28 @@
         None
     }
 
+    /// Time at which the stream is resumed on another upstream unless an event is completed before;
+    /// `None` if no further attempt is allowed, so that waiting is all that is left.
+    fn stalled_at(&self) -> Option<Instant> {
+        // Nor does a stall of this process, in which it could not read.
+        let since = self.waiting_since.max(self.runner.state.resumed_at.get());
+        let timeout = stall_timeout(&self.runner.call.route);
+        self.runner.may_run_again().then(|| since + timeout)
+    }
+
+    /// Whether bytes arrive, but no event is completed.
+    fn is_stalled(&self) -> bool {
+        self.stalled_at().is_some_and(|at| Instant::now() >= at)
+    }
+
     async fn read(&mut self) -> ReadResult {
+        let stalled_at = self.stalled_at();
         // Does not fail: there is no attempt only while `resume` runs and after the end.
         let Some(attempt) = &mut self.attempt else { return ReadResult::Failed("no attempt") };
         let upstream = attempt.load.upstream.clone();
         let frame = attempt.response.inner.body_mut().frame();
         let silence_timeout = Some(attempt.silence_timeout);
-        match self.runner.wait_for_bytes(&upstream, silence_timeout, frame).await {
+        match self.runner.wait_for_bytes(&upstream, silence_timeout, stalled_at, frame).await {
             Ok(Some(Ok(frame))) => {
                 attempt.load.record_progress();
                 ReadResult::Bytes(frame.into_data().unwrap_or_default())
@@ -130,14 +175,19 @@
                 self.runner.report_silent(&upstream);
                 ReadResult::Failed("silent")
             }
+            Err(WaitError::Stalled) => ReadResult::Failed("no complete event"),
             Err(WaitError::Deadline) => ReadResult::Deadline,
         }
     }
 
     /// Takes the complete events that were read, and stores the id of the last one.
     fn take_events(&mut self) -> Option<Bytes> {
-        let end = find_last(&self.partial, EVENT_END)? + EVENT_END.len();
+        // The end of an event may begin in the bytes that were searched before.
+        let from = self.searched.saturating_sub(EVENT_END.len() - 1);
+        self.searched = self.partial.len();
+        let end = from + find_last(&self.partial[from..], EVENT_END)? + EVENT_END.len();
         let events = self.partial.split_to(end).freeze();
+        self.searched = 0;
         let mut ids = events.rsplit(|byte| *byte == b'\n').filter_map(event_id);
         if let Some(id) = ids.next() {
             self.last_event = Some(id);
@@ -152,6 +202,7 @@
     /// The reason why the stream cannot be resumed.
     async fn resume(&mut self, reason: &'static str) -> Result<(), String> {
         self.partial.clear();
+        self.searched = 0;
         if let Some(attempt) = self.attempt.take() {
             self.runner.record_failed_attempt(&attempt.load.upstream, reason);
         }
@@ -172,6 +223,7 @@
                     self.last_event
                 );
                 self.attempt = Some(attempt);
+                self.waiting_since = Instant::now();
                 return Ok(());
             }
             self.runner.record_failed_attempt(&upstream, status.as_str());
@@ -222,6 +274,14 @@
     }
 }
 
+/// Time without a complete event after which a stream is resumed on another upstream.
+fn stall_timeout(route: &RouteRule) -> Duration {
+    let patience = CALLER_PATIENCE
+        .max(route.target_latency * CALLER_PATIENCE_LATENCIES)
+        .max(route.target_event_gap * CALLER_PATIENCE_GAPS);
+    patience.mul_f64(STALL_FRACTION)
+}
+
 /// Returns the position of the last occurrence of `needle`.
 fn find_last(bytes: &[u8], needle: &[u8]) -> Option<usize> {
     bytes.windows(needle.len()).rposition(|window| window == needle)
--- a/crates/eelgrassdeal_gateway/src/lib.rs
+++ b/crates/eelgrassdeal_gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod metrics_export;
 mod mirror;
 mod peers;
+mod placing;
 mod plan;
 mod server;
 mod state;
--- a/crates/eelgrassdeal_gateway/src/lifecycle.rs
+++ b/crates/eelgrassdeal_gateway/src/lifecycle.rs
@@ -16,6 +16,7 @@
 use crate::locator::LocatorHandler;
 use crate::metrics_export::install_metrics;
 use crate::peers::{PeerHandler, exchange_messages, sync_with_partners};
+use crate::placing::run_waiting_room;
 use crate::plan::run_planner;
 use crate::server::{RequestHandler, accept_connections};
 use crate::state::GatewayState;
@@ -25,6 +26,9 @@
 pub(crate) const DRAIN_ACCEPT_PERIOD: Duration = Duration::from_millis(2_500);
 /// Part of the time until SIGKILL that is reserved for closing connections.
 const KILL_MARGIN: Duration = Duration::from_millis(400);
+/// Time without a request in progress after which a leaving node exits. The last bytes of a response
+/// are written after its request has ended.
+const FLUSH_PERIOD: Duration = Duration::from_millis(200);
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Interval at which the settings file is checked for changes, which may come without a SIGHUP.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(2);
@@ -80,6 +84,7 @@
     compio::runtime::spawn(register_node(state.clone())).detach();
     compio::runtime::spawn(exchange_messages(state.clone())).detach();
     compio::runtime::spawn(run_planner(state.clone())).detach();
+    compio::runtime::spawn(run_waiting_room(state.clone())).detach();
     compio::runtime::spawn(run_housekeeping(state.clone())).detach();
     compio::runtime::spawn(state.upstream_pool.clone().sweep()).detach();
     compio::runtime::spawn(state.control_pool.clone().sweep()).detach();
@@ -123,8 +128,13 @@
     state.leaving_since.set(Some(started));
     sync_with_partners(state).await;
     let drain_limit = state.settings().limits.shutdown_grace.saturating_sub(KILL_MARGIN);
+    let mut idle_for = Duration::ZERO;
     while started.elapsed() < drain_limit {
-        if started.elapsed() > DRAIN_ACCEPT_PERIOD && state.in_flight.get() == 0 {
+        match state.in_flight.get() {
+            0 if started.elapsed() > DRAIN_ACCEPT_PERIOD => idle_for += DRAIN_POLL_INTERVAL,
+            _ => idle_for = Duration::ZERO,
+        }
+        if idle_for > FLUSH_PERIOD {
             break;
         }
         compio::time::sleep(DRAIN_POLL_INTERVAL).await;
@@ -159,7 +169,9 @@
         let sleep_started_at = Instant::now();
         compio::time::sleep(HOUSEKEEPING_INTERVAL).await;
         if sleep_started_at.elapsed() > HOUSEKEEPING_INTERVAL + PROCESS_STALL_THRESHOLD {
-            state.loads.borrow_mut().reset_progress_times(Instant::now());
+            let now = Instant::now();
+            state.resumed_at.set(now);
+            state.loads.borrow_mut().reset_progress_times(now);
         }
     }
 }
--- a/crates/eelgrassdeal_gateway/src/peers/message.rs
+++ b/crates/eelgrassdeal_gateway/src/peers/message.rs
@@ -136,6 +136,7 @@
         directory.record_direct_message(&node, now);
         let scope = CountScope::for_message(directory.is_large(), role, directory.role());
         state.loads.borrow_mut().set_peer_counts(&node, scope, counts, now);
+        state.waiting.notify();
     }
     for silent in message.silent {
         let at = now - Duration::from_millis(u64::from(silent.age_ms));
--- /dev/null
+++ b/crates/eelgrassdeal_gateway/src/placing.rs
@@ -0,0 +1,366 @@
+//! Placement of requests on upstreams, and the requests that wait for one with free capacity.
+//!
+//! A service with an engine runs each model on groups of upstreams; the upstream that receives the
+//! requests for a group is its head VM. Without an engine, every upstream receives requests.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use eelgrassdeal_dispatch::{
+    EngineSpec, FleetView, ModelSpec, PlacementConstraints, PlacementRefusal, PlacementTarget,
+    QueueId, Replica, RequestQueue, WaitingKey, WaitingRequest,
+};
+use eelgrassdeal_types::{ClientAccountId, ModelId, ServiceId, UpstreamId};
+use event_listener::Event;
+
+use crate::state::GatewayState;
+
+/// Maximum delay until waiting requests are placed, if no event shows that capacity became free. The
+/// shares of cold upstreams refill without one.
+const MAX_ASSIGN_INTERVAL: Duration = Duration::from_millis(25);
+/// Number of requests per slot, over all nodes, below which an engine is given a request that is
+/// still within its target latency and of which no earlier attempt may have run. It keeps requests
+/// from queueing inside the engine, which runs them in order of arrival.
+const ON_TIME_REQUESTS_PER_SLOT: f64 = 1.0;
+/// Like [`ON_TIME_REQUESTS_PER_SLOT`], for a request that has exceeded its target latency. The
+/// remaining slots are left to requests that have not.
+const LATE_REQUESTS_PER_SLOT: f64 = 0.88;
+/// Like [`ON_TIME_REQUESTS_PER_SLOT`], for a request of which an earlier attempt may have run, for
+/// example a stream that is resumed.
+const RERUN_REQUESTS_PER_SLOT: f64 = 1.2;
+/// Like [`ON_TIME_REQUESTS_PER_SLOT`], for every request to an upstream of a service without an
+/// engine.
+const PLAIN_REQUESTS_PER_SLOT: f64 = 3.0;
+
+/// Counts a request in the load of its upstream until the guard is dropped.
+pub(crate) struct LoadGuard {
+    state: Rc<GatewayState>,
+    pub(crate) upstream: UpstreamId,
+    /// Whether data of the response has arrived.
+    has_response_started: bool,
+}
+
+impl LoadGuard {
+    fn new(state: &Rc<GatewayState>, upstream: &UpstreamId) -> Self {
+        state.loads.borrow_mut().start_request(upstream, Instant::now());
+        Self { state: state.clone(), upstream: upstream.clone(), has_response_started: false }
+    }
+
+    /// Records that data of the response arrived.
+    pub(crate) fn record_progress(&mut self) {
+        let mut loads = self.state.loads.borrow_mut();
+        if !self.has_response_started {
+            self.has_response_started = true;
+            loads.record_response_start(&self.upstream);
+        }
+        loads.record_progress(&self.upstream, Instant::now());
+    }
+}
+
+impl Drop for LoadGuard {
+    fn drop(&mut self) {
+        self.state.loads.borrow_mut().end_request(&self.upstream, self.has_response_started);
+        self.state.waiting.notify();
+    }
+}
+
+/// An upstream for one attempt. The request counts in its load from here on.
+pub(crate) struct Placement {
+    pub(crate) target: PlacementTarget,
+    pub(crate) load: LoadGuard,
+}
+
+/// What a request needs of the upstream that runs it.
+#[derive(Clone, Debug)]
+pub(crate) struct PlacementNeed {
+    pub(crate) service: ServiceId,
+    /// Model that the caller names, whether the service runs it or not.
+    pub(crate) model: Option<ModelId>,
+    pub(crate) priority: u32,
+    pub(crate) account: Option<ClientAccountId>,
+    /// Whether the caller was refused before and has come back.
+    pub(crate) has_returned: bool,
+    /// When the target latency is exceeded.
+    pub(crate) target_at: Instant,
+    /// Whether an earlier attempt may have run.
+    pub(crate) is_rerun: bool,
+    /// Upstreams that are not used again until all others were tried.
+    pub(crate) excluded: Vec<UpstreamId>,
+}
+
+/// Why a request was given no upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct PlacementFailure {
+    pub(crate) reason: &'static str,
+    /// Time until room is expected, if the request did not wait because it would have been in vain.
+    pub(crate) room_in: Option<Duration>,
+}
+
+impl PlacementNeed {
+    /// Calls `read` with the engine and model that the request is for. Returns `None` for a service
+    /// without an engine or an unknown model.
+    pub(crate) fn with_model<T>(
+        &self,
+        state: &GatewayState,
+        read: impl FnOnce(&EngineSpec, &ModelSpec) -> T,
+    ) -> Option<T> {
+        let config = state.config()?;
+        let engine = config.services.get(&self.service)?.engine.as_ref()?;
+        let spec = engine.model(self.model.as_deref()?)?;
+        Some(read(engine, spec))
+    }
+
+    /// Requests for models that the service does not run wait together.
+    fn queue_id(&self, state: &GatewayState) -> QueueId {
+        (self.service.clone(), self.with_model(state, |_, spec| spec.model.clone()))
+    }
+
+    fn waiting_request(&self, queue: QueueId, start_by: Instant) -> WaitingRequest {
+        WaitingRequest {
+            queue,
+            priority: self.priority,
+            is_rerun: self.is_rerun,
+            has_returned: self.has_returned,
+            account: self.account.clone(),
+            target_at: self.target_at,
+            start_by,
+        }
+    }
+
+    /// Number of requests per slot below which an upstream still takes this request.
+    fn max_per_slot(&self, has_engine: bool, now: Instant) -> f64 {
+        match (has_engine, self.is_rerun) {
+            (false, _) => PLAIN_REQUESTS_PER_SLOT,
+            // Requests that may have run before take precedence over those that have not.
+            (true, true) => RERUN_REQUESTS_PER_SLOT,
+            (true, false) if now < self.target_at => ON_TIME_REQUESTS_PER_SLOT,
+            (true, false) => LATE_REQUESTS_PER_SLOT,
+        }
+    }
+}
+
+/// A request that waits, and the placement that it was given.
+struct WaitingSeat {
+    need: PlacementNeed,
+    placement: Option<Placement>,
+    granted: Rc<Event>,
+}
+
+/// Requests that wait for an upstream with free capacity.
+#[derive(Default)]
+pub(crate) struct WaitingRoom {
+    queue: RefCell<RequestQueue>,
+    seats: RefCell<HashMap<WaitingKey, WaitingSeat>>,
+    /// Notified when capacity may have become free.
+    room_changed: Event,
+}
+
+impl WaitingRoom {
+    /// Has the waiting requests placed, because capacity may have become free.
+    pub(crate) fn notify(&self) {
+        if !self.queue.borrow().is_empty() {
+            self.room_changed.notify(1);
+        }
+    }
+}
+
+/// Removes a request from the queue when it has a placement, stops waiting, or is cancelled.
+struct SeatGuard<'a> {
+    room: &'a WaitingRoom,
+    key: WaitingKey,
+}
+
+impl SeatGuard<'_> {
+    fn take_placement(&self) -> Option<Placement> {
+        self.room.seats.borrow_mut().get_mut(&self.key)?.placement.take()
+    }
+}
+
+impl Drop for SeatGuard<'_> {
+    fn drop(&mut self) {
+        self.room.queue.borrow_mut().remove(self.key);
+        // Dropped after the borrow has ended: it may hold a placement, which notifies the room.
+        let seat = self.room.seats.borrow_mut().remove(&self.key);
+        drop(seat);
+    }
+}
+
+/// Places a request on an upstream with free capacity. Waits for one until `until` if the queue is
+/// expected to reach the request by then.
+///
+/// # Errors
+///
+/// [`PlacementFailure`] if no upstream was found in time.
+pub(crate) async fn place(
+    state: &Rc<GatewayState>,
+    need: &mut PlacementNeed,
+    until: Instant,
+) -> Result<Placement, PlacementFailure> {
+    let now = Instant::now();
+    let room = &state.waiting;
+    let queue = need.queue_id(state);
+    let request = need.waiting_request(queue.clone(), until);
+    if need.excluded.is_empty() && !need.is_rerun {
+        room.queue.borrow_mut().record_arrival(&request, now);
+    }
+    let must_wait = room.queue.borrow().precedes(&request, now);
+    let refusal = match must_wait {
+        true => PlacementRefusal::AllFull,
+        false => match choose_upstream(state, need, &candidates(state, &queue), now) {
+            Ok(target) => {
+                room.queue.borrow_mut().record_placement(queue, now);
+                let load = LoadGuard::new(state, &target.record.upstream);
+                return Ok(Placement { target, load });
+            }
+            Err(refusal) => refusal,
+        },
+    };
+    if refusal == PlacementRefusal::NoneServing && !is_replica_expected(&state.view(), &queue) {
+        let reason = "no upstream is available for the request, and none is being prepared";
+        return Err(PlacementFailure { reason, room_in: None });
+    }
+    let pushed = room.queue.borrow_mut().push(request, now);
+    let key = pushed.map_err(|room_in| PlacementFailure {
+        reason: "every upstream is at capacity, and the queue is too long",
+        room_in: Some(room_in),
+    })?;
+    let granted = Rc::new(Event::new());
+    let seat = WaitingSeat { need: need.clone(), placement: None, granted: granted.clone() };
+    room.seats.borrow_mut().insert(key, seat);
+    let guard = SeatGuard { room, key };
+    loop {
+        let grant = granted.listen();
+        if let Some(placement) = guard.take_placement() {
+            need.excluded.clear();
+            return Ok(placement);
+        }
+        let left = until.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            let reason = match refusal {
+                PlacementRefusal::NoneServing => "no upstream is available for the request",
+                PlacementRefusal::AllFull => "every upstream is at capacity",
+            };
+            return Err(PlacementFailure { reason, room_in: None });
+        }
+        // A timeout is handled above.
+        let _ = compio::time::timeout(left, grant).await;
+    }
+}
+
+/// Places waiting requests when capacity becomes free, until the task is dropped.
+pub(crate) async fn run_waiting_room(state: Rc<GatewayState>) {
+    loop {
+        let change = state.waiting.room_changed.listen();
+        // A timeout is the usual case while requests wait, and no error.
+        let _ = compio::time::timeout(MAX_ASSIGN_INTERVAL, change).await;
+        if !state.waiting.queue.borrow().is_empty() {
+            assign_waiting(&state);
+        }
+    }
+}
+
+/// Gives free capacity to waiting requests in the order of the queue.
+fn assign_waiting(state: &Rc<GatewayState>) {
+    let now = Instant::now();
+    let order = state.waiting.queue.borrow().in_order(now);
+    for (queue, keys) in order {
+        let candidates = candidates(state, &queue);
+        // The highest number of requests per slot for which all upstreams were full.
+        let mut full_limit = 0.0_f64;
+        for key in keys {
+            let seats = state.waiting.seats.borrow();
+            let Some(seat) = seats.get(&key) else { continue };
+            let (mut need, granted) = (seat.need.clone(), seat.granted.clone());
+            drop(seats);
+            let limit = need.max_per_slot(queue.1.is_some(), now);
+            if limit <= full_limit {
+                continue;
+            }
+            let chosen = choose_upstream(state, &mut need, &candidates, now);
+            let Ok(target) = chosen else {
+                if need.excluded.is_empty() {
+                    full_limit = limit;
+                }
+                if let Some(seat) = state.waiting.seats.borrow_mut().get_mut(&key) {
+                    seat.need = need;
+                }
+                continue;
+            };
+            let load = LoadGuard::new(state, &target.record.upstream);
+            state.waiting.queue.borrow_mut().take(key, now);
+            if let Some(seat) = state.waiting.seats.borrow_mut().get_mut(&key) {
+                seat.placement = Some(Placement { target, load });
+            }
+            granted.notify(1);
+        }
+    }
+}
+
+/// Chooses an upstream with free capacity that takes the request now.
+fn choose_upstream(
+    state: &GatewayState,
+    need: &mut PlacementNeed,
+    candidates: &[PlacementTarget],
+    now: Instant,
+) -> Result<PlacementTarget, PlacementRefusal> {
+    let has_engine = need.with_model(state, |_, _| ()).is_some();
+    let mut candidates = candidates.to_vec();
+    loop {
+        let constraints = PlacementConstraints {
+            excluded: &need.excluded,
+            max_per_slot: need.max_per_slot(has_engine, now),
+        };
+        let choice = state.loads.borrow().choose(&candidates, constraints, rand::random(), now);
+        let target = match choice {
+            Ok(target) => target,
+            // This request excludes every candidate that is left, since sends to them failed or
+            // were rejected. The next search includes them again. If the wait ends before it,
+            // the caller is told that every upstream is at capacity, although some may not be.
+            Err(PlacementRefusal::NoneServing) if !candidates.is_empty() => {
+                need.excluded.clear();
+                return Err(PlacementRefusal::AllFull);
+            }
+            Err(refusal) => return Err(refusal),
+        };
+        if state.try_take_cold_share(&target.record, now) {
+            return Ok(target);
+        }
+        candidates.retain(|other| other.record.upstream != target.record.upstream);
+        if candidates.is_empty() {
+            // All upstreams are cold, and this node may not send to any of them now.
+            return Err(PlacementRefusal::AllFull);
+        }
+    }
+}
+
+/// Returns the head VMs that serve the model of a queue, or without a model all upstreams of its
+/// service that accept requests.
+fn candidates(state: &GatewayState, queue: &QueueId) -> Vec<PlacementTarget> {
+    let (service, model) = queue;
+    let view = state.view();
+    let Some(model) = model else {
+        return view.plain_upstreams(service).into_iter().map(PlacementTarget::new).collect();
+    };
+    let config = state.config();
+    let engine = config.as_ref().and_then(|config| config.services.get(service)?.engine.as_ref());
+    let factor = engine.map_or(1.0, |engine| engine.cross_domain_factor);
+    let target = |replica: Replica| match replica.is_cross_domain {
+        true => PlacementTarget::new(replica.head).with_slowdown(factor),
+        false => PlacementTarget::new(replica.head),
+    };
+    view.replicas(service, model).into_iter().map(target).collect()
+}
+
+/// Whether an upstream may soon serve a queue that none serves now: a group of the model is being
+/// formed or replaced. Upstreams without groups may appear at any time.
+fn is_replica_expected(view: &FleetView, queue: &QueueId) -> bool {
+    let (service, model) = queue;
+    let Some(model) = model else { return true };
+    let is_of_model = |group: &Arc<eelgrassdeal_dispatch::GroupRecord>| {
+        group.service == *service && group.model == *model
+    };
+    view.groups.values().any(is_of_model)
+}
--- a/crates/eelgrassdeal_gateway/src/state.rs
+++ b/crates/eelgrassdeal_gateway/src/state.rs
@@ -2,13 +2,14 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use eelgrassdeal_dispatch::{
     ColdLimit, ColdShare, FleetView, GatewaySettings, LoadTracker, NodeDirectory, NodeHeartbeat,
     NodeStage, RetryShare, ServiceConfig, SharedTable, TableChanges, TableTimings, TrafficSummary,
-    UpstreamRecord,
+    UpstreamRecord, UsualTimeout,
 };
 use eelgrassdeal_http::ConnectionPool;
 use eelgrassdeal_platform::{OrderClient, PlatformStore};
@@ -16,6 +17,7 @@
 use event_listener::Event;
 
 use crate::mirror::StoreMirror;
+use crate::placing::WaitingRoom;
 
 /// A node counts the store as lost when its calls have had no answer for this long.
 const STORE_LOST_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -87,6 +89,10 @@
     pub(crate) mirror: RefCell<StoreMirror>,
     pub(crate) directory: RefCell<NodeDirectory>,
     pub(crate) loads: RefCell<LoadTracker>,
+    /// Requests that wait for an upstream with free capacity.
+    pub(crate) waiting: WaitingRoom,
+    /// Usual timeouts of the callers by route.
+    usual_timeouts: RefCell<HashMap<Arc<str>, UsualTimeout>>,
     /// Upstreams that did not send expected data to this node or another, and when they were last
     /// observed to be silent.
     pub(crate) silent: RefCell<HashMap<UpstreamId, Instant>>,
@@ -109,6 +115,8 @@
     pub(crate) has_traffic: Cell<bool>,
     /// Whether this node holds the planner's lease.
     pub(crate) is_planner: Cell<bool>,
+    /// When this process last went on after a stall, initially its start.
+    pub(crate) resumed_at: Cell<Instant>,
     /// Callers' requests in progress at this node.
     pub(crate) in_flight: Cell<u32>,
     /// Open connections that this node has accepted.
@@ -138,6 +146,8 @@
             mirror: RefCell::default(),
             directory: RefCell::new(NodeDirectory::new(own)),
             loads: RefCell::default(),
+            waiting: WaitingRoom::default(),
+            usual_timeouts: RefCell::default(),
             silent: RefCell::default(),
             peer_versions: RefCell::default(),
             heartbeats_sent_at: RefCell::default(),
@@ -148,6 +158,7 @@
             leaving_since: Cell::new(None),
             has_traffic: Cell::new(false),
             is_planner: Cell::new(false),
+            resumed_at: Cell::new(Instant::now()),
             in_flight: Cell::new(0),
             connections: Cell::new(0),
             settings: RefCell::new(Arc::new(settings)),
@@ -248,7 +259,11 @@
         if let Some(at) = fresh_at {
             mirror.record_fresh(table, at, outage, now);
         }
-        changes.is_some_and(|changes| mirror.apply(table, changes, now))
+        let is_changed = changes.is_some_and(|changes| mirror.apply(table, changes, now));
+        if is_changed {
+            self.waiting.notify();
+        }
+        is_changed
     }
 
     /// Summary of the request traffic of all nodes, as far as this node knows, for the planner.
@@ -276,6 +291,15 @@
         }
     }
 
+    /// Time that a caller has spent on earlier attempts, judged by the timeout of its request.
+    pub(crate) fn time_spent(&self, route: &Arc<str>, timeout: Duration) -> Duration {
+        let mut usual_timeouts = self.usual_timeouts.borrow_mut();
+        let usual =
+            usual_timeouts.entry(route.clone()).or_insert_with(|| UsualTimeout::new(timeout));
+        usual.record(timeout);
+        usual.time_spent(timeout)
+    }
+
     /// Counts a caller's request for the retry budget of `service`.
     pub(crate) fn record_request(&self, service: &ServiceId, now: Instant) {
         let bound = self.settings().limits.retry_limits();
@@ -293,6 +317,22 @@
     }
 }
 
+/// Counts a caller's request as in progress until it is dropped.
+pub(crate) struct InFlightGuard(Rc<GatewayState>);
+
+impl InFlightGuard {
+    pub(crate) fn new(state: &Rc<GatewayState>) -> Self {
+        state.in_flight.set(state.in_flight.get() + 1);
+        Self(state.clone())
+    }
+}
+
+impl Drop for InFlightGuard {
+    fn drop(&mut self) {
+        self.0.in_flight.set(self.0.in_flight.get().saturating_sub(1));
+    }
+}
+
 /// Increments a counter on creation and decrements it on drop.
 pub(crate) struct CountGuard<'a>(&'a Cell<u32>);
 
--- a/crates/eelgrassdeal_gateway/tests/failures.rs
+++ b/crates/eelgrassdeal_gateway/tests/failures.rs
@@ -4,7 +4,10 @@
 
 use std::time::Duration;
 
-use common::{API_KEY, TestPlatform, complete_stream};
+use common::{API_KEY, ENGINE_SERVICE, HOST, MODEL, TestPlatform, complete_stream};
+use compio::BufResult;
+use compio::io::{AsyncRead, AsyncWriteExt};
+use compio::net::TcpStream;
 use eelgrassdeal_standins::WorkerOptions;
 
 /// Time within which draining workers stop receiving requests and a new configuration takes effect.
@@ -242,6 +245,45 @@
     assert!(platform.gateways[0].exits_successfully().await);
 }
 
+/// The caller of this stream reads nothing until the node has been leaving for longer than it accepts
+/// requests, so that no event is on its way in the node meanwhile.
+#[compio::test]
+async fn stopped_node_finishes_the_stream_of_a_caller_that_reads_late() {
+    let platform = TestPlatform::new().await;
+    for index in 0..2 {
+        let options = WorkerOptions::new(&format!("i-engine{index}"), ENGINE_SERVICE, "zone-a")
+            .with_domain("d1")
+            .with_events(60, Duration::from_millis(2))
+            .with_event_padding(200_000);
+        platform.start_worker(options).await;
+    }
+    let mut platform = platform.with_gateways(1).await;
+    platform.wait_serving(1).await;
+    let front: std::net::SocketAddr = platform.gateways[0].front.parse().expect("an address");
+    let mut caller = TcpStream::connect(front).await.expect("the node listens");
+    let head = format!(
+        "POST /stream/x HTTP/1.1\r\nhost: {HOST}\r\nauthorization: Bearer {API_KEY}\r\n\
+         x-eelgrassdeal-request-id: slow\r\nx-eelgrassdeal-deadline-ms: 8000\r\n\
+         x-eelgrassdeal-model: {MODEL}\r\ncontent-length: 0\r\n\r\n"
+    );
+    caller.write_all(head).await.0.expect("the request is sent");
+    compio::time::sleep(Duration::from_millis(500)).await;
+    platform.gateways[0].terminate();
+    compio::time::sleep(Duration::from_millis(3_500)).await;
+    let mut received = Vec::new();
+    loop {
+        let BufResult(read, buffer) = caller.read(Vec::with_capacity(256 * 1024)).await;
+        match read {
+            Ok(0) | Err(_) => break,
+            Ok(_) => received.extend_from_slice(&buffer),
+        }
+    }
+    let text = String::from_utf8_lossy(&received);
+    assert!(text.ends_with("0\r\n\r\n"), "the response ends early, at {} bytes", text.len());
+    assert!(text.contains("data: event 60\n"));
+    assert!(platform.gateways[0].exits_successfully().await);
+}
+
 #[compio::test]
 async fn invalid_rows_do_not_block_later_changes() {
     let platform = TestPlatform::new().await.with_plain_workers(1).await.with_gateways(1).await;
--- a/crates/eelgrassdeal_http/src/pool.rs
+++ b/crates/eelgrassdeal_http/src/pool.rs
@@ -5,10 +5,13 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use compio::net::TcpStream;
+use event_listener::Event;
+use futures_util::future::Either;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -28,6 +31,8 @@
 const MAX_IDLE_PER_PEER: usize = 32;
 /// Interval at which expired connections are closed.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+/// Maximum number of informational (1xx) responses before the final one.
+const MAX_INFORMATIONAL_RESPONSES: u32 = 16;
 
 /// Why a request received no complete response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -190,8 +195,9 @@
         options: SendOptions,
     ) -> Result<PooledResponse, SendFailure> {
         let mut request = request;
+        let limit = InformationalLimit::new(&mut request);
         while let Some(mut sender) = self.take_idle(address, options.max_idle) {
-            match sender.try_send_request(request).await {
+            match limit.wait_for(sender.try_send_request(request)).await? {
                 Ok(response) => return Ok(self.pooled_response(address, sender, response)),
                 Err(mut error) => match error.take_message() {
                     // The connection closed before the request was written.
@@ -204,7 +210,7 @@
             }
         }
         let mut sender = self.connect(address, options).await?;
-        match sender.try_send_request(request).await {
+        match limit.wait_for(sender.try_send_request(request)).await? {
             Ok(response) => Ok(self.pooled_response(address, sender, response)),
             Err(mut error) => {
                 log::debug!("peer={address} request failed: {}", error.error());
@@ -338,6 +344,32 @@
     }
 }
 
+/// Ends a request whose peer sends informational (1xx) responses without end.
+struct InformationalLimit(Arc<Event>);
+
+impl InformationalLimit {
+    /// Counts the informational responses to `request`.
+    fn new(request: &mut Request<Full<Bytes>>) -> Self {
+        let exceeded = Arc::new(Event::new());
+        let (event, count) = (exceeded.clone(), AtomicU32::new(0));
+        hyper::ext::on_informational(request, move |_| {
+            if count.fetch_add(1, Ordering::Relaxed) >= MAX_INFORMATIONAL_RESPONSES {
+                event.notify(usize::MAX);
+            }
+        });
+        Self(exceeded)
+    }
+
+    /// Waits for `future`, or fails when the limit is exceeded.
+    async fn wait_for<T>(&self, future: impl Future<Output = T>) -> Result<T, SendFailure> {
+        let exceeded = self.0.listen();
+        match futures_util::future::select(std::pin::pin!(future), exceeded).await {
+            Either::Left((value, _)) => Ok(value),
+            Either::Right(_) => Err(SendFailure::MaybeSent),
+        }
+    }
+}
+
 /// Guard that counts a connection as open until it is dropped.
 struct OpenConnection(Rc<Cell<usize>>);
 
--- a/crates/eelgrassdeal_standins/src/gateway_platform/worker.rs
+++ b/crates/eelgrassdeal_standins/src/gateway_platform/worker.rs
@@ -46,6 +46,8 @@
     /// Interval between two events of a stream; in a plain service, the processing time of a
     /// request.
     pub event_interval: Duration,
+    /// Size of a comment that is added to each event of a stream, in bytes.
+    pub event_padding: usize,
 }
 
 impl WorkerOptions {
@@ -58,6 +60,7 @@
             domain: None,
             event_count: 5,
             event_interval: Duration::from_millis(10),
+            event_padding: 0,
         }
     }
 
@@ -67,6 +70,12 @@
         self
     }
 
+    /// Adds a comment of `bytes` bytes to each event of a stream.
+    pub fn with_event_padding(mut self, bytes: usize) -> Self {
+        self.event_padding = bytes;
+        self
+    }
+
     /// Sets the number of events in a stream and the interval between them.
     pub fn with_events(mut self, event_count: u64, event_interval: Duration) -> Self {
         self.event_count = event_count;
@@ -86,6 +95,12 @@
     InterruptAfter(u64),
     /// The response has the id of another request.
     WrongRequestId,
+    /// The response has no request id.
+    NoRequestId,
+    /// After this many events, the stream goes on with comment lines and without events.
+    CommentsAfter(u64),
+    /// The stream starts with an event that never ends, in small pieces.
+    EndlessEvent,
     /// The request runs and gets status 500.
     InternalError,
     /// The request runs and gets status 503, without the header for requests that did not run.
@@ -419,9 +434,11 @@
         };
         // The seal is the worker's signature. The gateway accepts a successful response only with
         // this header and forwards it, but does not check its value.
-        let builder = Response::builder()
-            .header("x-eelgrassdeal-request-id", response_id)
-            .header("x-eelgrassdeal-response-seal", format!("seal-{}", self.id()));
+        let mut builder = Response::builder();
+        if fault != Some(WorkerFault::NoRequestId) {
+            builder = builder.header("x-eelgrassdeal-request-id", response_id);
+        }
+        let builder = builder.header("x-eelgrassdeal-response-seal", format!("seal-{}", self.id()));
         let running = RunGuard::new(self);
         match (fault, state.options.domain.is_some()) {
             (Some(WorkerFault::LostResponse), _) => {
@@ -442,16 +459,12 @@
                 builder.status(200).body(body).ok()
             }
             (fault, true) => {
-                let interrupt_after = match fault {
-                    Some(WorkerFault::InterruptAfter(events)) => Some(events),
-                    _ => None,
-                };
                 let (sender, receiver) = mpsc::channel(0);
                 let worker = self.clone();
                 let first_id = last_event_id.map_or(1, |id: u64| id + 1);
                 compio::runtime::spawn(async move {
                     let _running = running;
-                    worker.write_events(sender, first_id, interrupt_after).await;
+                    worker.write_events(sender, first_id, fault).await;
                 })
                 .detach();
                 let builder = builder.status(200).header("content-type", "text/event-stream");
@@ -484,15 +497,32 @@
         &self,
         mut sender: mpsc::Sender<io::Result<Frame<Bytes>>>,
         first_id: u64,
-        interrupt_after: Option<u64>,
+        fault: Option<WorkerFault>,
     ) {
+        let (interrupt_after, comments_after) = match fault {
+            Some(WorkerFault::InterruptAfter(events)) => (Some(events), None),
+            Some(WorkerFault::CommentsAfter(events)) => (None, Some(events)),
+            Some(WorkerFault::EndlessEvent) => {
+                write_endlessly(sender, Bytes::from_static(b"data: 0123456789abcdef\n")).await;
+                return;
+            }
+            _ => (None, None),
+        };
         for id in first_id..=self.0.options.event_count {
             compio::time::sleep(self.0.options.event_interval).await;
             if !self.wait_for_members().await {
                 let _ = sender.send(Err(io::Error::other("stalled"))).await;
                 return;
             }
-            let event = format!("id: {id}\ndata: event {id}\n\n");
+            if comments_after.is_some_and(|count| id - first_id >= count) {
+                write_slowly(sender, Bytes::from_static(b": waiting\n")).await;
+                return;
+            }
+            let padding = match self.0.options.event_padding {
+                0 => String::new(),
+                bytes => format!(": {}\n", "x".repeat(bytes)),
+            };
+            let event = format!("{padding}id: {id}\ndata: event {id}\n\n");
             if interrupt_after.is_some_and(|count| id - first_id >= count) {
                 let half = Bytes::from(event[..event.len() / 2].to_owned());
                 let _ = sender.send(Ok(Frame::data(half))).await;
@@ -531,6 +561,18 @@
     }
 }
 
+/// Writes the same piece again and again, until the receiver closes the connection.
+async fn write_endlessly(mut sender: mpsc::Sender<io::Result<Frame<Bytes>>>, piece: Bytes) {
+    while sender.send(Ok(Frame::data(piece.clone()))).await.is_ok() {}
+}
+
+/// Like [`write_endlessly`], with a pause before each piece.
+async fn write_slowly(mut sender: mpsc::Sender<io::Result<Frame<Bytes>>>, piece: Bytes) {
+    while sender.send(Ok(Frame::data(piece.clone()))).await.is_ok() {
+        compio::time::sleep(STALL_POLL_INTERVAL).await;
+    }
+}
+
 /// Counts a request as running until it is dropped.
 struct RunGuard(WorkerFake);
 
