--- a/crates/eelgrassdeal_dispatch/src/planner/cross_domain.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/cross_domain.rs
@@ -63,6 +63,46 @@
         }
     }
 
+    /// Before the first client request, forms groups of the models that fit into no domain. Their
+    /// members load the model in the group.
+    pub(super) fn form_wide_groups(&mut self, context: &mut ServiceContext<'_>) {
+        for spec in &context.engine.models {
+            if !context.fits_no_domain(spec) {
+                continue;
+            }
+            let mut available = self.wide_group_candidates(context, spec);
+            while available.len() >= spec.size {
+                let members: UpstreamRecords = available.drain(..spec.size).collect();
+                let loads = self.state.count_loads(&members, &spec.model, context.now);
+                if !self.may_start_loads(context.engine, loads, false, context.now) {
+                    return;
+                }
+                self.record_loads(&members, spec, false, context.now);
+                self.create_group(context, &spec.model, &members);
+            }
+        }
+    }
+
+    /// Free upstreams that hold the model of `spec` or are to load it, with those of one domain and
+    /// one data centre next to each other.
+    fn wide_group_candidates(
+        &self,
+        context: &ServiceContext<'_>,
+        spec: &ModelSpec,
+    ) -> UpstreamRecords {
+        let mut candidates = UpstreamRecords::new();
+        for (domain, pool) in &context.pools {
+            let holders: UpstreamRecords =
+                self.state.upstreams_holding(pool, &spec.model, context.now).cloned().collect();
+            let missing = context.missing_holders(domain, spec, holders.len());
+            let without_model = pool.iter().filter(|record| self.has_no_model(record, context));
+            candidates.extend(without_model.take(missing).cloned());
+            candidates.extend(holders);
+        }
+        candidates.sort_by_key(|record| (record.data_centre.clone(), record.domain.clone()));
+        candidates
+    }
+
     /// The domains with a group of their own, each with the model of that group. The spares of such
     /// a domain stay there: one of them replaces a lost member of the group within a second, while
     /// in a cross-domain group they would first have to complete its requests.
--- a/crates/eelgrassdeal_dispatch/src/planner/domain_split.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/domain_split.rs
@@ -6,6 +6,8 @@
 //! same model replace each other, so upstreams beyond full groups are worth something, too: they
 //! raise the number of groups that is expected to survive.
 //!
+//! A model whose groups fit into no domain gets upstreams of several ones.
+//!
 //! The division maximises the sum, over the models, of the model's share of the work times the
 //! logarithm of its expected capacity, with all data centres and with each of them missing in turn.
 //! The logarithm favours the model that has too little.
@@ -38,6 +40,13 @@
     pub(super) empty: usize,
 }
 
+impl DomainContent {
+    /// Number of upstreams in the domain.
+    pub(super) fn size(&self) -> usize {
+        self.holders.iter().sum::<usize>() + self.empty
+    }
+}
+
 /// Number of upstreams of each domain that are to hold each model, including those that hold it
 /// already.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -98,10 +107,15 @@
         engine: &EngineSpec,
         weights: &'a [f64],
     ) -> Self {
-        let size = |content: &DomainContent| content.holders.iter().sum::<usize>() + content.empty;
-        let largest = domains.values().map(size).max().unwrap_or(0);
-        let expected =
-            engine.models.iter().map(|spec| expected_capacities(spec, largest)).collect();
+        let largest = domains.values().map(DomainContent::size).max().unwrap_or(0);
+        let expected = engine
+            .models
+            .iter()
+            .map(|spec| match spec.size <= largest {
+                true => expected_capacities(spec, largest),
+                false => cross_domain_capacities(largest, engine.cross_domain_factor),
+            })
+            .collect();
         let centres: BTreeSet<_> = domains.values().map(|content| &content.data_centre).collect();
         let centres: BTreeMap<_, _> =
             centres.into_iter().enumerate().map(|(index, centre)| (centre, index)).collect();
@@ -187,6 +201,13 @@
     divisions
 }
 
+/// Like [`expected_capacities`], for a model whose groups fit into no domain: its groups take members
+/// from several domains and are slower by `factor`. Any upstream can complete one of them.
+fn cross_domain_capacities(largest: usize, factor: f64) -> Vec<f64> {
+    let capacity = (1.0 - EXPECTED_LOSS_FRACTION) / factor.max(1.0);
+    (0..=largest).map(|holders| holders as f64 * capacity).collect()
+}
+
 /// Expected number of upstreams in groups of `spec`, by the number of upstreams in a domain that
 /// hold the model, from 0 to `largest`. Each is lost with the probability
 /// [`EXPECTED_LOSS_FRACTION`].
--- a/crates/eelgrassdeal_dispatch/src/planner/formation.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/formation.rs
@@ -57,8 +57,9 @@
             self.record_loads(&members, spec, has_traffic, now);
             self.create_group(&mut context, &model, &members);
         }
-        if has_traffic {
-            self.plan_cross_domain_groups(view, &mut context);
+        match has_traffic {
+            true => self.plan_cross_domain_groups(view, &mut context),
+            false => self.form_wide_groups(&mut context),
         }
         self.stage_models(&context);
         self.warm_up_spares(&context);
--- a/crates/eelgrassdeal_dispatch/src/planner/service_context.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/service_context.rs
@@ -58,6 +58,8 @@
     requests_per_slot: HashMap<ModelId, f64>,
     /// How many upstreams of each domain are to hold each model.
     split: DomainSplit,
+    /// Number of upstreams in the largest domain.
+    largest_domain: usize,
     /// Number of group members by domain and model.
     grouped_holders: HashMap<DomainModel, usize>,
 }
@@ -84,8 +86,8 @@
             spec.share.powf(WORK_WEIGHT_POWER) * (load + REQUESTS_PER_SLOT_OFFSET)
         };
         let weights: Vec<f64> = engine.models.iter().map(weight).collect();
-        let split =
-            DomainSplit::new(&domain_contents(view, service, engine, state, now), engine, &weights);
+        let contents = domain_contents(view, service, engine, state, now);
+        let split = DomainSplit::new(&contents, engine, &weights);
         Self {
             service,
             engine,
@@ -95,6 +97,7 @@
             group_counts,
             requests_per_slot,
             split,
+            largest_domain: contents.values().map(DomainContent::size).max().unwrap_or(0),
             grouped_holders: grouped_holders(view, service, removed_groups),
         }
     }
@@ -116,6 +119,11 @@
             * (requests_per_slot + REQUESTS_PER_SLOT_OFFSET).powi(2)
     }
 
+    /// Whether a group of `spec` needs more upstreams than any domain has.
+    pub(super) fn fits_no_domain(&self, spec: &ModelSpec) -> bool {
+        spec.size > self.largest_domain
+    }
+
     /// Whether the division of a domain has room for another group of `spec`.
     pub(super) fn wants_group(&self, domain: &Arc<str>, spec: &ModelSpec) -> bool {
         self.missing_holders(domain, spec, 0) >= spec.size
--- a/crates/eelgrassdeal_dispatch/src/planner/spare.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/spare.rs
@@ -121,7 +121,11 @@
     }
 
     /// Whether an upstream neither holds nor is loading any model of the service.
-    fn has_no_model(&self, record: &UpstreamRecord, context: &ServiceContext<'_>) -> bool {
+    pub(super) fn has_no_model(
+        &self,
+        record: &UpstreamRecord,
+        context: &ServiceContext<'_>,
+    ) -> bool {
         context
             .engine
             .models
--- a/crates/eelgrassdeal_dispatch/tests/planner.rs
+++ b/crates/eelgrassdeal_dispatch/tests/planner.rs
@@ -358,3 +358,26 @@
         && group.members.iter().any(|(upstream, _)| *upstream == member)));
     assert_eq!(fleet.violations, Vec::<String>::new());
 }
+
+#[test]
+fn a_model_that_fits_into_no_domain_is_served_across_domains() {
+    let mut fleet = SimulatedFleet::new(4, 9);
+    let engine = fleet.config.services.values_mut().next().and_then(|spec| spec.engine.as_mut());
+    engine.expect("the service has an engine").models[0].size = 12;
+    fleet.run(Duration::from_secs(5));
+    assert!(fleet.serving(BIG) >= 1, "36 upstreams suffice for a group of 12");
+    assert!(fleet.serving(SMALL) >= 1);
+    fleet.has_traffic = true;
+    let head = fleet.head_of(BIG);
+    let lost = fleet.member_of(&head);
+    let orders_before = fleet.orders.len();
+    fleet.run(Duration::from_secs(4));
+    let closed = fleet.orders[orders_before..].iter();
+    assert!(!closed.clone().any(|order| matches!(order.kind, OrderKind::Close { .. })));
+    fleet.kill(&lost);
+    fleet.silent = vec![head];
+    fleet.run(Duration::from_millis(100));
+    fleet.silent.clear();
+    fleet.run(REPAIR_TIME);
+    assert_eq!(fleet.violations, Vec::<String>::new());
+}
