Count the age of forwarded heartbeats

In a large fleet a heartbeat is held up to 1.8 s by each node that forwards it, and the 5 s after which a node counts as failed began anew when it arrived.

Change: a forwarded heartbeat tells how long it was held, and a node counts as failed 6 s after its last heartbeat was first received. Nodes of the previous version send no age, which counts as 0.

Test: forwarded_heartbeats_keep_their_age fails with the age ignored.

--- a/crates/eelgrassdeal_dispatch/src/directory.rs
+++ b/crates/eelgrassdeal_dispatch/src/directory.rs
@@ -14,8 +14,9 @@
 /// Time without a newer heartbeat after which a node counts as failed and callers are not sent to
 /// it. Covers several rounds of messages.
 const LIVENESS_TIMEOUT: Duration = Duration::from_millis(2_000);
-/// Liveness timeout in a large fleet, where a heartbeat is forwarded by several nodes.
-const LARGE_FLEET_LIVENESS_TIMEOUT: Duration = Duration::from_millis(5_000);
+/// Liveness timeout in a large fleet, where a heartbeat is forwarded by several nodes. Counted from the
+/// time at which the node itself sent it.
+const LARGE_FLEET_LIVENESS_TIMEOUT: Duration = Duration::from_millis(6_000);
 /// A fleet counts as large if a node knows at least this many other nodes, silent ones included.
 const LARGE_FLEET_MIN_OTHERS: usize = 12;
 /// Time for which a silent node still counts for the shares of the fleet-wide limits: it may keep
@@ -86,6 +87,8 @@
     pub data_centre: DataCentreId,
     /// CPU share of the node in thousandths of a core. Nodes with a larger share become hubs first.
     pub processor_share: u32,
+    /// Time for which other nodes have held the heartbeat before they forwarded it.
+    pub age: Duration,
 }
 
 impl NodeHeartbeat {
@@ -108,7 +111,7 @@
 struct KnownNode {
     /// Newest heartbeat of the node.
     heartbeat: NodeHeartbeat,
-    /// When that heartbeat was received.
+    /// When the first node received that heartbeat, as far as its age tells.
     heartbeat_at: Instant,
     /// When the node last sent a message to this node.
     direct_message_at: Option<Instant>,
@@ -168,6 +171,8 @@
             self.own.sequence = self.own.sequence.max(heartbeat.sequence);
             return;
         }
+        let heartbeat_at = now.checked_sub(heartbeat.age).unwrap_or(now);
+        let heartbeat = NodeHeartbeat { age: Duration::ZERO, ..heartbeat };
         match self.others.get_mut(&heartbeat.node) {
             Some(known) if known.heartbeat.sequence >= heartbeat.sequence => {}
             Some(known) => {
@@ -175,13 +180,13 @@
                     self.changed_at = Some(now);
                 }
                 known.heartbeat = heartbeat;
-                known.heartbeat_at = now;
+                known.heartbeat_at = heartbeat_at;
             }
             None => {
                 self.changed_at = Some(now);
                 let known = KnownNode {
                     heartbeat,
-                    heartbeat_at: now,
+                    heartbeat_at,
                     direct_message_at: None,
                     avoid_until: None,
                 };
@@ -200,16 +205,19 @@
     /// Heartbeats to send to a node with the role `recipient`: the one of this node, and those that
     /// this node forwards to it.
     pub fn heartbeats_for(&self, recipient: NodeRole, now: Instant) -> Vec<NodeHeartbeat> {
-        let is_forwarded =
-            |heartbeat: &&NodeHeartbeat| match (self.is_large(), self.role(), recipient) {
-                (false, _, _) | (true, NodeRole::Hub, NodeRole::Leaf) => true,
-                (true, NodeRole::Hub, NodeRole::Hub) => {
-                    self.has_recent_direct_message(&heartbeat.node, now)
-                }
-                (true, NodeRole::Leaf, _) => false,
-            };
-        let others = self.live_others(now).filter(is_forwarded);
-        std::iter::once(&self.own).chain(others).cloned().collect()
+        let is_forwarded = |known: &&KnownNode| match (self.is_large(), self.role(), recipient) {
+            (false, _, _) | (true, NodeRole::Hub, NodeRole::Leaf) => true,
+            (true, NodeRole::Hub, NodeRole::Hub) => {
+                self.has_recent_direct_message(&known.heartbeat.node, now)
+            }
+            (true, NodeRole::Leaf, _) => false,
+        };
+        let with_age = |known: &KnownNode| {
+            let age = now.saturating_duration_since(known.heartbeat_at);
+            NodeHeartbeat { age, ..known.heartbeat.clone() }
+        };
+        let others = self.live_nodes(now).filter(is_forwarded).map(with_age);
+        std::iter::once(self.own.clone()).chain(others).collect()
     }
 
     /// Whether a node has recently sent a message to this node itself.
@@ -220,11 +228,14 @@
 
     /// Heartbeats of the live nodes other than this one.
     pub fn live_others(&self, now: Instant) -> impl Iterator<Item = &NodeHeartbeat> {
+        self.live_nodes(now).map(|known| &known.heartbeat)
+    }
+
+    fn live_nodes(&self, now: Instant) -> impl Iterator<Item = &KnownNode> {
         let timeout = self.liveness_timeout();
         self.others
             .values()
-            .filter(move |known| now.duration_since(known.heartbeat_at) < timeout)
-            .map(|known| &known.heartbeat)
+            .filter(move |known| now.saturating_duration_since(known.heartbeat_at) < timeout)
     }
 
     /// Peer addresses of all other known nodes that are not leaving, whether live or not.
--- a/crates/eelgrassdeal_dispatch/tests/directory.rs
+++ b/crates/eelgrassdeal_dispatch/tests/directory.rs
@@ -19,6 +19,7 @@
         peer_address: Arc::from(format!("{node}:2")),
         data_centre: Arc::from("dc"),
         processor_share: 250,
+        age: Duration::ZERO,
     }
 }
 
@@ -88,6 +89,7 @@
         .map(|index| NodeHeartbeat {
             data_centre: Arc::from(format!("dc{}", index % 3)),
             processor_share: if index < 6 { 500 } else { 120 },
+            age: Duration::ZERO,
             ..heartbeat(&format!("n{index:03}"), 1, NodeStage::Serving)
         })
         .collect();
@@ -194,3 +196,22 @@
     hub.record_direct_message(&leaf, now);
     assert_eq!(hub.heartbeats_for(NodeRole::Hub, now).len(), 2);
 }
+
+/// Each node that forwards a heartbeat holds it for a while. A failed node must not count as live for
+/// longer because of that.
+#[test]
+fn forwarded_heartbeats_keep_their_age() {
+    let now = Instant::now();
+    let directory = |name: &str| NodeDirectory::new(heartbeat(name, 1, NodeStage::Serving));
+    let (mut first, mut second) = (directory("first"), directory("second"));
+    // The node fails right after this heartbeat. A small fleet is given 2 s.
+    first.merge(heartbeat("failed", 5, NodeStage::Serving), now);
+    let forwarded_at = now + Duration::from_millis(1_500);
+    for forwarded in first.heartbeats_for(NodeRole::Hub, forwarded_at) {
+        second.merge(forwarded, forwarded_at);
+    }
+    let is_live =
+        |at: Duration| second.live_others(now + at).any(|heartbeat| &*heartbeat.node == "failed");
+    assert!(is_live(Duration::from_millis(1_800)));
+    assert!(!is_live(Duration::from_millis(2_500)), "the time before it was forwarded counts");
+}
--- a/crates/eelgrassdeal_dispatch/tests/limits.rs
+++ b/crates/eelgrassdeal_dispatch/tests/limits.rs
@@ -22,6 +22,7 @@
         peer_address: Arc::from("peer"),
         data_centre: Arc::from("dc"),
         processor_share: 120,
+        age: Duration::ZERO,
     };
     let mut directory = NodeDirectory::new(heartbeat(index));
     let known = (0..nodes).filter(|other| !(index + other).is_multiple_of(missed));
--- a/crates/eelgrassdeal_gateway/src/peers/message.rs
+++ b/crates/eelgrassdeal_gateway/src/peers/message.rs
@@ -247,6 +247,7 @@
         data_centre: heartbeat.data_centre.to_string(),
         processor_share: heartbeat.processor_share,
         is_planner: heartbeat.is_planner,
+        age_ms: millis(heartbeat.age),
     }
 }
 
@@ -265,5 +266,6 @@
         data_centre: Arc::from(heartbeat.data_centre),
         processor_share: heartbeat.processor_share,
         is_planner: heartbeat.is_planner,
+        age: Duration::from_millis(u64::from(heartbeat.age_ms)),
     }
 }
--- a/crates/eelgrassdeal_gateway/src/state.rs
+++ b/crates/eelgrassdeal_gateway/src/state.rs
@@ -136,6 +136,7 @@
             peer_address: settings.listen.peers.clone(),
             data_centre: settings.data_centre.clone(),
             processor_share: settings.processor_share,
+            age: Duration::ZERO,
         };
         Self {
             store: PlatformStore::new(control_pool.clone(), settings.store.address.clone()),
