--- a/crates/eelgrassdeal_dispatch/src/planner/service_context.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/service_context.rs
@@ -18,8 +18,8 @@
 const REQUESTS_PER_SLOT_OFFSET: f64 = 0.2;
 
 /// The weight of a model in the division of the domains is its share of the work to this power. A
-/// power above 1 favours the models with most of the work: the larger a group is, the more capacity
-/// each lost upstream takes away until the group is repaired, which the expected capacity leaves out.
+/// power above 1 favours the model with most of the work, whose lost groups cost the most requests
+/// until they are repaired. The expected capacity leaves that time out.
 const WORK_WEIGHT_POWER: f64 = 1.5;
 
 /// Records of several upstreams, such as the free ones of a fabric domain or the members of a new
--- a/crates/eelgrassdeal_dispatch/src/queue.rs
+++ b/crates/eelgrassdeal_dispatch/src/queue.rs
@@ -17,8 +17,8 @@
 
 /// Period over which the rate of placements is measured.
 const RATE_WINDOW: Duration = Duration::from_secs(2);
-/// Upstreams are assumed to free up at no less than this rate, in requests per second, until
-/// placements have been observed for [`RATE_WINDOW`].
+/// Lower bound of the rate at which requests are assumed to be placed, in requests per second. It
+/// applies before the first placements.
 const MIN_PLACEMENT_RATE: f64 = 1.0;
 /// Fraction of the placements that requests past their target latency are assumed to get at least.
 const MIN_LEFT_FRACTION: f64 = 0.1;
