--- a/crates/eelgrassdeal_dispatch/src/planner/cross_domain.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/cross_domain.rs
@@ -108,9 +108,7 @@
     /// in a cross-domain group they would first have to complete its requests.
     fn served_models(&self, view: &FleetView) -> HashSet<DomainModel> {
         let is_kept = |group: &&Arc<GroupRecord>| {
-            !group.is_closing
-                && !self.state.teardown_since.contains_key(&group.group)
-                && !view.is_cross_domain(group)
+            !self.state.is_torn_down(group) && !view.is_cross_domain(group)
         };
         let groups = view.groups.values().filter(is_kept);
         groups
@@ -135,11 +133,8 @@
             view.groups.values().filter(|group| group.service == *context.service).collect();
         for spec in &context.engine.models {
             let of_model = || groups.iter().filter(|group| group.model == spec.model);
-            let is_torn_down = |group: &GroupRecord| {
-                group.is_closing || self.state.teardown_since.contains_key(&group.group)
-            };
             let closing_domains = of_model()
-                .filter(|group| is_torn_down(group))
+                .filter(|group| self.state.is_torn_down(group))
                 .flat_map(|group| domains_of(view, group));
             let closing_domains: Vec<_> = closing_domains.collect();
             if !closing_domains.is_empty() {
--- a/crates/eelgrassdeal_dispatch/src/planner/mod.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/mod.rs
@@ -292,8 +292,7 @@
     /// Probes the members of a group whose head is silent. A silent head may have lost a member,
     /// and the record of a lost member expires only seconds later.
     fn probe_members(&mut self, view: &FleetView, group: &GroupRecord, now: Instant) {
-        let is_torn_down = self.state.teardown_since.contains_key(&group.group);
-        if group.is_closing || is_torn_down || !self.state.record_probe_if_due(&group.group, now) {
+        if self.state.is_torn_down(group) || !self.state.record_probe_if_due(&group.group, now) {
             return;
         }
         let target = |record: &Arc<UpstreamRecord>| ProbeTarget {
@@ -342,7 +341,7 @@
         now: Instant,
     ) {
         self.state.pending_groups.remove(&group.group);
-        let is_torn_down = group.is_closing || self.state.teardown_since.contains_key(&group.group);
+        let is_torn_down = self.state.is_torn_down(group);
         let spec = engine.and_then(|engine| engine.model(&group.model));
         let Some(spec) = spec.filter(|_| !is_torn_down) else {
             self.tear_down_group(view, group, now);
--- a/crates/eelgrassdeal_dispatch/src/planner/service_context.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/service_context.rs
@@ -76,8 +76,7 @@
     ) -> Self {
         let mut group_counts = HashMap::new();
         let groups = view.groups.values().filter(|group| group.service == *service);
-        let is_torn_down = |group: &GroupId| state.teardown_since.contains_key(group);
-        for group in groups.filter(|group| !group.is_closing && !is_torn_down(&group.group)) {
+        for group in groups.filter(|group| !state.is_torn_down(group)) {
             *group_counts.entry(group.model.clone()).or_default() += 1;
         }
         let requests_per_slot = state.requests_per_slot.clone();
--- a/crates/eelgrassdeal_dispatch/src/planner/state.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/state.rs
@@ -421,6 +421,11 @@
         self.sent_actions.get(&key).and_then(|sent| sent.outcome) == Some(OrderOutcome::Conflict)
     }
 
+    /// Whether a group is being torn down, by this planner or an earlier one.
+    pub(super) fn is_torn_down(&self, group: &GroupRecord) -> bool {
+        group.is_closing || self.teardown_since.contains_key(&group.group)
+    }
+
     /// Time since this planner first saw a group.
     pub(super) fn group_age(&mut self, group: &GroupId, now: Instant) -> Duration {
         now.saturating_duration_since(*self.first_seen.entry(group.clone()).or_insert(now))
