Log the parts of a prompt and the age of the response with a failed attempt

Cause: the logs did not show what the requests at a crashed upstream had in common, nor how far their responses had come, so that the three hypotheses on the incident could not be told apart. Change: event=attempt_failed has response_ms and prompt_parts. No decision changes.

--- a/crates/eelgrassdeal_gateway/src/front/attempt.rs
+++ b/crates/eelgrassdeal_gateway/src/front/attempt.rs
@@ -67,6 +67,8 @@
     /// What the response headers say about the request.
     pub(super) response_info: UpstreamResponse,
     pub(super) load: LoadGuard,
+    /// When the response headers arrived.
+    pub(super) response_began: Instant,
     /// Minimum time without data after which the upstream counts as silent. Only streams use it.
     pub(super) silence_timeout: Duration,
 }
@@ -125,11 +127,19 @@
     }
 
     /// Records a failed attempt, and excludes its upstream as [`Self::exclude`] does.
-    pub(super) fn record_failed_attempt(&mut self, upstream: &UpstreamId, reason: &str) {
+    /// `response_began` is when the response headers arrived, if they did.
+    pub(super) fn record_failed_attempt(
+        &mut self,
+        upstream: &UpstreamId,
+        response_began: Option<Instant>,
+        reason: &str,
+    ) {
         log::info!(
-            "event=attempt_failed request_id={} upstream={upstream} runs={} reason={reason}",
+            "event=attempt_failed request_id={} upstream={upstream} runs={} response_ms={:?} prompt_parts={} reason={reason}",
             self.call.request_id,
-            self.attempts
+            self.attempts,
+            response_began.map(|began| began.elapsed().as_millis()),
+            self.call.caller.prompt_part_ids()
         );
         metrics::counter!("eelgrassdeal_failed_attempts_total").increment(1);
         self.state.loads.borrow_mut().record_outcome(upstream, true, Instant::now());
@@ -386,7 +396,7 @@
         reason: &str,
     ) -> Result<Option<RunningAttempt>, CallRefusal> {
         self.count_attempt();
-        self.record_failed_attempt(&record.upstream, reason);
+        self.record_failed_attempt(&record.upstream, None, reason);
         match self.may_run_again() {
             true => Ok(None),
             false => Err(self.final_refusal("the upstream sent no valid response")),
@@ -427,11 +437,12 @@
         let is_failure =
             status.is_server_error() || (status.is_success() && !response_info.is_signed);
         if is_failure && self.may_run_again() {
-            self.record_failed_attempt(&record.upstream, status.as_str());
+            self.record_failed_attempt(&record.upstream, Some(Instant::now()), status.as_str());
             return Ok(None);
         }
         let silence_timeout = silence_timeout.unwrap_or(MAX_SILENCE_TIMEOUT);
-        Ok(Some(RunningAttempt { response, response_info, load, silence_timeout }))
+        let response_began = Instant::now();
+        Ok(Some(RunningAttempt { response, response_info, load, response_began, silence_timeout }))
     }
 
     /// Connection limits for a send: this node's share of the connections that the upstream accepts
--- a/crates/eelgrassdeal_gateway/src/front/buffered.rs
+++ b/crates/eelgrassdeal_gateway/src/front/buffered.rs
@@ -40,13 +40,14 @@
     runner: &mut AttemptRunner,
     attempt: RunningAttempt,
 ) -> Result<Option<BufferedResponse>, CallRefusal> {
-    let RunningAttempt { response, load, .. } = attempt;
+    let RunningAttempt { response, load, response_began, .. } = attempt;
     let upstream = load.upstream.clone();
     let response = response.collect(MAX_RESPONSE_BYTES);
     match runner.wait_for_bytes(&upstream, None, None, response).await {
         Ok(Ok(response)) => Ok(Some(response)),
         Ok(Err(_)) => {
-            runner.record_failed_attempt(&upstream, "response incomplete or too large");
+            let reason = "response incomplete or too large";
+            runner.record_failed_attempt(&upstream, Some(response_began), reason);
             match runner.may_run_again() {
                 true => Ok(None),
                 false => {
--- a/crates/eelgrassdeal_gateway/src/front/stream.rs
+++ b/crates/eelgrassdeal_gateway/src/front/stream.rs
@@ -204,7 +204,8 @@
         self.partial.clear();
         self.searched = 0;
         if let Some(attempt) = self.attempt.take() {
-            self.runner.record_failed_attempt(&attempt.load.upstream, reason);
+            let began = Some(attempt.response_began);
+            self.runner.record_failed_attempt(&attempt.load.upstream, began, reason);
         }
         loop {
             if !self.runner.may_run_again() {
@@ -226,7 +227,8 @@
                 self.waiting_since = Instant::now();
                 return Ok(());
             }
-            self.runner.record_failed_attempt(&upstream, status.as_str());
+            let began = Some(attempt.response_began);
+            self.runner.record_failed_attempt(&upstream, began, status.as_str());
         }
     }
 
