--- a/crates/eelgrassdeal_gateway/tests/common/mod.rs
+++ b/crates/eelgrassdeal_gateway/tests/common/mod.rs
@@ -137,6 +137,19 @@
         self
     }
 
+    /// Like [`Self::with_engines`], for workers that crash when they write a response to a prompt
+    /// with the part `deadly_part`.
+    pub async fn with_fragile_engines(self, count: usize, deadly_part: &str) -> Self {
+        for index in 0..count {
+            let options = WorkerOptions::new(&format!("i-engine{index}"), ENGINE_SERVICE, "zone-a")
+                .with_domain("d1")
+                .with_deadly_part(deadly_part)
+                .with_events(10, Duration::from_millis(30));
+            self.start_worker(options).await;
+        }
+        self
+    }
+
     /// Starts `count` workers of the plain service.
     pub async fn with_plain_workers(self, count: usize) -> Self {
         for index in 0..count {
@@ -261,6 +274,21 @@
         self.call(&self.gateways[gateway].front.clone(), request).await
     }
 
+    /// Sends a caller's request for a stream to the gateway with the index `gateway`. `parts` are the
+    /// ids of the parts of its prompt, in hexadecimal.
+    pub async fn send_prompt(
+        &self,
+        gateway: usize,
+        id: &str,
+        parts: &[&str],
+    ) -> Result<BufferedResponse, SendFailure> {
+        let mut request = caller_request("/stream/x", id, API_KEY);
+        let prefix: Vec<_> = parts.iter().map(|part| format!("{part}:40")).collect();
+        let prefix = prefix.join(",").parse().expect("a valid header");
+        request.headers_mut().insert("x-eelgrassdeal-prompt-prefix", prefix);
+        self.call(&self.gateways[gateway].front.clone(), request).await
+    }
+
     async fn call(
         &self,
         address: &Arc<str>,
--- /dev/null
+++ b/crates/eelgrassdeal_gateway/tests/crashing_prompts.rs
@@ -0,0 +1,127 @@
+//! Requests whose prompts crash the workers that run them.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use common::{TestPlatform, complete_stream};
+use eelgrassdeal_standins::WorkerRun;
+
+const DEADLY_PART: &str = "dead";
+/// First part of all prompts.
+const SHARED_PART: &str = "aa";
+/// Time after which a node that reaches the store and the other nodes must know what they know.
+const CONTACT_TIMEOUT: Duration = Duration::from_secs(3);
+/// Crashes after which a part must be known to cause them.
+const CRASHES_TO_KNOW: usize = 5;
+/// Requests with the part that may still reach workers from `CONTACT_TIMEOUT` after them on.
+const MAX_LATER_RUNS: usize = 3;
+/// Interval between two requests with the part. Every second caller is sound.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(120);
+/// Events of a stream.
+const EVENTS: u64 = 10;
+
+/// A sound request: when it was sent, and whether its answer was complete.
+type SoundRequest = (Instant, String, bool);
+
+/// Sends requests with the deadly part and sound ones by turns to all gateways, none of them alike,
+/// for `period`. Returns the sound ones.
+async fn send_mixed(platform: &TestPlatform, period: Duration, name: &str) -> Vec<SoundRequest> {
+    let gateways = platform.gateways.len();
+    let count = (period.as_millis() / REQUEST_INTERVAL.as_millis()) as usize;
+    let callers = (0..count).map(|index| async move {
+        compio::time::sleep(REQUEST_INTERVAL * index as u32).await;
+        let own = format!("{:x}", index + 0x1000);
+        let deadly = format!("{name}-deadly-{index}");
+        let deadly_parts = [SHARED_PART, DEADLY_PART, &own];
+        let sound = format!("{name}-sound-{index}");
+        let sound_parts = [SHARED_PART, &own];
+        let sent_at = Instant::now();
+        let (_, answer) = futures_util::future::join(
+            platform.send_prompt(index % gateways, &deadly, &deadly_parts),
+            platform.send_prompt((index + 1) % gateways, &sound, &sound_parts),
+        )
+        .await;
+        let is_served = answer.is_ok_and(|answer| answer.body == complete_stream(EVENTS));
+        (sent_at, sound, is_served)
+    });
+    futures_util::future::join_all(callers).await
+}
+
+fn deadly_runs(platform: &TestPlatform) -> Vec<WorkerRun> {
+    let runs = platform.runs.borrow();
+    let is_deadly = |run: &&WorkerRun| run.prompt_parts.iter().any(|part| part == DEADLY_PART);
+    runs.iter().filter(is_deadly).cloned().collect()
+}
+
+/// When the workers crashed, in order. Each one crashes at its first run with the deadly part.
+fn crash_times(platform: &TestPlatform) -> Vec<Instant> {
+    let mut crashes = BTreeMap::new();
+    for run in deadly_runs(platform) {
+        crashes.entry(run.worker).or_insert(run.started_at);
+    }
+    let mut times: Vec<_> = crashes.into_values().collect();
+    times.sort_unstable();
+    times
+}
+
+/// The crash after which the part must be known, or the last one.
+fn decisive_crash(platform: &TestPlatform) -> Instant {
+    let times = crash_times(platform);
+    let decisive = times.get(CRASHES_TO_KNOW - 1).or(times.last());
+    *decisive.expect("the part crashes workers")
+}
+
+#[compio::test]
+async fn prompt_part_that_crashes_upstreams_stops_reaching_them() {
+    let platform = TestPlatform::new().await;
+    let platform = platform.with_fragile_engines(24, DEADLY_PART).await.with_gateways(3).await;
+    platform.wait_serving(12).await;
+    let sound = send_mixed(&platform, CONTACT_TIMEOUT * 4, "first").await;
+    let decisive = decisive_crash(&platform);
+    let later = deadly_runs(&platform)
+        .iter()
+        .filter(|run| run.started_at > decisive + CONTACT_TIMEOUT)
+        .count();
+    let crashes = crash_times(&platform).len();
+    assert!(
+        later <= MAX_LATER_RUNS,
+        "{later} runs with the part later than {CONTACT_TIMEOUT:?} after {CRASHES_TO_KNOW} crashes, {crashes} crashes"
+    );
+    let afterwards: Vec<_> =
+        sound.iter().filter(|(sent_at, ..)| *sent_at > decisive + CONTACT_TIMEOUT * 2).collect();
+    let served = afterwards.iter().filter(|(.., is_served)| *is_served).count();
+    assert!(
+        served * 2 >= afterwards.len() && served > 0,
+        "{served} of {} sound requests with the same first part were served",
+        afterwards.len()
+    );
+    platform.assert_no_violations();
+}
+
+/// The knowledge of a crashing part must outlive the nodes that gained it.
+#[compio::test]
+async fn prompt_part_that_crashes_upstreams_stays_known_when_all_gateways_restart() {
+    let platform = TestPlatform::new().await;
+    let mut platform = platform.with_fragile_engines(24, DEADLY_PART).await.with_gateways(3).await;
+    platform.wait_serving(12).await;
+    send_mixed(&platform, CONTACT_TIMEOUT * 2, "first").await;
+    let decisive = decisive_crash(&platform);
+    for gateway in &mut platform.gateways {
+        gateway.kill();
+    }
+    for gateway in &mut platform.gateways {
+        gateway.restart();
+    }
+    for index in 0..platform.gateways.len() {
+        platform.wait_ready(index).await;
+    }
+    send_mixed(&platform, CONTACT_TIMEOUT, "second").await;
+    let runs = deadly_runs(&platform);
+    let later = runs.iter().filter(|run| run.started_at > decisive + CONTACT_TIMEOUT).count();
+    assert!(
+        later <= MAX_LATER_RUNS,
+        "{later} runs with the part later than {CONTACT_TIMEOUT:?} after {CRASHES_TO_KNOW} crashes"
+    );
+}
--- a/crates/eelgrassdeal_standins/src/gateway_platform/worker.rs
+++ b/crates/eelgrassdeal_standins/src/gateway_platform/worker.rs
@@ -8,7 +8,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures_channel::mpsc;
@@ -29,6 +29,12 @@
 const STALL_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Time that a join takes, as if the model were already on the host.
 const JOIN_DURATION: Duration = Duration::from_millis(60);
+/// Time from the first event of a response to the crash that its prompt causes.
+const CRASH_DELAY: Duration = Duration::from_millis(40);
+/// Time after which a crashed worker is back under a new id.
+const RESTART_DELAY: Duration = Duration::from_secs(3);
+/// Time after which the row of a crashed worker expires.
+const ROW_EXPIRY: Duration = Duration::from_millis(2_800);
 
 /// Configuration of a fake worker.
 #[derive(Clone, Debug)]
@@ -48,6 +54,8 @@
     pub event_interval: Duration,
     /// Size of a comment that is added to each event of a stream, in bytes.
     pub event_padding: usize,
+    /// Id of a prompt part that crashes the worker shortly after the first event of the response.
+    pub deadly_part: Option<String>,
 }
 
 impl WorkerOptions {
@@ -61,9 +69,16 @@
             event_count: 5,
             event_interval: Duration::from_millis(10),
             event_padding: 0,
+            deadly_part: None,
         }
     }
 
+    /// Makes the worker crash when it writes a response to a prompt with this part.
+    pub fn with_deadly_part(mut self, part: &str) -> Self {
+        self.deadly_part = Some(part.to_owned());
+        self
+    }
+
     /// Makes the worker one of an engine service, which can join groups, in a fabric domain.
     pub fn with_domain(mut self, domain: &str) -> Self {
         self.domain = Some(domain.to_owned());
@@ -126,6 +141,10 @@
     pub timeout_ms: u64,
     /// Id of the last event that the caller received, if the request resumes a stream.
     pub last_event_id: Option<u64>,
+    /// Ids of the parts of the prompt.
+    pub prompt_parts: Vec<String>,
+    /// When the request started to run.
+    pub started_at: Instant,
 }
 
 #[derive(Clone, Debug)]
@@ -240,6 +259,30 @@
         }
     }
 
+    /// Ends the worker's process: its connections are closed, new ones are refused, its row expires
+    /// a little later, and then a worker with a new id starts in its place. Does nothing if the
+    /// worker is down.
+    pub async fn crash(&self) {
+        if self.0.is_down.replace(true) {
+            return;
+        }
+        if let Some(server) = self.0.server.borrow_mut().as_mut() {
+            server.crash();
+        }
+        compio::time::sleep(ROW_EXPIRY).await;
+        self.remove_registration();
+        compio::time::sleep(RESTART_DELAY - ROW_EXPIRY).await;
+        let state = &self.0;
+        let options = WorkerOptions { id: format!("{}b", self.id()), ..state.options.clone() };
+        let restarted =
+            Self::start(options, &state.store, &state.fleet, &state.runs, &state.violations).await;
+        if let Ok(worker) = restarted {
+            // The host keeps the weights.
+            *worker.0.staged.borrow_mut() = state.staged.borrow().clone();
+            worker.register();
+        }
+    }
+
     /// Removes the worker's row from the metadata store, as after the loss of the worker.
     pub fn remove_registration(&self) {
         self.0.store.remove("servers", self.id());
@@ -418,6 +461,11 @@
         }
         let number = |name: &str| header_text(&headers, name).and_then(|value| value.parse().ok());
         let last_event_id = number("last-event-id");
+        let prompt = header_text(&headers, "x-eelgrassdeal-prompt-prefix").unwrap_or_default();
+        let part_id = |part: &str| part.split(':').next().unwrap_or_default().to_owned();
+        let prompt_parts: Vec<_> = prompt.split(',').map(part_id).collect();
+        let is_deadly =
+            state.options.deadly_part.as_ref().is_some_and(|part| prompt_parts.contains(part));
         state.runs.borrow_mut().push(WorkerRun {
             worker: self.id().to_owned(),
             request_id: request_id.clone(),
@@ -427,6 +475,8 @@
             has_api_key: headers.contains_key("authorization"),
             timeout_ms: number("x-eelgrassdeal-deadline-ms").unwrap_or(0),
             last_event_id,
+            prompt_parts,
+            started_at: Instant::now(),
         });
         let response_id = match fault {
             Some(WorkerFault::WrongRequestId) => "another".to_owned(),
@@ -467,6 +517,15 @@
                     worker.write_events(sender, first_id, fault).await;
                 })
                 .detach();
+                if is_deadly {
+                    let worker = self.clone();
+                    let delay = state.options.event_interval + CRASH_DELAY;
+                    compio::runtime::spawn(async move {
+                        compio::time::sleep(delay).await;
+                        worker.crash().await;
+                    })
+                    .detach();
+                }
                 let builder = builder.status(200).header("content-type", "text/event-stream");
                 builder.body(http_body_util::Either::Right(StreamBody::new(receiver))).ok()
             }
--- a/crates/eelgrassdeal_standins/src/server.rs
+++ b/crates/eelgrassdeal_standins/src/server.rs
@@ -1,6 +1,6 @@
 //! HTTP/1.1 server on compio that all fakes use.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
@@ -12,6 +12,7 @@
 use compio::runtime::JoinHandle;
 use cyper_core::{CompioTimer, HyperStream};
 use futures_channel::mpsc;
+use futures_util::StreamExt;
 use futures_util::future::{Either, select};
 use http_body_util::{Full, StreamBody};
 use hyper::body::{Frame, Incoming};
@@ -33,8 +34,12 @@
     address: SocketAddr,
     is_accepting: Rc<Cell<bool>>,
     accept_task: Option<JoinHandle<()>>,
+    aborts: ConnectionAborts,
 }
 
+/// Ends each of the server's connections when something is sent or its sender is dropped.
+type ConnectionAborts = Rc<RefCell<Vec<mpsc::UnboundedSender<()>>>>;
+
 impl ServerHandle {
     /// Address that the server listens on, with the port that the system chose if port 0 was given.
     pub fn address(&self) -> SocketAddr {
@@ -46,6 +51,15 @@
         self.is_accepting.set(false);
         self.accept_task = None;
     }
+
+    /// Stops accepting connections and closes the open ones at once, as when the process ends.
+    pub fn crash(&mut self) {
+        self.stop_accepting();
+        for abort in self.aborts.borrow_mut().drain(..) {
+            // Fails if the connection has ended already.
+            let _ = abort.unbounded_send(());
+        }
+    }
 }
 
 /// Serves HTTP on `listen` with `handler`. Each connection is served by a separate task.
@@ -62,14 +76,20 @@
     let address = listener.local_addr()?;
     let is_accepting = Rc::new(Cell::new(true));
     let accepting = is_accepting.clone();
+    let aborts = ConnectionAborts::default();
+    let open = aborts.clone();
     let accept_task = compio::runtime::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
             if accepting.get() {
-                compio::runtime::spawn(serve_connection(stream, handler.clone())).detach();
+                let (abort, aborted) = mpsc::unbounded();
+                open.borrow_mut().retain(|abort| !abort.is_closed());
+                open.borrow_mut().push(abort.clone());
+                let connection = serve_connection(stream, handler.clone(), abort, aborted);
+                compio::runtime::spawn(connection).detach();
             }
         }
     });
-    Ok(ServerHandle { address, is_accepting, accept_task: Some(accept_task) })
+    Ok(ServerHandle { address, is_accepting, accept_task: Some(accept_task), aborts })
 }
 
 /// Serves HTTP on `listen` with `handle`, which gets a clone of the fake for each request.
@@ -90,15 +110,19 @@
     serve_http(listen, move |request| handle(fake.clone(), request)).await
 }
 
-async fn serve_connection<H, F>(stream: TcpStream, handler: H)
-where
+/// Serves a connection until `aborted` receives something. `abort_sender` sends to it.
+async fn serve_connection<H, F>(
+    stream: TcpStream,
+    handler: H,
+    abort_sender: mpsc::UnboundedSender<()>,
+    mut aborted: mpsc::UnboundedReceiver<()>,
+) where
     H: Fn(Request<Incoming>) -> F + 'static,
     F: Future<Output = Reply> + 'static,
 {
     // With Nagle's algorithm, a small frame of a stream would wait until the previous one is
     // acknowledged.
     let _ = stream.set_nodelay(true);
-    let (abort_sender, mut aborts) = mpsc::unbounded::<()>();
     let handler = Rc::new(handler);
     let service = service_fn(move |request| {
         let handler = handler.clone();
@@ -116,7 +140,7 @@
     let connection = http1::Builder::new()
         .timer(CompioTimer)
         .serve_connection(HyperStream::new_plain(stream), service);
-    let abort = std::pin::pin!(futures_util::StreamExt::next(&mut aborts));
+    let abort = std::pin::pin!(aborted.next());
     match select(std::pin::pin!(connection), abort).await {
         Either::Left((Err(error), _)) => log::debug!("connection ended: {error}"),
         Either::Left((Ok(()), _)) | Either::Right(_) => {}
