Select no upstream whose host refuses connections for want of another

Callers saw: 503 within milliseconds while groups with full slots were about to have room. Cause: an upstream that crashed remained a candidate until its record expired 2.8 s later. The class: a known failure that counts as free capacity. Ruled out: avoiding it for longer, which does not matter when it is the only one with room. Change: an upstream whose host refused a connection is not selected for 0.5 s, and then for one request at a time until a response begins. Requests wait in the queue instead.

--- a/crates/eelgrassdeal_dispatch/src/placement.rs
+++ b/crates/eelgrassdeal_dispatch/src/placement.rs
@@ -11,6 +11,9 @@
 
 /// Time for which an upstream that failed is selected only if there is no other.
 const AVOID_PERIOD: Duration = Duration::from_millis(1_000);
+/// Time for which an upstream whose host refused a connection is not selected. It may then be back,
+/// as an upstream can restart under its id, which one request at a time finds out.
+const REFUSED_PERIOD: Duration = Duration::from_millis(500);
 /// Weight of the newest outcome in the exponential moving average of the failure rate.
 const FAILURE_RATE_WEIGHT: f64 = 0.15;
 /// Factor by which the peak gap of an upstream, the longest recent time between two pieces of data
@@ -92,6 +95,9 @@
     failure_rate_at: Option<Instant>,
     /// Until then, the upstream is selected only if there is no other.
     avoid_until: Option<Instant>,
+    /// Until then, the upstream is not selected, and afterwards for one request at a time. `None` once
+    /// a response has begun or was complete.
+    refused_until: Option<Instant>,
     /// When the upstream last sent data to this node, or when this node started a request while it
     /// had no other at the upstream, whichever was later.
     last_progress: Option<Instant>,
@@ -147,6 +153,7 @@
     pub fn record_response_start(&mut self, upstream: &UpstreamId) {
         if let Some(load) = self.loads.get_mut(upstream) {
             load.responding += 1;
+            load.refused_until = None;
         }
     }
 
@@ -193,6 +200,9 @@
         let earlier_rate = load.decayed_failure_rate(now);
         load.failure_rate = earlier_rate + (outcome - earlier_rate) * FAILURE_RATE_WEIGHT;
         load.failure_rate_at = Some(now);
+        if !is_failure {
+            load.refused_until = None;
+        }
     }
 
     /// Marks an upstream to be selected only if there is no other, for one second.
@@ -206,6 +216,14 @@
         load.avoid_until = Some(now + period);
     }
 
+    /// Records that the host of an upstream refused a connection: its process is not running. The
+    /// upstream is not selected for half a second, even if there is no other, and then for one
+    /// request at a time until a response begins.
+    pub fn record_refused_connection(&mut self, upstream: &UpstreamId, now: Instant) {
+        let load = self.loads.entry(upstream.clone()).or_default();
+        load.refused_until = Some(now + REFUSED_PERIOD);
+    }
+
     /// Replaces the numbers of requests in progress that a peer reported.
     pub fn set_peer_counts(
         &mut self,
@@ -293,11 +311,15 @@
     }
 
     /// Free capacity of a target in requests, multiplied by a factor below 1 if the target is failing
-    /// or paused.
+    /// or paused; 0 for a target whose host refused a connection shortly before or is being tried
+    /// again.
     fn weight(&self, target: &PlacementTarget, max_per_slot: f64, now: Instant) -> f64 {
         let upstream = &target.record.upstream;
         let capacity = max_per_slot * target.slots - f64::from(self.total_requests(upstream, now));
         let Some(load) = self.loads.get(upstream) else { return capacity };
+        if load.refused_until.is_some_and(|until| now < until || load.own_requests > 0) {
+            return 0.0;
+        }
         let pause_factor = if load.is_paused(now) { PAUSED_FACTOR } else { 1.0 };
         capacity * (1.0 - load.decayed_failure_rate(now)).max(MIN_HEALTH_FACTOR) * pause_factor
     }
--- a/crates/eelgrassdeal_dispatch/tests/placement.rs
+++ b/crates/eelgrassdeal_dispatch/tests/placement.rs
@@ -51,6 +51,32 @@
     assert!((share - 29.8 / 63.6).abs() < 0.01, "{share}");
 }
 
+/// An upstream that is full becomes free sooner than one without a process is back.
+#[test]
+fn an_upstream_that_refuses_connections_is_not_selected_for_want_of_another() {
+    let now = Instant::now();
+    let targets = targets(now);
+    let mut tracker = LoadTracker::new();
+    (0..34).for_each(|_| tracker.start_request(&Arc::from("a"), now));
+    tracker.record_refused_connection(&Arc::from("b"), now);
+    let choice = tracker.choose(&targets, NO_EXCLUSIONS, 0.5, now).map(|_| ());
+    assert_eq!(choice, Err(PlacementRefusal::AllFull));
+    let later = now + Duration::from_secs(1);
+    let choice = tracker.choose(&targets, NO_EXCLUSIONS, 0.5, later).expect("it may be back");
+    assert_eq!(&*choice.record.upstream, "b");
+    tracker.start_request(&choice.record.upstream, later);
+    let choice = tracker.choose(&targets, NO_EXCLUSIONS, 0.5, later).map(|_| ());
+    assert_eq!(choice, Err(PlacementRefusal::AllFull), "one request finds out");
+    for record_success in [
+        |tracker: &mut LoadTracker, _| tracker.record_response_start(&Arc::from("b")),
+        |tracker: &mut LoadTracker, now| tracker.record_outcome(&Arc::from("b"), false, now),
+    ] {
+        let mut tracker = tracker.clone();
+        record_success(&mut tracker, later);
+        assert!(tracker.choose(&targets, NO_EXCLUSIONS, 0.5, later).is_ok());
+    }
+}
+
 #[test]
 fn a_slow_group_gets_a_smaller_share() {
     let now = Instant::now();
--- a/crates/eelgrassdeal_gateway/src/crash.rs
+++ b/crates/eelgrassdeal_gateway/src/crash.rs
@@ -57,6 +57,7 @@
             let upstream = record.upstream.clone();
             let report = CrashReport { upstream, at, suspects: suspects.collect() };
             metrics::counter!("eelgrassdeal_crash_suspicions_total").increment(1);
+            state.loads.borrow_mut().record_refused_connection(&report.upstream, Instant::now());
             record_crash(&state, report);
         }
     })
--- a/crates/eelgrassdeal_gateway/src/front/attempt.rs
+++ b/crates/eelgrassdeal_gateway/src/front/attempt.rs
@@ -404,7 +404,12 @@
             SendFailure::TooManyConnections => self.need.excluded.push(record.upstream.clone()),
             _ => {
                 let now = Instant::now();
-                self.state.loads.borrow_mut().record_outcome(&record.upstream, true, now);
+                let mut loads = self.state.loads.borrow_mut();
+                loads.record_outcome(&record.upstream, true, now);
+                if failure == SendFailure::Refused {
+                    loads.record_refused_connection(&record.upstream, now);
+                }
+                drop(loads);
                 self.exclude(&record.upstream);
             }
         }
--- a/crates/eelgrassdeal_gateway/tests/failures.rs
+++ b/crates/eelgrassdeal_gateway/tests/failures.rs
@@ -47,6 +47,32 @@
     platform.assert_no_violations();
 }
 
+/// Requests that found the other head full were sent to the crashed one until its row expired, and
+/// were refused after a few such sends.
+#[compio::test]
+async fn crashed_head_is_not_tried_again_and_again() {
+    const REQUESTS: u32 = 60;
+    const INTERVAL: Duration = Duration::from_millis(30);
+    /// The node tries a crashed head again once in a while, since it may be back under its id.
+    const MAX_REFUSED_SENDS: usize = 12;
+    let platform = TestPlatform::new().await.with_engines(4, 40).await.with_gateways(1).await;
+    platform.wait_serving(2).await;
+    let crashed = platform.worker(&platform.heads()[0]);
+    compio::runtime::spawn(async move { crashed.crash().await }).detach();
+    let callers = (0..REQUESTS).map(|index| {
+        let platform = &platform;
+        async move {
+            compio::time::sleep(INTERVAL * index).await;
+            platform.send_request(0, "/stream/x", &format!("id-{index}"), API_KEY).await
+        }
+    });
+    let answers = futures_util::future::join_all(callers).await;
+    let served = answers.iter().flatten().filter(|answer| answer.body == complete_stream(40));
+    assert!(served.count() >= 8, "the other head fills its slots");
+    let refused = platform.gateways[0].log().matches("reason=Refused").count();
+    assert!(refused <= MAX_REFUSED_SENDS, "{refused} sends were refused by the host");
+}
+
 #[compio::test]
 async fn groups_are_kept_when_all_gateways_restart() {
     let mut platform = TestPlatform::new().await.with_engines(4, 5).await.with_gateways(2).await;
