Treat a stream that ends inside an event as broken off

Callers saw: a stream that ended as complete with half an event, when an upstream broke off a response that has no length and ends with its connection. Cause: only an error of the connection counted as an interruption; bytes after the last event were passed on as the end of the response. Change: a stream whose rest contains a field of another event is resumed after its last event, or cut. Comments and empty lines after the last event are passed on as before. Test: gateway troubled_workers stream_that_ends_inside_an_event_moves_to_another_replica failed before.

--- a/crates/eelgrassdeal_gateway/src/front/stream.rs
+++ b/crates/eelgrassdeal_gateway/src/front/stream.rs
@@ -155,6 +155,12 @@
                         return self.fail(&reason);
                     }
                 }
+                // Without a length, the end of the connection is that of the response.
+                ReadResult::End if has_unfinished_event(&self.partial) => {
+                    if let Err(reason) = self.resume(StreamFailure::Disconnected).await {
+                        return self.fail(&reason);
+                    }
+                }
                 ReadResult::End => return self.finish(),
                 ReadResult::Failed(failure) => {
                     if let Err(reason) = self.resume(failure).await {
@@ -267,8 +273,8 @@
         }
     }
 
-    /// Ends the stream after the last byte of the response, and returns the incomplete event at
-    /// its end, if any.
+    /// Ends the stream after the last byte of the response, and returns what follows its last event,
+    /// if anything.
     fn finish(&mut self) -> Option<io::Result<Bytes>> {
         self.is_over = true;
         if let Some(attempt) = self.attempt.take() {
@@ -320,6 +326,14 @@
     patience.mul_f64(STALL_FRACTION)
 }
 
+/// Whether bytes after the last complete event contain a field of another one. Comments and empty
+/// lines belong to no event.
+fn has_unfinished_event(bytes: &[u8]) -> bool {
+    let is_ended = bytes.ends_with(b"\n\r\n") || bytes.ends_with(b"\r\r");
+    let mut lines = bytes.split(|byte| matches!(byte, b'\n' | b'\r'));
+    !is_ended && lines.any(|line| line.first().is_some_and(|first| *first != b':'))
+}
+
 /// Returns the position of the last occurrence of `needle`.
 fn find_last(bytes: &[u8], needle: &[u8]) -> Option<usize> {
     bytes.windows(needle.len()).rposition(|window| window == needle)
--- a/crates/eelgrassdeal_gateway/tests/troubled_workers.rs
+++ b/crates/eelgrassdeal_gateway/tests/troubled_workers.rs
@@ -56,6 +56,11 @@
     assert_stream_moves_away(WorkerFault::CommentsAfter(5)).await;
 }
 
+#[compio::test]
+async fn stream_that_ends_inside_an_event_moves_to_another_replica() {
+    assert_stream_moves_away(WorkerFault::EndInsideEvent(5)).await;
+}
+
 #[compio::test]
 async fn stream_with_an_event_without_end_moves_to_another_replica() {
     assert_stream_moves_away(WorkerFault::EndlessEvent).await;
--- a/crates/eelgrassdeal_standins/src/gateway_platform/worker.rs
+++ b/crates/eelgrassdeal_standins/src/gateway_platform/worker.rs
@@ -108,6 +108,8 @@
     NotExecuted,
     /// The stream is interrupted after this many events, in the middle of the next one.
     InterruptAfter(u64),
+    /// The stream ends after this many events, in the middle of the next one, as if it were complete.
+    EndInsideEvent(u64),
     /// The response has the id of another request.
     WrongRequestId,
     /// The response has no request id.
@@ -559,7 +561,9 @@
         fault: Option<WorkerFault>,
     ) {
         let (interrupt_after, comments_after) = match fault {
-            Some(WorkerFault::InterruptAfter(events)) => (Some(events), None),
+            Some(WorkerFault::InterruptAfter(events) | WorkerFault::EndInsideEvent(events)) => {
+                (Some(events), None)
+            }
             Some(WorkerFault::CommentsAfter(events)) => (None, Some(events)),
             Some(WorkerFault::EndlessEvent) => {
                 write_endlessly(sender, Bytes::from_static(b"data: 0123456789abcdef\n")).await;
@@ -585,8 +589,10 @@
             if interrupt_after.is_some_and(|count| id - first_id >= count) {
                 let half = Bytes::from(event[..event.len() / 2].to_owned());
                 let _ = sender.send(Ok(Frame::data(half))).await;
-                let _ =
-                    sender.send(Err(io::Error::other("interrupted by an injected fault"))).await;
+                if !matches!(fault, Some(WorkerFault::EndInsideEvent(_))) {
+                    let error = io::Error::other("interrupted by an injected fault");
+                    let _ = sender.send(Err(error)).await;
+                }
                 return;
             }
             if sender.send(Ok(Frame::data(Bytes::from(event)))).await.is_err() {
