Decide on crash suspects once the other nodes have told theirs

Cause: a node decided on a crash with its own knowledge. Change: nodes exchange messages at once after a crash and decide 0.2 s later; the quarantine of a request explains crashes for other requests only; only crashes of the same service and model are compared, and a suspect that was never answered needs a third of them, so that two causes at a time are found.

--- a/crates/eelgrassdeal_dispatch/src/crash_ledger.rs
+++ b/crates/eelgrassdeal_dispatch/src/crash_ledger.rs
@@ -24,9 +24,14 @@
 const MISSED_RESPONSES: f64 = 4.0;
 /// Weight of the newest interval between two responses in their moving average.
 const INTERVAL_WEIGHT: f64 = 0.2;
-/// A suspect is quarantined only if it was in flight at one of this many of the unexplained crashes
-/// since its first one, so that it explains a good part of them.
-const CRASHES_PER_SUSPECTED: usize = 2;
+/// A suspect that never had a complete response is quarantined only if it was in flight at one in
+/// this many of the crashes since its first one that it can explain.
+const CRASHES_PER_SUSPECTED: usize = 3;
+/// Like [`CRASHES_PER_SUSPECTED`], for a suspect that had a complete response before the crashes.
+const CRASHES_PER_ANSWERED: usize = 2;
+/// Time between a crash and the decision on it, in which other nodes tell what they had in flight
+/// there and which suspects they saw answered.
+const DECISION_DELAY: Duration = Duration::from_millis(200);
 /// Crashes within this time of each other count once: several upstreams can be lost together.
 const SAME_LOSS_PERIOD: Duration = Duration::from_millis(150);
 /// Reports of nodes on one upstream within this time concern the same crash. An upstream restarts
@@ -66,6 +71,20 @@
     },
 }
 
+impl CrashSuspect {
+    fn is_part(&self) -> bool {
+        matches!(self, Self::PromptPart { .. })
+    }
+
+    /// Service and model of the requests that can have this property.
+    fn scope(&self) -> (&ServiceId, Option<&ModelId>) {
+        match self {
+            Self::PromptPart { service, model, .. } => (service, Some(model)),
+            Self::WholeRequest { service, .. } => (service, None),
+        }
+    }
+}
+
 impl fmt::Display for CrashSuspect {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -117,8 +136,12 @@
 struct CrashRecord {
     upstream: UpstreamId,
     at: Instant,
-    /// When this node last learned something new about the crash.
+    /// When this node first learned of the crash.
     learned_at: Instant,
+    /// When this node last learned of a further suspect.
+    changed_at: Instant,
+    /// Whether a decision on its suspects is due.
+    is_undecided: bool,
     /// Suspects and their specificity.
     suspects: BTreeMap<CrashSuspect, u32>,
 }
@@ -164,9 +187,9 @@
         Self::default()
     }
 
-    /// Records a crash that this or another node observed. Returns the quarantine that begins, if
-    /// any.
-    pub fn record_crash(&mut self, report: CrashReport, now: Instant) -> Option<Quarantine> {
+    /// Records a crash that this or another node observed. Returns whether it was not known, or not
+    /// with all of the suspects.
+    pub fn record_crash(&mut self, report: CrashReport, now: Instant) -> bool {
         for reported in &report.suspects {
             if let Some(at) = reported.answered_at {
                 let unknown = ResponseHistory { last: at, interval_s: 0.0 };
@@ -179,14 +202,31 @@
         let known_count = record.suspects.len();
         let reported = report.suspects.into_iter();
         record.suspects.extend(reported.map(|reported| (reported.suspect, reported.specificity)));
-        if record.suspects.len() == known_count {
-            return None;
+        let is_changed = record.suspects.len() > known_count;
+        if is_changed {
+            record.changed_at = now;
+            record.is_undecided = true;
+        }
+        is_changed
+    }
+
+    /// Decides on the suspects of the crashes that this node has known for long enough. Returns the
+    /// quarantines that begin.
+    pub fn decide(&mut self, now: Instant) -> Vec<Quarantine> {
+        let mut begun = Vec::new();
+        for index in 0..self.crashes.len() {
+            let crash = &mut self.crashes[index];
+            let is_settled = now.saturating_duration_since(crash.learned_at) >= DECISION_DELAY;
+            if !is_settled || !std::mem::take(&mut crash.is_undecided) {
+                continue;
+            }
+            if let Some((suspect, period)) = self.next_quarantine(index) {
+                let quarantine = Quarantine { suspect, until: now + period, period };
+                self.quarantines.insert(quarantine.suspect.clone(), quarantine.clone());
+                begun.push(quarantine);
+            }
         }
-        record.learned_at = now;
-        let (suspect, period) = self.next_quarantine(index)?;
-        let quarantine = Quarantine { suspect, until: now + period, period };
-        self.quarantines.insert(quarantine.suspect.clone(), quarantine.clone());
-        Some(quarantine)
+        begun
     }
 
     /// Records that a request with these suspects had a complete response.
@@ -241,7 +281,7 @@
     /// Crashes to tell other nodes of: those that this node learned of within [`REPORT_PERIOD`].
     pub fn reports(&self, now: Instant) -> Vec<CrashReport> {
         let is_recent =
-            |crash: &&CrashRecord| now.saturating_duration_since(crash.learned_at) < REPORT_PERIOD;
+            |crash: &&CrashRecord| now.saturating_duration_since(crash.changed_at) < REPORT_PERIOD;
         let report = |crash: &CrashRecord| CrashReport {
             upstream: crash.upstream.clone(),
             at: crash.at,
@@ -280,6 +320,8 @@
             upstream: report.upstream.clone(),
             at: report.at,
             learned_at: now,
+            changed_at: now,
+            is_undecided: true,
             suspects: BTreeMap::new(),
         });
         self.crashes.len() - 1
@@ -288,50 +330,54 @@
     /// The suspect of a crash that is to be quarantined now, and for how long.
     fn next_quarantine(&self, index: usize) -> Option<(CrashSuspect, Duration)> {
         let crash = &self.crashes[index];
-        let earlier = crash.suspects.keys().find_map(|suspect| self.quarantines.get(suspect));
-        if let Some(earlier) = earlier {
-            let is_over = earlier.until <= crash.at;
-            let period = (earlier.period * 2).min(MAX_QUARANTINE);
-            return is_over.then(|| (earlier.suspect.clone(), period));
+        let mut known = crash.suspects.keys().filter_map(|suspect| self.quarantines.get(suspect));
+        if let Some(ended) = known.find(|quarantine| quarantine.until <= crash.at) {
+            return Some((ended.suspect.clone(), (ended.period * 2).min(MAX_QUARANTINE)));
         }
         let likeliest = crash
             .suspects
             .iter()
+            .filter(|(suspect, _)| !self.is_explained(crash, suspect))
             .map(|(suspect, specificity)| (self.suspected_crashes(suspect), *specificity, suspect))
             .filter(|(crashes, _, suspect)| self.is_suspicious(crashes, suspect))
-            .map(|(crashes, specificity, suspect)| {
-                let all = self.unexplained_crashes(|crash| crash.at >= crashes[0]);
-                (crashes.len(), all.len(), specificity, suspect)
-            })
-            .filter(|(count, all, ..)| count * CRASHES_PER_SUSPECTED >= *all)
-            .max_by_key(|(count, _, specificity, _)| (*count, *specificity));
+            .max_by_key(|(crashes, specificity, _)| (crashes.len(), *specificity));
         likeliest.map(|(.., suspect)| (suspect.clone(), FIRST_QUARANTINE))
     }
 
     /// Whether crashes suffice to quarantine a suspect that was in flight at them.
     fn is_suspicious(&self, crashes: &[Instant], suspect: &CrashSuspect) -> bool {
-        match (self.responses.get(suspect), crashes) {
-            (None, crashes) => crashes.len() >= CRASHES_TO_QUARANTINE,
-            (Some(history), [.., last]) => {
-                crashes.len() >= CRASHES_AFTER_RESPONSES && history.is_overdue(*last)
+        let (Some(first), Some(last)) = (crashes.first(), crashes.last()) else { return false };
+        let (needed, ratio) = match self.responses.get(suspect) {
+            None => (CRASHES_TO_QUARANTINE, CRASHES_PER_SUSPECTED),
+            Some(history) if history.is_overdue(*last) => {
+                (CRASHES_AFTER_RESPONSES, CRASHES_PER_ANSWERED)
             }
-            (Some(_), []) => false,
-        }
+            Some(_) => return false,
+        };
+        let is_comparable = |other: &CrashSuspect| other.scope() == suspect.scope();
+        let comparable = self.unexplained_crashes(suspect, |crash| {
+            crash.at >= *first && crash.suspects.keys().any(is_comparable)
+        });
+        crashes.len() >= needed && crashes.len() * ratio >= comparable.len()
     }
 
     /// Unexplained crashes with a suspect since its last complete response.
     fn suspected_crashes(&self, suspect: &CrashSuspect) -> Vec<Instant> {
         let answered_at = self.responses.get(suspect).map(|history| history.last);
-        self.unexplained_crashes(|crash| {
+        self.unexplained_crashes(suspect, |crash| {
             crash.suspects.contains_key(suspect)
                 && answered_at.is_none_or(|answered_at| answered_at < crash.at)
         })
     }
 
-    /// Times of the unexplained crashes that `is_included` selects, those of upstreams that were
-    /// lost together as one.
-    fn unexplained_crashes(&self, is_included: impl Fn(&CrashRecord) -> bool) -> Vec<Instant> {
-        let unexplained = self.crashes.iter().filter(|crash| !self.is_explained(crash));
+    /// Times of the crashes that `is_included` selects and no quarantine explains, those of upstreams
+    /// that were lost together as one.
+    fn unexplained_crashes(
+        &self,
+        suspect: &CrashSuspect,
+        is_included: impl Fn(&CrashRecord) -> bool,
+    ) -> Vec<Instant> {
+        let unexplained = self.crashes.iter().filter(|crash| !self.is_explained(crash, suspect));
         let mut times: Vec<_> =
             unexplained.filter(|crash| is_included(crash)).map(|crash| crash.at).collect();
         times.sort_unstable();
@@ -339,10 +385,15 @@
         times
     }
 
-    /// Whether a suspect of the crash is or was in quarantine.
-    fn is_explained(&self, crash: &CrashRecord) -> bool {
+    /// Whether a quarantine explains the crash, so that it does not count against `suspect`. That of
+    /// a whole request explains it for other requests only: a request that was interrupted each time
+    /// by chance must not hide the prompt part that caused the crashes.
+    fn is_explained(&self, crash: &CrashRecord, suspect: &CrashSuspect) -> bool {
         !self.quarantines.is_empty()
-            && crash.suspects.keys().any(|suspect| self.quarantines.contains_key(suspect))
+            && crash.suspects.keys().any(|other| {
+                let is_decisive = other.is_part() || !suspect.is_part();
+                is_decisive && self.quarantines.contains_key(other)
+            })
     }
 }
 
--- a/crates/eelgrassdeal_dispatch/tests/crash_ledger.rs
+++ b/crates/eelgrassdeal_dispatch/tests/crash_ledger.rs
@@ -33,6 +33,16 @@
     start + Duration::from_secs_f64(seconds)
 }
 
+/// Records a crash, and returns what is quarantined shortly after.
+fn quarantines_after(
+    ledger: &mut CrashLedger,
+    report: CrashReport,
+    now: Instant,
+) -> Vec<Quarantine> {
+    ledger.record_crash(report, now);
+    ledger.decide(now + Duration::from_millis(250))
+}
+
 /// Records crashes of different upstreams at these times in seconds.
 fn record(
     ledger: &mut CrashLedger,
@@ -44,7 +54,7 @@
         let at = after(start, *seconds);
         (at, crash((seconds * 1_000.0) as u64, at, parts))
     });
-    crashes.filter_map(|(at, report)| ledger.record_crash(report, at)).collect()
+    crashes.flat_map(|(at, report)| quarantines_after(ledger, report, at)).collect()
 }
 
 #[test]
@@ -91,7 +101,7 @@
     let (start, mut ledger) = (Instant::now(), CrashLedger::new());
     for delay in [0.0, 0.2, 0.4, 0.6, 0.8] {
         let report = crash(1, after(start, delay), &[DEADLY]);
-        assert_eq!(ledger.record_crash(report, after(start, 0.8)), None);
+        assert_eq!(quarantines_after(&mut ledger, report, after(start, 0.8)), []);
     }
 }
 
@@ -102,7 +112,7 @@
     record(&mut ledger, start, &[0.0, 0.5], &[SHARED]);
     let mut report = crash(3, after(start, 1.0), &[SHARED]);
     report.suspects[1].answered_at = Some(after(start, 0.8));
-    assert_eq!(ledger.record_crash(report, after(start, 1.0)), None);
+    assert_eq!(quarantines_after(&mut ledger, report, after(start, 1.0)), []);
 }
 
 #[test]
@@ -114,26 +124,44 @@
     for report in one.reports(now) {
         other.record_crash(report, now);
     }
+    other.decide(after(start, 1.3));
     assert!(other.quarantine_of(&[part(DEADLY)], now).is_some());
     for report in other.reports(now) {
         one.record_crash(report, now);
     }
+    one.decide(after(start, 1.3));
     assert!(one.quarantine_of(&[part(DEADLY)], now).is_some());
     assert_eq!(one.reports(after(start, 60.0)), []);
 }
 
+/// The node that had only sound requests at the crashed upstream must not decide before the others
+/// have told it of theirs.
+#[test]
+fn decision_waits_for_what_other_nodes_had_in_flight() {
+    let (start, mut ledger) = (Instant::now(), CrashLedger::new());
+    record(&mut ledger, start, &[0.0, 0.5], &[SHARED, DEADLY]);
+    let at = after(start, 1.0);
+    ledger.record_crash(crash(3, at, &[SHARED]), at);
+    assert_eq!(ledger.decide(after(start, 1.05)), []);
+    ledger.record_crash(crash(3, at, &[SHARED, DEADLY]), after(start, 1.06));
+    let begun = ledger.decide(after(start, 1.25));
+    assert_eq!(begun.len(), 1);
+    assert_eq!(begun[0].suspect, part(DEADLY));
+}
+
 #[test]
 fn repeated_request_that_crashes_upstreams_is_quarantined_alone() {
     let (start, mut ledger) = (Instant::now(), CrashLedger::new());
-    let mut begun = None;
+    let mut begun = Vec::new();
     for index in 0..3_u64 {
         let at = start + Duration::from_secs(index + 1);
         ledger.record_response(&[part(SHARED)], at - Duration::from_millis(100));
         let mut report = crash(index, at, &[SHARED]);
         report.suspects[0].suspect = request(77);
-        begun = ledger.record_crash(report, at);
+        begun = quarantines_after(&mut ledger, report, at);
     }
-    assert_eq!(begun.map(|quarantine| quarantine.suspect), Some(request(77)));
+    assert_eq!(begun.len(), 1);
+    assert_eq!(begun[0].suspect, request(77));
 }
 
 #[test]
@@ -142,7 +170,7 @@
     let first = record(&mut ledger, start, &[0.0, 0.5, 1.0], &[DEADLY]).remove(0);
     let over = first.until + Duration::from_secs(1);
     assert!(ledger.quarantine_of(&[part(DEADLY)], over).is_none());
-    let second = ledger.record_crash(crash(9, over, &[DEADLY]), over).expect("a quarantine");
+    let second = quarantines_after(&mut ledger, crash(9, over, &[DEADLY]), over).remove(0);
     assert_eq!((second.suspect, second.period), (part(DEADLY), first.period * 2));
 }
 
@@ -155,6 +183,53 @@
     assert!(ledger.quarantine_of(&[part(DEADLY)], after(start, 3.0)).is_none());
 }
 
+/// A request that crashes interrupt by chance each time must not hide their cause.
+#[test]
+fn unlucky_request_does_not_hide_the_part_that_crashes_upstreams() {
+    let (start, mut ledger) = (Instant::now(), CrashLedger::new());
+    let unlucky = [request(77)];
+    let mut begun = Vec::new();
+    for index in 0..5_u64 {
+        let at = start + Duration::from_secs(index);
+        let mut report = crash(index, at, if index < 2 { &[] } else { &[SHARED, DEADLY] });
+        report.suspects.extend(unlucky.iter().map(|suspect| SuspectReport {
+            suspect: suspect.clone(),
+            specificity: 0,
+            answered_at: None,
+        }));
+        let quarantines = quarantines_after(&mut ledger, report, at);
+        begun.extend(quarantines.into_iter().map(|quarantine| quarantine.suspect));
+    }
+    assert_eq!(begun, [request(77), part(DEADLY)]);
+}
+
+#[test]
+fn two_parts_that_crash_upstreams_in_turn_are_both_quarantined() {
+    const OTHER: u64 = 3;
+    let (start, mut ledger) = (Instant::now(), CrashLedger::new());
+    let mut begun = Vec::new();
+    for index in 0..6_u64 {
+        let at = start + Duration::from_millis(index * 400);
+        let deadly = if index % 2 == 0 { DEADLY } else { OTHER };
+        let report = crash(index, at, &[SHARED, deadly]);
+        let quarantines = quarantines_after(&mut ledger, report, at);
+        begun.extend(quarantines.into_iter().map(|quarantine| quarantine.suspect));
+    }
+    // The part before them both, which was never answered, was in flight at more crashes.
+    assert_eq!(begun, [part(SHARED)]);
+    ledger = CrashLedger::new();
+    begun.clear();
+    for index in 0..6_u64 {
+        let at = start + Duration::from_millis(index * 400);
+        let deadly = if index % 2 == 0 { DEADLY } else { OTHER };
+        ledger.record_response(&[part(SHARED)], at);
+        let report = crash(index, at, &[SHARED, deadly]);
+        let quarantines = quarantines_after(&mut ledger, report, at);
+        begun.extend(quarantines.into_iter().map(|quarantine| quarantine.suspect));
+    }
+    assert_eq!(begun, [part(DEADLY), part(OTHER)]);
+}
+
 /// Upstreams that crash twice a second for a minute, for no reason of the requests, with as many
 /// shared parts as the callers of a deployment have.
 #[test]
@@ -171,8 +246,8 @@
         for number in 0..CRASHES {
             at += Duration::from_secs_f64(rng.random_range(0.0..1.0));
             let in_flight: Vec<_> = (0..IN_FLIGHT).map(|_| rng.random_range(0..PARTS)).collect();
-            let begun = ledger.record_crash(crash(number, at, &in_flight), at);
-            assert_eq!(begun, None, "seed {seed}, crash {number}");
+            let begun = quarantines_after(&mut ledger, crash(number, at, &in_flight), at);
+            assert_eq!(begun, [], "seed {seed}, crash {number}");
             for _ in 0..RESPONSES_BETWEEN_CRASHES {
                 ledger.record_response(&[part(rng.random_range(0..PARTS))], at);
             }
--- a/crates/eelgrassdeal_gateway/src/crash.rs
+++ b/crates/eelgrassdeal_gateway/src/crash.rs
@@ -58,7 +58,9 @@
             let report = CrashReport { upstream, at, suspects: suspects.collect() };
             metrics::counter!("eelgrassdeal_crash_suspicions_total").increment(1);
             state.loads.borrow_mut().record_refused_connection(&report.upstream, Instant::now());
-            record_crash(&state, report);
+            if state.crash_ledger.borrow_mut().record_crash(report, Instant::now()) {
+                state.crash_observed.notify(usize::MAX);
+            }
         }
     })
     .detach();
@@ -77,14 +79,12 @@
     false
 }
 
-/// Records a crash that this or another node observed, and stores the quarantine that begins.
-pub(crate) fn record_crash(state: &Rc<GatewayState>, report: CrashReport) {
-    let now = Instant::now();
-    let upstream = report.upstream.clone();
-    let quarantine = state.crash_ledger.borrow_mut().record_crash(report, now);
-    if let Some(quarantine) = quarantine {
+/// Decides on the suspects of recent crashes, and stores the quarantines that begin.
+pub(crate) fn decide_quarantines(state: &Rc<GatewayState>) {
+    let begun = state.crash_ledger.borrow_mut().decide(Instant::now());
+    for quarantine in begun {
         log::warn!(
-            "event=quarantined suspect={} upstream={upstream} period_ms={}",
+            "event=quarantined suspect={} period_ms={}",
             quarantine.suspect,
             quarantine.period.as_millis()
         );
@@ -199,7 +199,7 @@
 }
 
 /// Records the crashes that another node tells of.
-pub(crate) fn apply_crashes(state: &Rc<GatewayState>, crashes: Vec<UpstreamCrash>, now: Instant) {
+pub(crate) fn apply_crashes(state: &GatewayState, crashes: Vec<UpstreamCrash>, now: Instant) {
     let time = |age_ms: u32| now.checked_sub(Duration::from_millis(age_ms.into())).unwrap_or(now);
     for crash in crashes {
         let suspects = crash.suspects.into_iter().filter_map(|message| {
@@ -214,7 +214,7 @@
             at: time(crash.age_ms),
             suspects: suspects.collect(),
         };
-        record_crash(state, report);
+        state.crash_ledger.borrow_mut().record_crash(report, now);
     }
 }
 
--- a/crates/eelgrassdeal_gateway/src/lifecycle.rs
+++ b/crates/eelgrassdeal_gateway/src/lifecycle.rs
@@ -11,7 +11,7 @@
 use eelgrassdeal_platform::load_settings;
 use error_stack::{Report, ResultExt};
 
-use crate::crash::remove_ended_quarantines;
+use crate::crash::{decide_quarantines, remove_ended_quarantines};
 use crate::follow::{follow_table, register_node};
 use crate::front::FrontHandler;
 use crate::locator::LocatorHandler;
@@ -155,6 +155,7 @@
     let mut rounds = 0;
     loop {
         state.mirror.borrow_mut().remove_missing(Instant::now());
+        decide_quarantines(&state);
         if state.stage.get() == NodeStage::Starting && state.mirror.borrow().is_loaded() {
             state.stage.set(NodeStage::Serving);
             log::info!("event=ready");
--- a/crates/eelgrassdeal_gateway/src/peers/message.rs
+++ b/crates/eelgrassdeal_gateway/src/peers/message.rs
@@ -1,6 +1,5 @@
 //! Messages between nodes: their contents, and their conversion to and from the wire format.
 
-use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -120,7 +119,7 @@
 /// `requested_at` is when this node sent the request to which the message replies. It is `None` for
 /// a request of the other node, which may have been in transit for any time.
 pub(super) fn apply_message(
-    state: &Rc<GatewayState>,
+    state: &GatewayState,
     message: SyncMessage,
     requested_at: Option<Instant>,
 ) -> (NodeRole, NodeId, PeerVersions) {
--- a/crates/eelgrassdeal_gateway/src/peers/mod.rs
+++ b/crates/eelgrassdeal_gateway/src/peers/mod.rs
@@ -55,7 +55,10 @@
 /// Exchanges messages with other nodes until the task is dropped.
 pub(crate) async fn exchange_messages(state: Rc<GatewayState>) {
     loop {
-        let change = state.store_changed.listen();
+        let change = futures_util::future::select(
+            state.store_changed.listen(),
+            state.crash_observed.listen(),
+        );
         advance_own_heartbeat(&state);
         for peer in round_peers(&state) {
             let state = state.clone();
@@ -64,14 +67,14 @@
         compio::time::sleep(MIN_ROUND_INTERVAL).await;
         let is_large = state.directory.borrow().is_large();
         let interval = if is_large { LARGE_FLEET_ROUND_INTERVAL } else { ROUND_INTERVAL };
-        // Starts the next round early if the tables change. Usually they do not.
+        // Starts the next round early if the tables change or an upstream crashes. Usually they do not.
         let _ = compio::time::timeout(interval - MIN_ROUND_INTERVAL, change).await;
     }
 }
 
 /// Exchanges messages with every partner immediately, so that they learn of a change of this node.
 /// Returns when all exchanges have ended.
-pub(crate) async fn sync_with_partners(state: &Rc<GatewayState>) {
+pub(crate) async fn sync_with_partners(state: &GatewayState) {
     advance_own_heartbeat(state);
     let peers = round_peers(state);
     let syncs = peers.iter().map(|peer| sync_with(state, peer));
@@ -102,7 +105,7 @@
 }
 
 /// Exchanges one message with a peer.
-async fn sync_with(state: &Rc<GatewayState>, peer: &Arc<str>) {
+async fn sync_with(state: &GatewayState, peer: &Arc<str>) {
     let requested_at = Instant::now();
     // Among the requests, only those of the reader, the node that follows the store for all others,
     // contain changes of its table copies: the other nodes need not repeat them to each other. The
--- a/crates/eelgrassdeal_gateway/src/state.rs
+++ b/crates/eelgrassdeal_gateway/src/state.rs
@@ -92,6 +92,8 @@
     pub(crate) loads: RefCell<LoadTracker>,
     /// Crashes of upstreams, and what is refused because of them.
     pub(crate) crash_ledger: RefCell<CrashLedger>,
+    /// Notified when this node has observed a crash that it tells the other nodes of at once.
+    pub(crate) crash_observed: Event,
     /// Requests that wait for an upstream with free capacity.
     pub(crate) waiting: WaitingRoom,
     /// Usual timeouts of the callers by route.
@@ -151,6 +153,7 @@
             directory: RefCell::new(NodeDirectory::new(own)),
             loads: RefCell::default(),
             crash_ledger: RefCell::default(),
+            crash_observed: Event::new(),
             waiting: WaitingRoom::default(),
             usual_timeouts: RefCell::default(),
             silent: RefCell::default(),
