Tell other nodes which prompt parts were answered

Cause: in a fleet of 80 nodes a node passes on few responses itself, so that most parts count as never answered there, and three crashes suffice. Ruled out: waiting longer for the reports on the crash; the answers lie before it. Change: nodes tell which parts were answered, once for each part and again after 30 s, for as long as they tell of crashes; hubs pass it on, and pass on crashes at once. Test: dispatch crash_ledger part_that_other_nodes_saw_answered_is_not_quarantined_like_an_unknown_one.

--- a/crates/eelgrassdeal_dispatch/src/crash_ledger.rs
+++ b/crates/eelgrassdeal_dispatch/src/crash_ledger.rs
@@ -42,8 +42,10 @@
 const MAX_QUARANTINE: Duration = Duration::from_secs(3_600);
 /// Time for which a crash counts.
 const CRASH_LIFETIME: Duration = Duration::from_secs(600);
-/// Time for which a crash is told to other nodes after this node learned of it.
+/// Time for which news are told to other nodes after this node learned of them.
 const REPORT_PERIOD: Duration = Duration::from_millis(1_500);
+/// Interval at which nodes tell each other that a suspect is still answered.
+const RESPONSE_NEWS_INTERVAL: Duration = Duration::from_secs(30);
 const MAX_CRASHES: usize = 256;
 /// Number of suspects above which old responses are forgotten.
 const MAX_RESPONSES: usize = 8_192;
@@ -152,9 +154,15 @@
     last: Instant,
     /// Moving average of the seconds between two responses of this node; 0 before the second one.
     interval_s: f64,
+    /// When this or another node last had a response that was news to the others.
+    news_at: Instant,
 }
 
 impl ResponseHistory {
+    fn new(last: Instant) -> Self {
+        Self { last, interval_s: 0.0, news_at: last }
+    }
+
     fn record(&mut self, at: Instant) {
         let gap_s = at.saturating_duration_since(self.last).as_secs_f64();
         self.interval_s = match self.interval_s {
@@ -164,6 +172,11 @@
         self.last = at.max(self.last);
     }
 
+    /// Whether a response at `at` is news to nodes that know of the one at `news_at`.
+    fn is_news(&self, at: Instant) -> bool {
+        at.saturating_duration_since(self.news_at) >= RESPONSE_NEWS_INTERVAL
+    }
+
     /// Whether responses are missing at `now` that were to be expected.
     fn is_overdue(&self, now: Instant) -> bool {
         let silence_s = now.saturating_duration_since(self.last).as_secs_f64();
@@ -177,6 +190,8 @@
     /// In the order in which this node learned of them.
     crashes: VecDeque<CrashRecord>,
     responses: HashMap<CrashSuspect, ResponseHistory>,
+    /// Responses to tell other nodes of, in the order of their times.
+    response_news: VecDeque<(Instant, CrashSuspect)>,
     /// Quarantines, also those that ended: their suspects are quarantined again at the next crash.
     quarantines: HashMap<CrashSuspect, Quarantine>,
 }
@@ -192,8 +207,8 @@
     pub fn record_crash(&mut self, report: CrashReport, now: Instant) -> bool {
         for reported in &report.suspects {
             if let Some(at) = reported.answered_at {
-                let unknown = ResponseHistory { last: at, interval_s: 0.0 };
-                let history = self.responses.entry(reported.suspect.clone()).or_insert(unknown);
+                let history = self.responses.entry(reported.suspect.clone());
+                let history = history.or_insert_with(|| ResponseHistory::new(at));
                 history.last = at.max(history.last);
             }
         }
@@ -232,8 +247,12 @@
     /// Records that a request with these suspects had a complete response.
     pub fn record_response(&mut self, suspects: &[CrashSuspect], now: Instant) {
         for suspect in suspects {
-            let first = ResponseHistory { last: now, interval_s: 0.0 };
-            self.responses.entry(suspect.clone()).or_insert(first).record(now);
+            if self.note_response(suspect, now) {
+                self.response_news.push_back((now, suspect.clone()));
+            }
+            if let Some(history) = self.responses.get_mut(suspect) {
+                history.record(now);
+            }
             self.quarantines.remove(suspect);
         }
         if self.responses.len() > MAX_RESPONSES {
@@ -243,6 +262,30 @@
         }
     }
 
+    /// Records that another node had a complete response to a request with this suspect shortly
+    /// before. `is_told` is whether this node tells others of it.
+    pub fn record_response_elsewhere(
+        &mut self,
+        suspect: CrashSuspect,
+        now: Instant,
+        is_told: bool,
+    ) {
+        let is_news = self.note_response(&suspect, now);
+        if let Some(history) = self.responses.get_mut(&suspect) {
+            history.last = now.max(history.last);
+        }
+        if is_news && is_told {
+            self.response_news.push_back((now, suspect));
+        }
+    }
+
+    /// Suspects to tell other nodes of, since a request with them had a complete response.
+    pub fn response_news(&self, now: Instant) -> impl Iterator<Item = &CrashSuspect> {
+        let is_recent = move |at: Instant| now.saturating_duration_since(at) < REPORT_PERIOD;
+        let news = self.response_news.iter().rev();
+        news.take_while(move |(at, _)| is_recent(*at)).map(|(_, suspect)| suspect)
+    }
+
     /// Begins a quarantine that another node decided on, unless a complete response since then has
     /// shown that its suspect is sound.
     pub fn adopt(&mut self, quarantine: Quarantine) {
@@ -272,8 +315,7 @@
 
     /// Whether whole requests are suspected, so that their digests must be computed.
     pub fn suspects_whole_requests(&self) -> bool {
-        let is_whole =
-            |suspect: &CrashSuspect| matches!(suspect, CrashSuspect::WholeRequest { .. });
+        let is_whole = |suspect: &CrashSuspect| !suspect.is_part();
         self.quarantines.keys().any(is_whole)
             || self.crashes.iter().any(|crash| crash.suspects.keys().any(is_whole))
     }
@@ -301,10 +343,26 @@
     /// Removes crashes that no longer count, and quarantines that ended long ago.
     pub fn remove_expired(&mut self, now: Instant) {
         self.crashes.retain(|crash| now.saturating_duration_since(crash.at) < CRASH_LIFETIME);
+        self.response_news.retain(|(at, _)| now.saturating_duration_since(*at) < REPORT_PERIOD);
         self.quarantines
             .retain(|_, quarantine| now < quarantine.until + quarantine.period + CRASH_LIFETIME);
     }
 
+    /// Adds a history for a suspect that has none. Returns whether a response now is news.
+    fn note_response(&mut self, suspect: &CrashSuspect, now: Instant) -> bool {
+        match self.responses.get_mut(suspect) {
+            Some(history) if !history.is_news(now) => false,
+            Some(history) => {
+                history.news_at = now;
+                true
+            }
+            None => {
+                self.responses.insert(suspect.clone(), ResponseHistory::new(now));
+                true
+            }
+        }
+    }
+
     /// Index of the record of a crash, which is added if it is not known.
     fn find_or_add(&mut self, report: &CrashReport, now: Instant) -> usize {
         let is_same = |crash: &CrashRecord| {
--- a/crates/eelgrassdeal_dispatch/tests/crash_ledger.rs
+++ b/crates/eelgrassdeal_dispatch/tests/crash_ledger.rs
@@ -115,6 +115,24 @@
     assert_eq!(quarantines_after(&mut ledger, report, after(start, 1.0)), []);
 }
 
+/// In a large fleet a node passes on few responses itself, and knows of most parts only from others.
+#[test]
+fn part_that_other_nodes_saw_answered_is_not_quarantined_like_an_unknown_one() {
+    let (start, mut one, mut other) = (Instant::now(), CrashLedger::new(), CrashLedger::new());
+    one.record_response(&[part(SHARED)], start);
+    let news: Vec<_> = one.response_news(after(start, 0.3)).cloned().collect();
+    assert_eq!(news, [part(SHARED)]);
+    for suspect in news {
+        other.record_response_elsewhere(suspect, after(start, 0.3), false);
+    }
+    assert_eq!(record(&mut other, start, &[1.0, 1.5, 2.0], &[SHARED]), []);
+    assert_eq!(other.response_news(after(start, 0.4)).count(), 0, "it is told once");
+    one.record_response(&[part(SHARED)], after(start, 10.0));
+    assert_eq!(one.response_news(after(start, 10.0)).count(), 0, "it is no news");
+    one.record_response(&[part(SHARED)], after(start, 40.0));
+    assert_eq!(one.response_news(after(start, 40.0)).count(), 1);
+}
+
 #[test]
 fn nodes_agree_after_exchanging_reports() {
     let (start, mut one, mut other) = (Instant::now(), CrashLedger::new(), CrashLedger::new());
--- a/crates/eelgrassdeal_gateway/src/crash.rs
+++ b/crates/eelgrassdeal_gateway/src/crash.rs
@@ -3,6 +3,7 @@
 //!
 //! [`CrashLedger`]: eelgrassdeal_dispatch::CrashLedger
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -12,14 +13,14 @@
     CrashReport, CrashSuspect, Quarantine, SharedTable, SuspectReport, UpstreamRecord,
 };
 use eelgrassdeal_schema::gateway::{
-    CrashSuspect as SuspectMessage, InFlightSuspect, QuarantineRow, SharedPart, UpstreamCrash,
-    crash_suspect,
+    AnsweredParts, CrashSuspect as SuspectMessage, InFlightSuspect, QuarantineRow, SharedPart,
+    UpstreamCrash, crash_suspect,
 };
 use eelgrassdeal_schema::{decode_message, encode_message};
 use eelgrassdeal_store::{
     CONTROL_PARTITION, RowCondition, RowKey, RowWrite, TableName, TableStore,
 };
-use eelgrassdeal_types::unix_ms_now;
+use eelgrassdeal_types::{ModelId, ServiceId, unix_ms_now};
 
 use crate::state::GatewayState;
 
@@ -214,7 +215,49 @@
             at: time(crash.age_ms),
             suspects: suspects.collect(),
         };
-        state.crash_ledger.borrow_mut().record_crash(report, now);
+        let is_news = state.crash_ledger.borrow_mut().record_crash(report, now);
+        if is_news && state.directory.borrow().is_large_fleet_hub() {
+            state.crash_observed.notify(usize::MAX);
+        }
+    }
+}
+
+/// Messages about parts that were answered shortly before, for another node.
+pub(crate) fn encode_answered_parts(state: &GatewayState, now: Instant) -> Vec<AnsweredParts> {
+    let ledger = state.crash_ledger.borrow();
+    let mut messages: BTreeMap<(ServiceId, ModelId), AnsweredParts> = BTreeMap::new();
+    for suspect in ledger.response_news(now) {
+        if let CrashSuspect::PromptPart { service, model, part } = suspect {
+            let message = messages.entry((service.clone(), model.clone()));
+            message
+                .or_insert_with(|| AnsweredParts {
+                    service: service.to_string(),
+                    model: model.to_string(),
+                    parts: Vec::new(),
+                })
+                .parts
+                .push(*part);
+        }
+    }
+    messages.into_values().collect()
+}
+
+/// Records the parts that another node tells were answered. Hubs of a large fleet tell them further.
+pub(crate) fn apply_answered_parts(
+    state: &GatewayState,
+    messages: Vec<AnsweredParts>,
+    now: Instant,
+) {
+    let is_told = state.directory.borrow().is_large_fleet_hub();
+    let mut ledger = state.crash_ledger.borrow_mut();
+    for message in messages {
+        let (service, model): (ServiceId, ModelId) =
+            (Arc::from(message.service), Arc::from(message.model));
+        for part in message.parts {
+            let (service, model) = (service.clone(), model.clone());
+            let suspect = CrashSuspect::PromptPart { service, model, part };
+            ledger.record_response_elsewhere(suspect, now, is_told);
+        }
     }
 }
 
--- a/crates/eelgrassdeal_gateway/src/peers/message.rs
+++ b/crates/eelgrassdeal_gateway/src/peers/message.rs
@@ -14,7 +14,10 @@
 };
 use eelgrassdeal_types::NodeId;
 
-use crate::crash::{adopt_quarantines, apply_crashes, encode_crashes, encode_quarantines};
+use crate::crash::{
+    adopt_quarantines, apply_answered_parts, apply_crashes, encode_answered_parts, encode_crashes,
+    encode_quarantines,
+};
 use crate::state::{GatewayState, PeerVersions};
 
 /// Interval at which the heartbeats of other nodes are sent to a peer if there are many nodes
@@ -91,6 +94,7 @@
         changes,
         crashes: encode_crashes(state, now),
         quarantines: encode_quarantines(state, now),
+        answered: encode_answered_parts(state, now),
     }
 }
 
@@ -145,6 +149,7 @@
         let at = now - Duration::from_millis(u64::from(silent.age_ms));
         state.mark_silent(&Arc::from(silent.upstream), at, now);
     }
+    apply_answered_parts(state, message.answered, now);
     adopt_quarantines(state, message.quarantines, now);
     apply_crashes(state, message.crashes, now);
     if message.has_traffic {
