--- a/crates/eelgrassdeal_gateway/src/crash.rs
+++ b/crates/eelgrassdeal_gateway/src/crash.rs
@@ -24,7 +24,7 @@
 
 use crate::state::GatewayState;
 
-/// A response that had begun longer ago than this when its upstream crashed did not cause the crash.
+/// A response that began longer ago than this does not crash its upstream any more.
 const CRASH_ONSET: Duration = Duration::from_millis(500);
 /// Number of checks whether the process of an upstream has ended, and the delay between two.
 const CRASH_CHECKS: u32 = 3;
--- a/crates/eelgrassdeal_gateway/src/front/buffered.rs
+++ b/crates/eelgrassdeal_gateway/src/front/buffered.rs
@@ -29,7 +29,7 @@
         let upstream = attempt.load.upstream.clone();
         if let Some(response) = collect(&mut runner, attempt).await? {
             state.loads.borrow_mut().record_outcome(&upstream, false, Instant::now());
-            call.record_response(state);
+            call.record_survival(state);
             return forward(&runner, &upstream, response);
         }
     }
--- a/crates/eelgrassdeal_gateway/src/front/call.rs
+++ b/crates/eelgrassdeal_gateway/src/front/call.rs
@@ -153,8 +153,9 @@
         Some(self.refuse(ErrorKind::CauseQuarantined, reason).with_retry_after(left))
     }
 
-    /// Records that the request had a complete response.
-    pub(super) fn record_response(&self, state: &GatewayState) {
+    /// Records that the upstream has survived the request: the response is complete, or has lasted for
+    /// longer than a crash would take.
+    pub(super) fn record_survival(&self, state: &GatewayState) {
         let mut ledger = state.crash_ledger.borrow_mut();
         let now = Instant::now();
         ledger.record_response(&self.shared_parts, now);
--- a/crates/eelgrassdeal_gateway/src/front/stream.rs
+++ b/crates/eelgrassdeal_gateway/src/front/stream.rs
@@ -16,6 +16,7 @@
 use super::buffered;
 use super::call::GatewayCall;
 use super::refusal::CallRefusal;
+use crate::crash::is_crash_onset;
 use crate::server::{Reply, stream_reply};
 use crate::state::{GatewayState, InFlightGuard};
 
@@ -104,6 +105,8 @@
     /// When the wait for the next complete event began. Other bytes, such as comments, are no
     /// progress. The time in which the caller reads does not count.
     waiting_since: Instant,
+    /// Whether the running attempt is known not to crash its upstream.
+    is_acquitted: bool,
     /// Id of the last event that was forwarded, or that the caller already had.
     last_event: Option<u64>,
     is_over: bool,
@@ -119,6 +122,7 @@
             partial,
             searched: 0,
             waiting_since: Instant::now(),
+            is_acquitted: false,
             last_event,
             is_over: false,
         }
@@ -199,6 +203,10 @@
         match self.runner.wait_for_bytes(&upstream, silence_timeout, stalled_at, frame).await {
             Ok(Some(Ok(frame))) => {
                 attempt.load.record_progress();
+                if !self.is_acquitted && !is_crash_onset(Some(attempt.response_began)) {
+                    self.is_acquitted = true;
+                    self.runner.call.record_survival(&self.runner.state);
+                }
                 ReadResult::Bytes(frame.into_data().unwrap_or_default())
             }
             Ok(Some(Err(_))) => ReadResult::Failed(StreamFailure::Disconnected),
@@ -261,6 +269,7 @@
                     self.last_event
                 );
                 self.attempt = Some(attempt);
+                self.is_acquitted = false;
                 self.waiting_since = Instant::now();
                 return Ok(());
             }
@@ -284,7 +293,7 @@
                 Instant::now(),
             );
             let call = &self.runner.call;
-            call.record_response(&self.runner.state);
+            call.record_survival(&self.runner.state);
             log::info!(
                 "event=answered request_id={} route={} upstream={} runs={} last_event={:?} took_ms={}",
                 call.request_id,
