Keep quarantines through outages of the store; bound what rows of suspects say

Cause: only the node that decides on a quarantine stored it, so that it was lost if that node ended before the store was back; and times in a row of the table or in a message were added unchecked, so that one damaged row would have ended every node that reads it. Change: the planner's node stores the quarantines that are missing, every 5 s. Durations are bounded by the longest quarantine, and sums saturate. A host that accepts a connection is asked once more, not twice. Tests: gateway crashing_prompts unusable_rows_in_the_table_of_suspects_are_ignored, and repeated_request_that_crashes_upstreams_stops_reaching_them for whole requests, which fails if they are no suspects.

--- a/crates/eelgrassdeal_dispatch/src/crash_ledger.rs
+++ b/crates/eelgrassdeal_dispatch/src/crash_ledger.rs
@@ -39,7 +39,8 @@
 const SAME_CRASH_PERIOD: Duration = Duration::from_secs(2);
 /// Duration of the first quarantine of a suspect. Each further one lasts twice as long.
 const FIRST_QUARANTINE: Duration = Duration::from_secs(60);
-const MAX_QUARANTINE: Duration = Duration::from_secs(3_600);
+/// Longest duration of a quarantine.
+pub const MAX_QUARANTINE: Duration = Duration::from_secs(3_600);
 /// Time for which a crash counts.
 const CRASH_LIFETIME: Duration = Duration::from_secs(600);
 /// Time for which news are told to other nodes after this node learned of them.
--- a/crates/eelgrassdeal_dispatch/src/lib.rs
+++ b/crates/eelgrassdeal_dispatch/src/lib.rs
@@ -31,7 +31,9 @@
     ServiceSpec, ServiceSplit,
 };
 pub use counts::CountScope;
-pub use crash_ledger::{CrashLedger, CrashReport, CrashSuspect, Quarantine, SuspectReport};
+pub use crash_ledger::{
+    CrashLedger, CrashReport, CrashSuspect, MAX_QUARANTINE, Quarantine, SuspectReport,
+};
 pub use directory::{NodeCondition, NodeDirectory, NodeHeartbeat, NodeRole, NodeStage};
 pub use fleet::{
     FleetSummary, FleetView, GroupMembership, GroupRecord, GroupState, Replica, UpstreamRecord,
--- a/crates/eelgrassdeal_gateway/src/crash.rs
+++ b/crates/eelgrassdeal_gateway/src/crash.rs
@@ -10,7 +10,8 @@
 
 use compio::net::TcpStream;
 use eelgrassdeal_dispatch::{
-    CrashReport, CrashSuspect, Quarantine, SharedTable, SuspectReport, UpstreamRecord,
+    CrashReport, CrashSuspect, MAX_QUARANTINE, Quarantine, SharedTable, SuspectReport,
+    UpstreamRecord,
 };
 use eelgrassdeal_schema::gateway::{
     AnsweredParts, CrashSuspect as SuspectMessage, InFlightSuspect, QuarantineRow, SharedPart,
@@ -26,8 +27,9 @@
 
 /// A response that began longer ago than this does not crash its upstream any more.
 const CRASH_ONSET: Duration = Duration::from_millis(500);
-/// Number of checks whether the process of an upstream has ended, and the delay between two.
-const CRASH_CHECKS: u32 = 3;
+/// Number of checks whether the process of an upstream has ended, and the delay between two. The
+/// listener may be closed shortly after the connections.
+const CRASH_CHECKS: u32 = 2;
 const CRASH_CHECK_INTERVAL: Duration = Duration::from_millis(60);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Nodes that decide on the same quarantine wait for a random part of this time, so that mostly one
@@ -57,7 +59,7 @@
             });
             let upstream = record.upstream.clone();
             let report = CrashReport { upstream, at, suspects: suspects.collect() };
-            metrics::counter!("eelgrassdeal_crash_suspicions_total").increment(1);
+            metrics::counter!("eelgrassdeal_observed_crashes_total").increment(1);
             state.loads.borrow_mut().record_refused_connection(&report.upstream, Instant::now());
             if state.crash_ledger.borrow_mut().record_crash(report, Instant::now()) {
                 state.crash_observed.notify(usize::MAX);
@@ -103,10 +105,13 @@
     let row = encode_quarantine(&quarantine, Instant::now());
     while Instant::now() < quarantine.until {
         let condition = match stored_row(&state, &name) {
-            Some((_, stored)) if stored.until_unix_ms + row.period_ms / 2 >= row.until_unix_ms => {
-                return;
+            Some((version, stored)) => {
+                let needed_unix_ms = row.until_unix_ms.saturating_sub(row.period_ms / 2);
+                if stored.until_unix_ms >= needed_unix_ms {
+                    return;
+                }
+                RowCondition::VersionIs(version)
             }
-            Some((version, _)) => RowCondition::VersionIs(version),
             None => RowCondition::Absent,
         };
         let write = RowWrite::put(key.clone(), condition, encode_message(&row));
@@ -156,16 +161,30 @@
     ledger.quarantines(now).map(|quarantine| encode_quarantine(quarantine, now)).collect()
 }
 
+/// Stores the quarantines that are not stored yet, for example because the node that decided on them
+/// has ended while the store was away, and removes those that ended long ago. For one node.
+pub(crate) fn maintain_stored_quarantines(state: &Rc<GatewayState>) {
+    let lasting: Vec<_> =
+        state.crash_ledger.borrow().quarantines(Instant::now()).cloned().collect();
+    let unstored =
+        lasting.into_iter().filter(|one| stored_row(state, &one.suspect.to_string()).is_none());
+    for quarantine in unstored {
+        compio::runtime::spawn(store_quarantine(state.clone(), quarantine)).detach();
+    }
+    let state = state.clone();
+    compio::runtime::spawn(async move { remove_ended_quarantines(&state).await }).detach();
+}
+
 /// Removes the stored quarantines that ended longer ago than they lasted. Until then a suspect is
 /// quarantined again at its first crash.
-pub(crate) async fn remove_ended_quarantines(state: &GatewayState) {
+async fn remove_ended_quarantines(state: &GatewayState) {
     let now_unix_ms = unix_ms_now();
     let ended: Vec<_> = {
         let mirror = state.mirror.borrow();
         let rows = mirror.table(SharedTable::Suspects).into_iter().flat_map(|table| table.rows());
         let is_ended = |value: &[u8]| {
             decode_message::<QuarantineRow>(value)
-                .is_ok_and(|row| row.until_unix_ms + row.period_ms * 2 < now_unix_ms)
+                .is_ok_and(|row| row.until_unix_ms.saturating_add(row.period_ms) < now_unix_ms)
         };
         rows.filter(|(_, _, value)| is_ended(value))
             .map(|(key, version, _)| (key.clone(), version))
@@ -296,10 +315,11 @@
 
 /// Returns `None` for a quarantine that has ended, or of a suspect that this node does not know.
 fn decode_quarantine(row: QuarantineRow, now: Instant) -> Option<Quarantine> {
-    let left_ms = row.until_unix_ms.checked_sub(unix_ms_now())?;
+    let left = Duration::from_millis(row.until_unix_ms.checked_sub(unix_ms_now())?);
+    let period = Duration::from_millis(row.period_ms).min(MAX_QUARANTINE);
     Some(Quarantine {
         suspect: decode_suspect(row.suspect?)?,
-        until: now + Duration::from_millis(left_ms),
-        period: Duration::from_millis(row.period_ms),
+        until: now + left.min(period),
+        period,
     })
 }
--- a/crates/eelgrassdeal_gateway/src/lifecycle.rs
+++ b/crates/eelgrassdeal_gateway/src/lifecycle.rs
@@ -11,7 +11,7 @@
 use eelgrassdeal_platform::load_settings;
 use error_stack::{Report, ResultExt};
 
-use crate::crash::{decide_quarantines, remove_ended_quarantines};
+use crate::crash::{decide_quarantines, maintain_stored_quarantines};
 use crate::follow::{follow_table, register_node};
 use crate::front::FrontHandler;
 use crate::locator::LocatorHandler;
@@ -169,9 +169,7 @@
             cold_shares.retain(|upstream, _| view.upstreams.contains_key(upstream));
             state.crash_ledger.borrow_mut().remove_expired(Instant::now());
             if state.is_planner.get() {
-                let state = state.clone();
-                compio::runtime::spawn(async move { remove_ended_quarantines(&state).await })
-                    .detach();
+                maintain_stored_quarantines(&state);
             }
         }
         let sleep_started_at = Instant::now();
--- a/crates/eelgrassdeal_gateway/tests/common/mod.rs
+++ b/crates/eelgrassdeal_gateway/tests/common/mod.rs
@@ -275,7 +275,7 @@
     }
 
     /// Sends a caller's request for a stream to the gateway with the index `gateway`. `parts` are the
-    /// ids of the parts of its prompt, in hexadecimal.
+    /// ids of the parts of its prompt, in hexadecimal, of which the body consists.
     pub async fn send_prompt(
         &self,
         gateway: usize,
@@ -283,6 +283,7 @@
         parts: &[&str],
     ) -> Result<BufferedResponse, SendFailure> {
         let mut request = caller_request("/stream/x", id, API_KEY);
+        *request.body_mut() = Full::new(Bytes::from(parts.join(" ")));
         let prefix: Vec<_> = parts.iter().map(|part| format!("{part}:40")).collect();
         let prefix = prefix.join(",").parse().expect("a valid header");
         request.headers_mut().insert("x-eelgrassdeal-prompt-prefix", prefix);
--- a/crates/eelgrassdeal_gateway/tests/crashing_prompts.rs
+++ b/crates/eelgrassdeal_gateway/tests/crashing_prompts.rs
@@ -5,7 +5,10 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use common::{TestPlatform, complete_stream};
+use bytes::Bytes;
+use common::{API_KEY, TestPlatform, complete_stream};
+use eelgrassdeal_schema::encode_message;
+use eelgrassdeal_schema::gateway::{CrashSuspect, QuarantineRow, crash_suspect};
 use eelgrassdeal_standins::WorkerRun;
 
 const DEADLY_PART: &str = "dead";
@@ -73,6 +76,69 @@
     *decisive.expect("the part crashes workers")
 }
 
+/// The same request crashes its upstream each time its caller sends it, because of the last part,
+/// which no other request has.
+#[compio::test]
+async fn repeated_request_that_crashes_upstreams_stops_reaching_them() {
+    const CRASHES_TO_KNOW_REQUEST: usize = 3;
+    let platform = TestPlatform::new().await;
+    let platform = platform.with_fragile_engines(24, DEADLY_PART).await.with_gateways(3).await;
+    platform.wait_serving(12).await;
+    let callers = (0..50_usize).map(|index| {
+        let platform = &platform;
+        async move {
+            compio::time::sleep(REQUEST_INTERVAL * index as u32).await;
+            let (deadly, sound) = (format!("deadly-{index}"), format!("sound-{index}"));
+            let own = format!("{:x}", index + 0x1000);
+            let deadly_parts = [SHARED_PART, DEADLY_PART];
+            let sound_parts = [SHARED_PART, own.as_str()];
+            futures_util::future::join(
+                platform.send_prompt(index % 3, &deadly, &deadly_parts),
+                platform.send_prompt((index + 1) % 3, &sound, &sound_parts),
+            )
+            .await
+            .1
+        }
+    });
+    futures_util::future::join_all(callers).await;
+    let decisive = crash_times(&platform)[CRASHES_TO_KNOW_REQUEST - 1];
+    let runs = deadly_runs(&platform);
+    let later = runs.iter().filter(|run| run.started_at > decisive + CONTACT_TIMEOUT).count();
+    assert!(
+        later <= MAX_LATER_RUNS,
+        "{later} runs later than {CONTACT_TIMEOUT:?} after {CRASHES_TO_KNOW_REQUEST} crashes"
+    );
+    let answer = platform.send_prompt(0, "last", &[SHARED_PART, "ffff"]).await;
+    assert_eq!(answer.expect("a response").body, complete_stream(EVENTS));
+}
+
+/// Rows of other versions, or damaged ones, must not end a node.
+#[compio::test]
+async fn unusable_rows_in_the_table_of_suspects_are_ignored() {
+    let mut platform = TestPlatform::new().await.with_plain_workers(1).await.with_gateways(1).await;
+    let suspect = CrashSuspect {
+        service: "engines".to_owned(),
+        cause: Some(crash_suspect::Cause::Request(1)),
+    };
+    let endless =
+        QuarantineRow { suspect: Some(suspect), until_unix_ms: u64::MAX, period_ms: u64::MAX };
+    for (name, value) in [
+        ("endless", encode_message(&endless)),
+        ("empty", encode_message(&QuarantineRow::default())),
+        ("garbage", Bytes::from_static(b"\xff\xff\xff")),
+    ] {
+        platform.store.put_in("suspects", "control", name, &value);
+    }
+    platform.gateways[0].restart();
+    platform.wait_ready(0).await;
+    // Time for the planner to look after the stored quarantines.
+    compio::time::sleep(Duration::from_secs(6)).await;
+    let answer = platform.send_request(0, "/look/x", "a", API_KEY).await.expect("a response");
+    assert_eq!(answer.status, 200);
+    assert!(!platform.gateways[0].log().contains("panicked"));
+    assert!(platform.gateways[0].log().contains("event=row_ignored row=garbage"));
+}
+
 #[compio::test]
 async fn prompt_part_that_crashes_upstreams_stops_reaching_them() {
     let platform = TestPlatform::new().await;
--- a/crates/eelgrassdeal_standins/src/gateway_platform/store.rs
+++ b/crates/eelgrassdeal_standins/src/gateway_platform/store.rs
@@ -111,9 +111,14 @@
 
     /// Writes a row unconditionally, as an operator or a worker does.
     pub fn put(&self, table: &str, key: &str, value: &[u8]) {
+        self.put_in(table, "", key, value);
+    }
+
+    /// Writes a row of this partition unconditionally.
+    pub fn put_in(&self, table: &str, partition: &str, key: &str, value: &[u8]) {
         let mut rows = self.rows.borrow_mut();
         rows.version += 1;
-        let key = (table.to_owned(), String::new(), key.to_owned());
+        let key = (table.to_owned(), partition.to_owned(), key.to_owned());
         rows.set_row(key, Some(STANDARD.encode(value)));
     }
 
