Quarantine a part that crashes all upstreams of a model in a quick cascade

Change: for a suspect that was never answered, two losses suffice if five upstreams crashed. Test: dispatch crash_ledger part_that_crashes_all_upstreams_in_a_quick_cascade_is_quarantined failed before.

--- a/crates/eelgrassdeal_dispatch/src/crash_ledger.rs
+++ b/crates/eelgrassdeal_dispatch/src/crash_ledger.rs
@@ -12,27 +12,31 @@
 
 use eelgrassdeal_types::{ModelId, ServiceId, UpstreamId};
 
-/// Crashes of distinct upstreams after which a suspect that never had a complete response is
-/// quarantined.
-const CRASHES_TO_QUARANTINE: usize = 3;
-/// Like [`CRASHES_TO_QUARANTINE`], for a suspect that had a complete response before the crashes.
+/// Losses after which a suspect that never had a complete response is quarantined. Upstreams that
+/// crash together are one loss, see [`SAME_LOSS_PERIOD`].
+const LOSSES_TO_QUARANTINE: usize = 3;
+/// Like [`LOSSES_TO_QUARANTINE`], if at least [`UPSTREAMS_IN_CASCADE`] upstreams crashed. Requests
+/// that are sent again at once can crash all upstreams of a model within three losses.
+const LOSSES_IN_CASCADE: usize = 2;
+const UPSTREAMS_IN_CASCADE: usize = 5;
+/// Like [`LOSSES_TO_QUARANTINE`], for a suspect that had a complete response before the crashes.
 /// Another node may have passed on a response since, and told this node later of it than of the
 /// crashes.
-const CRASHES_AFTER_RESPONSES: usize = 5;
+const LOSSES_AFTER_RESPONSES: usize = 5;
 /// A suspect that had complete responses is quarantined only if it has had none for this many times
 /// the usual interval between them.
 const MISSED_RESPONSES: f64 = 4.0;
 /// Weight of the newest interval between two responses in their moving average.
 const INTERVAL_WEIGHT: f64 = 0.2;
 /// A suspect that never had a complete response is quarantined only if it was in flight at one in
-/// this many of the crashes since its first one that it can explain.
-const CRASHES_PER_SUSPECTED: usize = 3;
-/// Like [`CRASHES_PER_SUSPECTED`], for a suspect that had a complete response before the crashes.
-const CRASHES_PER_ANSWERED: usize = 2;
+/// this many of the losses since its first one that it can explain.
+const LOSSES_PER_SUSPECTED: usize = 3;
+/// Like [`LOSSES_PER_SUSPECTED`], for a suspect that had a complete response before the crashes.
+const LOSSES_PER_ANSWERED: usize = 2;
 /// Time between a crash and the decision on it, in which other nodes tell what they had in flight
 /// there and which suspects they saw answered.
 const DECISION_DELAY: Duration = Duration::from_millis(200);
-/// Crashes within this time of each other count once: several upstreams can be lost together.
+/// Crashes within this time of the first one are one loss: several upstreams can be lost together.
 const SAME_LOSS_PERIOD: Duration = Duration::from_millis(150);
 /// Reports of nodes on one upstream within this time concern the same crash. An upstream restarts
 /// more slowly.
@@ -399,7 +403,7 @@
             .filter(|(suspect, _)| !self.is_explained(crash, suspect))
             .map(|(suspect, specificity)| (self.suspected_crashes(suspect), *specificity, suspect))
             .filter(|(crashes, _, suspect)| self.is_suspicious(crashes, suspect))
-            .max_by_key(|(crashes, specificity, _)| (crashes.len(), *specificity));
+            .max_by_key(|(crashes, specificity, _)| (count_losses(crashes), *specificity));
         likeliest.map(|(.., suspect)| (suspect.clone(), FIRST_QUARANTINE))
     }
 
@@ -407,9 +411,12 @@
     fn is_suspicious(&self, crashes: &[Instant], suspect: &CrashSuspect) -> bool {
         let (Some(first), Some(last)) = (crashes.first(), crashes.last()) else { return false };
         let (needed, ratio) = match self.responses.get(suspect) {
-            None => (CRASHES_TO_QUARANTINE, CRASHES_PER_SUSPECTED),
+            None if crashes.len() >= UPSTREAMS_IN_CASCADE => {
+                (LOSSES_IN_CASCADE, LOSSES_PER_SUSPECTED)
+            }
+            None => (LOSSES_TO_QUARANTINE, LOSSES_PER_SUSPECTED),
             Some(history) if history.is_overdue(*last) => {
-                (CRASHES_AFTER_RESPONSES, CRASHES_PER_ANSWERED)
+                (LOSSES_AFTER_RESPONSES, LOSSES_PER_ANSWERED)
             }
             Some(_) => return false,
         };
@@ -417,10 +424,11 @@
         let comparable = self.unexplained_crashes(suspect, |crash| {
             crash.at >= *first && crash.suspects.keys().any(is_comparable)
         });
-        crashes.len() >= needed && crashes.len() * ratio >= comparable.len()
+        let losses = count_losses(crashes);
+        losses >= needed && losses * ratio >= count_losses(&comparable)
     }
 
-    /// Unexplained crashes with a suspect since its last complete response.
+    /// Times of the unexplained crashes with a suspect since its last complete response, in order.
     fn suspected_crashes(&self, suspect: &CrashSuspect) -> Vec<Instant> {
         let answered_at = self.responses.get(suspect).map(|history| history.last);
         self.unexplained_crashes(suspect, |crash| {
@@ -429,8 +437,7 @@
         })
     }
 
-    /// Times of the crashes that `is_included` selects and no quarantine explains, those of upstreams
-    /// that were lost together as one.
+    /// Times of the crashes that `is_included` selects and no quarantine explains, in order.
     fn unexplained_crashes(
         &self,
         suspect: &CrashSuspect,
@@ -440,7 +447,6 @@
         let mut times: Vec<_> =
             unexplained.filter(|crash| is_included(crash)).map(|crash| crash.at).collect();
         times.sort_unstable();
-        times.dedup_by(|next, first| next.saturating_duration_since(*first) < SAME_LOSS_PERIOD);
         times
     }
 
@@ -456,6 +462,13 @@
     }
 }
 
+/// Number of losses in crashes at these times, which are in order.
+fn count_losses(crashes: &[Instant]) -> usize {
+    let mut times = crashes.to_vec();
+    times.dedup_by(|next, first| next.saturating_duration_since(*first) < SAME_LOSS_PERIOD);
+    times.len()
+}
+
 fn distance(one: Instant, other: Instant) -> Duration {
     one.saturating_duration_since(other).max(other.saturating_duration_since(one))
 }
--- a/crates/eelgrassdeal_dispatch/tests/crash_ledger.rs
+++ b/crates/eelgrassdeal_dispatch/tests/crash_ledger.rs
@@ -96,6 +96,15 @@
     assert_eq!(record(&mut ledger, start, &times, &[DEADLY]), []);
 }
 
+/// Requests that are sent again at once crash all upstreams of a model before there are three losses.
+#[test]
+fn part_that_crashes_all_upstreams_in_a_quick_cascade_is_quarantined() {
+    let (start, mut ledger) = (Instant::now(), CrashLedger::new());
+    let begun = record(&mut ledger, start, &[0.0, 0.06, 0.12, 0.2, 0.26], &[SHARED, DEADLY]);
+    assert_eq!(begun.len(), 1);
+    assert_eq!(begun[0].suspect, part(DEADLY));
+}
+
 #[test]
 fn reports_of_several_nodes_on_one_crash_count_once() {
     let (start, mut ledger) = (Instant::now(), CrashLedger::new());
