Count a crash against a part only once other nodes can have told of it

A decision waited until its own crash was settled, but counted later crashes of which only the sound requests of the node were known; in a quick cascade two losses and five upstreams suffice, so that the fifth crash, seen only from the sound side, decided.

Ruled out: that the shared part was answered before and this was lost (the first answer takes 0.3 s, the cascade was faster); slow gossip alone (the crash in question was 15 to 60 ms old).

Change: crashes count once they are settled, for every suspect. Each one brings a decision of its own then, 0.2 s after this node learned of it.

New test of the ledger fails.

--- a/crates/eelgrassdeal_dispatch/src/crash_ledger.rs
+++ b/crates/eelgrassdeal_dispatch/src/crash_ledger.rs
@@ -153,6 +153,13 @@
     suspects: BTreeMap<CrashSuspect, u32>,
 }
 
+impl CrashRecord {
+    /// Whether other nodes have had time to tell what they had in flight there.
+    fn is_settled(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.learned_at) >= DECISION_DELAY
+    }
+}
+
 /// The complete responses to requests with a suspect.
 #[derive(Clone, Copy, Debug)]
 struct ResponseHistory {
@@ -236,11 +243,10 @@
         let mut begun = Vec::new();
         for index in 0..self.crashes.len() {
             let crash = &mut self.crashes[index];
-            let is_settled = now.saturating_duration_since(crash.learned_at) >= DECISION_DELAY;
-            if !is_settled || !std::mem::take(&mut crash.is_undecided) {
+            if !crash.is_settled(now) || !std::mem::take(&mut crash.is_undecided) {
                 continue;
             }
-            if let Some((suspect, period)) = self.next_quarantine(index) {
+            if let Some((suspect, period)) = self.next_quarantine(index, now) {
                 let quarantine = Quarantine { suspect, until: now + period, period };
                 self.quarantines.insert(quarantine.suspect.clone(), quarantine.clone());
                 begun.push(quarantine);
@@ -391,7 +397,7 @@
     }
 
     /// The suspect of a crash that is to be quarantined now, and for how long.
-    fn next_quarantine(&self, index: usize) -> Option<(CrashSuspect, Duration)> {
+    fn next_quarantine(&self, index: usize, now: Instant) -> Option<(CrashSuspect, Duration)> {
         let crash = &self.crashes[index];
         let mut known = crash.suspects.keys().filter_map(|suspect| self.quarantines.get(suspect));
         if let Some(ended) = known.find(|quarantine| quarantine.until <= crash.at) {
@@ -401,14 +407,16 @@
             .suspects
             .iter()
             .filter(|(suspect, _)| !self.is_explained(crash, suspect))
-            .map(|(suspect, specificity)| (self.suspected_crashes(suspect), *specificity, suspect))
-            .filter(|(crashes, _, suspect)| self.is_suspicious(crashes, suspect))
+            .map(|(suspect, specificity)| {
+                (self.suspected_crashes(suspect, now), *specificity, suspect)
+            })
+            .filter(|(crashes, _, suspect)| self.is_suspicious(crashes, suspect, now))
             .max_by_key(|(crashes, specificity, _)| (count_losses(crashes), *specificity));
         likeliest.map(|(.., suspect)| (suspect.clone(), FIRST_QUARANTINE))
     }
 
     /// Whether crashes suffice to quarantine a suspect that was in flight at them.
-    fn is_suspicious(&self, crashes: &[Instant], suspect: &CrashSuspect) -> bool {
+    fn is_suspicious(&self, crashes: &[Instant], suspect: &CrashSuspect, now: Instant) -> bool {
         let (Some(first), Some(last)) = (crashes.first(), crashes.last()) else { return false };
         let (needed, ratio) = match self.responses.get(suspect) {
             None if crashes.len() >= UPSTREAMS_IN_CASCADE => {
@@ -421,7 +429,7 @@
             Some(_) => return false,
         };
         let is_comparable = |other: &CrashSuspect| other.scope() == suspect.scope();
-        let comparable = self.unexplained_crashes(suspect, |crash| {
+        let comparable = self.unexplained_crashes(suspect, now, |crash| {
             crash.at >= *first && crash.suspects.keys().any(is_comparable)
         });
         let losses = count_losses(crashes);
@@ -429,21 +437,24 @@
     }
 
     /// Times of the unexplained crashes with a suspect since its last complete response, in order.
-    fn suspected_crashes(&self, suspect: &CrashSuspect) -> Vec<Instant> {
+    fn suspected_crashes(&self, suspect: &CrashSuspect, now: Instant) -> Vec<Instant> {
         let answered_at = self.responses.get(suspect).map(|history| history.last);
-        self.unexplained_crashes(suspect, |crash| {
+        self.unexplained_crashes(suspect, now, |crash| {
             crash.suspects.contains_key(suspect)
                 && answered_at.is_none_or(|answered_at| answered_at < crash.at)
         })
     }
 
-    /// Times of the crashes that `is_included` selects and no quarantine explains, in order.
+    /// Times of the settled crashes that `is_included` selects and no quarantine explains, in order.
+    /// A node that counted others would count what it had in flight itself, and nothing else.
     fn unexplained_crashes(
         &self,
         suspect: &CrashSuspect,
+        now: Instant,
         is_included: impl Fn(&CrashRecord) -> bool,
     ) -> Vec<Instant> {
-        let unexplained = self.crashes.iter().filter(|crash| !self.is_explained(crash, suspect));
+        let settled = self.crashes.iter().filter(|crash| crash.is_settled(now));
+        let unexplained = settled.filter(|crash| !self.is_explained(crash, suspect));
         let mut times: Vec<_> =
             unexplained.filter(|crash| is_included(crash)).map(|crash| crash.at).collect();
         times.sort_unstable();
--- a/crates/eelgrassdeal_dispatch/tests/crash_ledger.rs
+++ b/crates/eelgrassdeal_dispatch/tests/crash_ledger.rs
@@ -176,6 +176,30 @@
     assert_eq!(begun[0].suspect, part(DEADLY));
 }
 
+/// The node that had only sound requests at the last upstream of a quick cascade must not count that
+/// crash against what they share before the others have told it of theirs.
+#[test]
+fn crash_that_others_have_not_told_of_yet_does_not_count_against_a_shared_part() {
+    let (start, mut ledger) = (Instant::now(), CrashLedger::new());
+    let deadly_crash = |number: u64, at: Instant| {
+        let mut report = crash(number, at, &[SHARED]);
+        report.suspects[0] =
+            SuspectReport { suspect: request(77), specificity: 1, answered_at: None };
+        report
+    };
+    for (number, seconds) in [(1, 0.0), (2, 0.07), (3, 0.16), (4, 0.23)] {
+        let at = after(start, seconds);
+        ledger.record_crash(deadly_crash(number, at), at);
+    }
+    let last_at = after(start, 0.35);
+    ledger.record_crash(crash(5, last_at, &[SHARED]), last_at);
+    assert_eq!(ledger.decide(after(start, 0.44)), []);
+    ledger.record_crash(deadly_crash(5, last_at), after(start, 0.46));
+    let begun = ledger.decide(after(start, 0.56));
+    let suspects: Vec<_> = begun.iter().map(|quarantine| &quarantine.suspect).collect();
+    assert_eq!(suspects, [&request(77)]);
+}
+
 #[test]
 fn repeated_request_that_crashes_upstreams_is_quarantined_alone() {
     let (start, mut ledger) = (Instant::now(), CrashLedger::new());
