Count the crashes of a quarantined request once against its parts

Cause: the quarantine of a whole request explains its crashes for other requests, but not for the parts of its prompt, so that an unlucky request hides no part. A node that decided again, or adopted the quarantine, counted the same crashes in full against the part that the request shares with all others, if no response had acquitted that yet.

Change: crashes with a quarantined request in flight, until 0.5 s after its quarantine began, count once per request against parts. The part needs further losses with other requests, or later ones.

Before: the new test of the ledger quarantines the part as well.

Conclusion: mended.

--- a/crates/eelgrassdeal_dispatch/src/crash_ledger.rs
+++ b/crates/eelgrassdeal_dispatch/src/crash_ledger.rs
@@ -6,7 +6,7 @@
 //! node observed. A suspect that was in flight at several crashes without a complete response in
 //! between is quarantined. The crashes that it explains no longer count against other suspects.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::fmt;
 use std::time::{Duration, Instant};
 
@@ -41,6 +41,9 @@
 /// Reports of nodes on one upstream within this time concern the same crash. An upstream restarts
 /// more slowly.
 const SAME_CRASH_PERIOD: Duration = Duration::from_secs(2);
+/// Time after the beginning of a quarantine in which requests that were in flight then may crash
+/// their upstreams.
+const IN_FLIGHT_PERIOD: Duration = Duration::from_millis(500);
 /// Duration of the first quarantine of a suspect. Each further one lasts twice as long.
 const FIRST_QUARANTINE: Duration = Duration::from_secs(60);
 /// Longest duration of a quarantine.
@@ -455,15 +458,23 @@
     ) -> Vec<Instant> {
         let settled = self.crashes.iter().filter(|crash| crash.is_settled(now));
         let unexplained = settled.filter(|crash| !self.is_explained(crash, suspect));
-        let mut times: Vec<_> =
-            unexplained.filter(|crash| is_included(crash)).map(|crash| crash.at).collect();
+        let mut counted_requests = HashSet::new();
+        let mut times: Vec<_> = unexplained
+            .filter(|crash| is_included(crash))
+            .filter(|crash| match self.quarantined_request(crash) {
+                Some(request) if suspect.is_part() => counted_requests.insert(request),
+                _ => true,
+            })
+            .map(|crash| crash.at)
+            .collect();
         times.sort_unstable();
         times
     }
 
     /// Whether a quarantine explains the crash, so that it does not count against `suspect`. That of
     /// a whole request explains it for other requests only: a request that was interrupted each time
-    /// by chance must not hide the prompt part that caused the crashes.
+    /// by chance must not hide the prompt part that caused the crashes. These crashes count once
+    /// against a part, see [`Self::quarantined_request`].
     fn is_explained(&self, crash: &CrashRecord, suspect: &CrashSuspect) -> bool {
         !self.quarantines.is_empty()
             && crash.suspects.keys().any(|other| {
@@ -471,6 +482,17 @@
                 is_decisive && self.quarantines.contains_key(other)
             })
     }
+
+    /// The request in quarantine that was in flight at the crash before nodes refused it. However
+    /// often its caller sent it, it says no more of its parts than one request.
+    fn quarantined_request(&self, crash: &CrashRecord) -> Option<&CrashSuspect> {
+        let mut requests = crash.suspects.keys().filter(|suspect| !suspect.is_part());
+        requests.find_map(|request| {
+            let quarantine = self.quarantines.get(request)?;
+            let ends_at = crash.at + quarantine.period;
+            (ends_at < quarantine.until + IN_FLIGHT_PERIOD).then_some(&quarantine.suspect)
+        })
+    }
 }
 
 /// Number of losses in crashes at these times, which are in order.
--- a/crates/eelgrassdeal_dispatch/tests/crash_ledger.rs
+++ b/crates/eelgrassdeal_dispatch/tests/crash_ledger.rs
@@ -200,6 +200,22 @@
     assert_eq!(suspects, [&request(77)]);
 }
 
+/// A request without a part of its own crashes upstreams before any response to its shared part.
+#[test]
+fn crashes_of_a_quarantined_request_do_not_quarantine_the_part_that_it_shares() {
+    let (start, mut ledger) = (Instant::now(), CrashLedger::new());
+    let mut begun = Vec::new();
+    for (number, seconds) in [(1, 0.0), (2, 0.07), (3, 0.16), (4, 0.4), (5, 0.6), (6, 0.7)] {
+        let at = after(start, seconds);
+        let mut report = crash(number, at, &[SHARED]);
+        report.suspects[0] =
+            SuspectReport { suspect: request(77), specificity: 1, answered_at: None };
+        let quarantines = quarantines_after(&mut ledger, report, at);
+        begun.extend(quarantines.into_iter().map(|quarantine| quarantine.suspect));
+    }
+    assert_eq!(begun, [request(77)]);
+}
+
 #[test]
 fn repeated_request_that_crashes_upstreams_is_quarantined_alone() {
     let (start, mut ledger) = (Instant::now(), CrashLedger::new());
