One attempt per round to store a quarantine that is missing in the store

Cause: the planner started a task that retried until it succeeded for each quarantine that was not stored, every 5 s; in an outage of the store of a minute each quarantine had twelve of them. Found by reading. Ages were converted to milliseconds in two ways.

Change: the planner makes one attempt per round, one after the other, with the function that the deciding node retries. Both use peers' millis. The test that was missing: the nodes that decided end in an outage, and a node that learned of the quarantine from them stores it afterwards.

Before: the test fails with the planner's round left out ("timed out after 20s: the quarantine is stored"); the number of tasks has no test. After: 12 of 12 runs pass, 6 at a time; the 5 tests of the file pass 3 times.

--- a/crates/eelgrassdeal_gateway/src/crash.rs
+++ b/crates/eelgrassdeal_gateway/src/crash.rs
@@ -23,6 +23,7 @@
 };
 use eelgrassdeal_types::{ModelId, ServiceId, unix_ms_now};
 
+use crate::peers::millis;
 use crate::state::GatewayState;
 
 /// A response that began longer ago than this does not crash its upstream any more.
@@ -100,27 +101,31 @@
 /// it succeeds or the quarantine has ended.
 async fn store_quarantine(state: Rc<GatewayState>, quarantine: Quarantine) {
     compio::time::sleep(STORE_JITTER.mul_f64(rand::random())).await;
+    while Instant::now() < quarantine.until && !try_store_quarantine(&state, &quarantine).await {
+        compio::time::sleep(STORE_RETRY_DELAY).await;
+    }
+}
+
+/// Returns whether this or another node has stored the quarantine.
+async fn try_store_quarantine(state: &GatewayState, quarantine: &Quarantine) -> bool {
     let name = quarantine.suspect.to_string();
-    let key = RowKey::new(TableName::Suspects, CONTROL_PARTITION, &name);
-    let row = encode_quarantine(&quarantine, Instant::now());
-    while Instant::now() < quarantine.until {
-        let condition = match stored_row(&state, &name) {
-            Some((version, stored)) => {
-                let needed_unix_ms = row.until_unix_ms.saturating_sub(row.period_ms / 2);
-                if stored.until_unix_ms >= needed_unix_ms {
-                    return;
-                }
-                RowCondition::VersionIs(version)
+    let row = encode_quarantine(quarantine, Instant::now());
+    let condition = match stored_row(state, &name) {
+        Some((version, stored)) => {
+            let needed_unix_ms = row.until_unix_ms.saturating_sub(row.period_ms / 2);
+            if stored.until_unix_ms >= needed_unix_ms {
+                return true;
             }
-            None => RowCondition::Absent,
-        };
-        let write = RowWrite::put(key.clone(), condition, encode_message(&row));
-        match state.store.transact(vec![write]).await {
-            Ok(_) => return,
-            Err(report) => log::debug!("event=quarantine_unwritten reason=\"{report}\""),
+            RowCondition::VersionIs(version)
         }
-        compio::time::sleep(STORE_RETRY_DELAY).await;
-    }
+        None => RowCondition::Absent,
+    };
+    let key = RowKey::new(TableName::Suspects, CONTROL_PARTITION, &name);
+    let write = RowWrite::put(key, condition, encode_message(&row));
+    let stored = state.store.transact(vec![write]).await;
+    stored
+        .inspect_err(|report| log::debug!("event=quarantine_unwritten reason=\"{report}\""))
+        .is_ok()
 }
 
 /// Version and content of a row in this node's copy of the table of suspects.
@@ -161,18 +166,24 @@
     ledger.quarantines(now).map(|quarantine| encode_quarantine(quarantine, now)).collect()
 }
 
-/// Stores the quarantines that are not stored yet, for example because the node that decided on them
-/// has ended while the store was away, and removes those that ended long ago. For one node.
+/// Tries once to store the quarantines that are not stored yet, for example because the node that
+/// decided on them has ended while the store was away, and to remove those that ended long ago. For
+/// one node, at intervals.
 pub(crate) fn maintain_stored_quarantines(state: &Rc<GatewayState>) {
     let lasting: Vec<_> =
         state.crash_ledger.borrow().quarantines(Instant::now()).cloned().collect();
     let unstored =
         lasting.into_iter().filter(|one| stored_row(state, &one.suspect.to_string()).is_none());
-    for quarantine in unstored {
-        compio::runtime::spawn(store_quarantine(state.clone(), quarantine)).detach();
-    }
+    let unstored: Vec<_> = unstored.collect();
     let state = state.clone();
-    compio::runtime::spawn(async move { remove_ended_quarantines(&state).await }).detach();
+    compio::runtime::spawn(async move {
+        // The caller tries again, also while the store is away.
+        for quarantine in unstored {
+            try_store_quarantine(&state, &quarantine).await;
+        }
+        remove_ended_quarantines(&state).await;
+    })
+    .detach();
 }
 
 /// Removes the stored quarantines that ended longer ago than they lasted. Until then a suspect is
@@ -201,7 +212,7 @@
 
 /// Messages about recent crashes, for another node.
 pub(crate) fn encode_crashes(state: &GatewayState, now: Instant) -> Vec<UpstreamCrash> {
-    let age = |at: Instant| now.saturating_duration_since(at).as_millis() as u32;
+    let age = |at: Instant| millis(now.saturating_duration_since(at));
     let encode = |report: CrashReport| UpstreamCrash {
         upstream: report.upstream.to_string(),
         age_ms: age(report.at),
--- a/crates/eelgrassdeal_gateway/src/peers/message.rs
+++ b/crates/eelgrassdeal_gateway/src/peers/message.rs
@@ -186,7 +186,7 @@
     SharedTable::ALL.get(number as usize).copied()
 }
 
-fn millis(duration: Duration) -> u32 {
+pub(crate) fn millis(duration: Duration) -> u32 {
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
 
--- a/crates/eelgrassdeal_gateway/src/peers/mod.rs
+++ b/crates/eelgrassdeal_gateway/src/peers/mod.rs
@@ -26,7 +26,7 @@
 use rand::seq::IndexedRandom;
 
 use crate::state::GatewayState;
-pub(crate) use message::advance_own_heartbeat;
+pub(crate) use message::{advance_own_heartbeat, millis};
 pub(crate) use relay::relay_order;
 pub(crate) use serve::PeerHandler;
 
--- a/crates/eelgrassdeal_gateway/tests/crashing_prompts.rs
+++ b/crates/eelgrassdeal_gateway/tests/crashing_prompts.rs
@@ -191,3 +191,32 @@
         "{later} runs with the part later than {CONTACT_TIMEOUT:?} after {CRASHES_TO_KNOW} crashes"
     );
 }
+
+/// The nodes that decided end before they could store what they know.
+#[compio::test]
+async fn quarantine_outlives_an_outage_of_the_store_in_which_the_deciding_nodes_end() {
+    let platform = TestPlatform::new().await;
+    let mut platform = platform.with_fragile_engines(24, DEADLY_PART).await.with_gateways(3).await;
+    platform.wait_serving(12).await;
+    platform.store.faults().set_down(true);
+    send_mixed(&platform, CONTACT_TIMEOUT, "first").await;
+    // This node learns of the quarantine from the others, after they told of the crashes.
+    platform.gateways[2].restart();
+    platform.wait_ready(2).await;
+    platform.gateways[0].kill();
+    platform.gateways[1].kill();
+    assert!(!platform.gateways[2].log().contains("event=quarantined"), "the node decides itself");
+    assert_eq!(platform.store.table_values("suspects").len(), 0);
+    platform.store.faults().set_down(false);
+    platform
+        .wait_until("the quarantine is stored", async || {
+            !platform.store.table_values("suspects").is_empty()
+        })
+        .await;
+    platform.gateways[2].restart();
+    platform.wait_ready(2).await;
+    let parts = [SHARED_PART, DEADLY_PART, "ffff"];
+    let answer = platform.send_prompt(2, "last", &parts).await.expect("a response");
+    assert_eq!(answer.status, 503);
+    assert!(answer.body.starts_with(b"cause_quarantined"), "{:?}", answer.body);
+}
