--- a/crates/eelgrassdeal_node/tests/complete_responses.rs
+++ b/crates/eelgrassdeal_node/tests/complete_responses.rs
@@ -113,6 +113,10 @@
     let other_requests: Vec<_> =
         (0..8).map(|index| chat_request(&format!("lot {index}"), 300)).collect();
     let check_move = async {
+        // A replica that was never faster is no straggler.
+        let have_started =
+            wait_until(Duration::from_secs(10), async || fleet.run_count() >= 9).await;
+        assert!(have_started, "{} of 9 streams have started", fleet.run_count());
         compio::time::sleep(Duration::from_millis(300)).await;
         let members = fleet.busy_group().await;
         // From now on, each token takes 60 times as long.
@@ -136,6 +140,30 @@
     assert_eq!(fleet.resume_mismatches(), 0);
 }
 
+/// Guards against a stream that stays at a straggler because the node has no other stream to compare
+/// its speed with.
+#[compio::test]
+async fn a_single_stream_moves_away_from_a_replica_that_becomes_a_straggler() {
+    let fleet = TestFleet::start_serving(FleetSpec::default()).await;
+    let caller = TestCaller::new(&fleet.node_addresses);
+    let request = chat_request("wear of band 5", 400);
+    let check_move = async {
+        let members = fleet.busy_group().await;
+        compio::time::sleep(Duration::from_millis(300)).await;
+        fleet.engine(&members[0]).slow_down(60);
+        let has_moved =
+            wait_until(Duration::from_secs(20), async || fleet.engine(&members[0]).running() == 0)
+                .await;
+        assert!(has_moved, "the stream is still running at the straggler");
+    };
+    let (outcome, ()) = futures_util::join!(
+        caller.chat_without_retry(fleet.node_addresses[0], &request),
+        check_move
+    );
+    assert_eq!(outcome.text, answer_text(&request), "{outcome:?}");
+    assert_eq!(fleet.resume_mismatches(), 0);
+}
+
 /// Guards against a response that is lost with its node, and against a second resume that sends an
 /// engine only a part of the text delivered so far.
 #[compio::test]
