Resume an interrupted stream whatever time a whole response takes

Ruled out: a wrong estimate (it is right for whole responses); that the retry budget or the deadline ended the streams (the refusal names its estimate, 13 to 52 s).

Change: a request that continues a response is not subject to the estimate; its deadline still ends it.

--- a/crates/eelgrassdeal_node/src/chat/attempt.rs
+++ b/crates/eelgrassdeal_node/src/chat/attempt.rs
@@ -113,7 +113,7 @@
         let mut excluded = self.recently_failed();
         excluded.push(straggler.clone());
         excluded.extend(self.stragglers());
-        let constraints = self.slot_constraints(excluded, true);
+        let constraints = self.slot_constraints(excluded, progress);
         let acquire = HeldSlot::acquire(&self.state, &self.chat_call.call, &constraints);
         let slot = compio::time::timeout(MOVE_SLOT_TIMEOUT, acquire).await.ok()?.ok()?;
         match slot.may_send() && self.try_take_budget(&slot) {
@@ -168,11 +168,8 @@
         let mut without_budget: Vec<ReplicaId> = Vec::new();
         loop {
             self.check_deadline()?;
-            let may_wait_for_replica = self.has_sent || progress.next_offset() > 0;
-            let constraints = self.slot_constraints(
-                [self.excluded(), without_budget.clone()].concat(),
-                may_wait_for_replica,
-            );
+            let excluded = [self.excluded(), without_budget.clone()].concat();
+            let constraints = self.slot_constraints(excluded, progress);
             let acquire = HeldSlot::acquire(&self.state, &self.chat_call.call, &constraints);
             let slot = match constraints.excluded.is_empty() {
                 true => acquire.await,
@@ -216,14 +213,16 @@
     fn slot_constraints(
         &self,
         excluded: Vec<ReplicaId>,
-        may_wait_for_replica: bool,
+        progress: &ResponseProgress,
     ) -> SlotConstraints {
+        let is_resumed = progress.next_offset() > 0;
         SlotConstraints {
             target: ReplicaTarget::Model(self.chat_call.chat.model.clone()),
             kv_tokens: self.chat_call.kv_tokens,
             excluded,
             affinity: Some(self.chat_call.affinity),
-            may_wait_for_replica,
+            may_wait_for_replica: self.has_sent || is_resumed,
+            is_resumed,
         }
     }
 
--- a/crates/eelgrassdeal_node/src/service_call.rs
+++ b/crates/eelgrassdeal_node/src/service_call.rs
@@ -172,6 +172,7 @@
             excluded: excluded.clone(),
             affinity: None,
             may_wait_for_replica: false,
+            is_resumed: false,
         };
         let slot = match HeldSlot::acquire(state, &service_call.call, &constraints).await {
             Ok(slot) if slot.may_send() => slot,
--- a/crates/eelgrassdeal_node/src/slots/held_slot.rs
+++ b/crates/eelgrassdeal_node/src/slots/held_slot.rs
@@ -27,6 +27,8 @@
     /// Whether the request waits for a slot even while no replica is serving. True if it continues
     /// an interrupted response, or is a retry.
     pub(crate) may_wait_for_replica: bool,
+    /// Whether the request continues a response of which the caller has a part.
+    pub(crate) is_resumed: bool,
 }
 
 /// A slot of a replica. Dropping it releases the slot.
@@ -72,6 +74,7 @@
                 target: ModelId::from(constraints.target.name()),
                 kv_tokens: constraints.kv_tokens,
                 deadline: call.deadline,
+                is_resumed: constraints.is_resumed,
                 slots: candidates.iter().map(usable_slots).sum(),
                 excluded: constraints.excluded.clone(),
                 affinity: constraints.affinity,
--- a/crates/eelgrassdeal_node/tests/complete_responses.rs
+++ b/crates/eelgrassdeal_node/tests/complete_responses.rs
@@ -188,6 +188,30 @@
     assert_eq!(fleet.resume_mismatches(), 0);
 }
 
+/// Guards against a stream that is cut because a whole response would take longer than is left until
+/// its deadline, although the rest of this one would not.
+#[compio::test]
+async fn a_stream_interrupted_near_its_end_and_its_deadline_is_resumed() {
+    let fleet = TestFleet::start_serving(FleetSpec::default()).await;
+    let caller = TestCaller::new(&fleet.node_addresses);
+    let address = fleet.node_addresses[0];
+    // The node learns that a whole response takes at least 4 s.
+    let earlier = chat_request("inspection of rink 4", 800);
+    let outcome = caller.chat_without_retry(address, &earlier).await;
+    assert!(outcome.is_complete, "{outcome:?}");
+    let caller = caller.with_declared_timeout(Duration::from_millis(6_500));
+    let request = chat_request("inspection of rink 5", 800);
+    let (outcome, ()) = futures_util::join!(caller.chat_without_retry(address, &request), async {
+        let members = fleet.busy_group().await;
+        // About 3 s are left then, and about 1 s of the response.
+        compio::time::sleep(Duration::from_millis(3_500)).await;
+        fleet.engine(&members[0]).kill();
+    });
+    assert!(outcome.is_complete, "{outcome:?}");
+    assert_eq!(outcome.text, answer_text(&request));
+    assert_eq!(fleet.run_count(), 3, "the stream was not interrupted");
+}
+
 /// Guards against a buffered response that is truncated or mixed with that of another caller.
 #[compio::test]
 async fn buffered_responses_are_complete_when_a_member_is_lost() {
--- a/crates/eelgrassdeal_routing/src/admission.rs
+++ b/crates/eelgrassdeal_routing/src/admission.rs
@@ -27,6 +27,9 @@
     pub kv_tokens: u64,
     /// Time after which the caller no longer needs the answer.
     pub deadline: Instant,
+    /// Whether the caller already has a part of the response, so that the rest takes less time than
+    /// a whole one.
+    pub is_resumed: bool,
     /// Slots of the target that this node may use at present; used to estimate the waiting time.
     pub slots: u32,
     /// Replicas at which the request must not run.
@@ -102,7 +105,7 @@
     /// # Errors
     ///
     /// `deadline_expired` if the deadline has passed, `deadline_unreachable` if the estimated wait
-    /// and service time exceed it, `overloaded` if the queue is full and none of the waiting
+    /// and service time of a request that is not resumed exceed it, `overloaded` if the queue is full and none of the waiting
     /// requests is less urgent than this one. No part of the request was sent to an upstream.
     pub fn push(
         &mut self,
@@ -214,7 +217,10 @@
         if request.deadline <= now {
             return Err(CallError::new(ErrorKind::DeadlineExpired, "the deadline has passed"));
         }
-        let Some(mean) = self.service_times.get(&request.target) else { return Ok(()) };
+        let mean = match self.service_times.get(&request.target) {
+            Some(mean) if !request.is_resumed => mean,
+            _ => return Ok(()),
+        };
         let is_ahead = |waiting: &&WaitingRequest<S>| {
             waiting.request.target == request.target && waiting.request.priority <= request.priority
         };
--- a/crates/eelgrassdeal_routing/tests/admission.rs
+++ b/crates/eelgrassdeal_routing/tests/admission.rs
@@ -21,6 +21,7 @@
         target: "m1".into(),
         kv_tokens: 10,
         deadline: now + Duration::from_secs(60),
+        is_resumed: false,
         slots: 4,
         excluded: Vec::new(),
         affinity: None,
@@ -108,6 +109,24 @@
     assert!(result(&mut second).unwrap().is_ok());
 }
 
+/// Guards against a stream that is cut although the rest of it would take less time than is left.
+#[test]
+fn a_resumed_response_is_not_refused_by_the_time_of_whole_ones() {
+    let now = Instant::now();
+    let mut queue = Queue::new(10);
+    queue.record_service_time(&"m1".into(), Duration::from_secs(4));
+    let resumed = |seconds| QueuedRequest {
+        deadline: now + Duration::from_secs(seconds),
+        is_resumed: true,
+        ..request(now, "a", 1)
+    };
+    let mut receiver = queue.push(now, resumed(1)).expect("a place in the queue");
+    assert_eq!(dispatch(&mut queue, now, 1).len(), 1);
+    assert!(result(&mut receiver).expect("an outcome").is_ok());
+    let expired = queue.push(now, resumed(0)).map(|_| ()).expect_err("the deadline has passed");
+    assert_eq!(expired.kind, ErrorKind::DeadlineExpired);
+}
+
 /// Guards against an unbounded queue, and against refusing a more urgent request in favour of a
 /// less urgent one.
 #[test]
