Keep signal handlers installed until the process ends

Cause: both servers waited for a signal with a listener that, once it had fired, restored the default action. A second SIGTERM or SIGINT during the shutdown, or a SIGHUP that came while the one before was handled, ended the process at once, with the requests in progress.

Ruled out: that the listener of the next round is installed in time for SIGHUPs (a series of 300 ends the process).

Change: handlers of signal-hook, which stay installed; the tasks look at their flags every 20 ms. In the gateway they are installed before the settings are read.

--- a/crates/eelgrassdeal_gateway/src/lib.rs
+++ b/crates/eelgrassdeal_gateway/src/lib.rs
@@ -18,6 +18,8 @@
 mod placing;
 mod plan;
 mod server;
+mod signals;
 mod state;
 
 pub use lifecycle::{GatewayError, run_gateway};
+pub use signals::ProcessSignals;
--- a/crates/eelgrassdeal_gateway/src/lifecycle.rs
+++ b/crates/eelgrassdeal_gateway/src/lifecycle.rs
@@ -20,6 +20,7 @@
 use crate::placing::run_waiting_room;
 use crate::plan::run_planner;
 use crate::server::{RequestHandler, accept_connections};
+use crate::signals::ProcessSignals;
 use crate::state::GatewayState;
 
 /// Time for which a leaving node still accepts requests: callers may have cached its address from
@@ -61,6 +62,7 @@
 pub async fn run_gateway(
     settings: GatewaySettings,
     path: PathBuf,
+    signals: ProcessSignals,
 ) -> Result<(), Report<GatewayError>> {
     install_metrics();
     let state = Rc::new(GatewayState::new(settings));
@@ -89,9 +91,9 @@
     compio::runtime::spawn(run_housekeeping(state.clone())).detach();
     compio::runtime::spawn(state.upstream_pool.clone().sweep()).detach();
     compio::runtime::spawn(state.control_pool.clone().sweep()).detach();
-    compio::runtime::spawn(reload_on_signal(state.clone(), path.clone())).detach();
+    compio::runtime::spawn(reload_on_signal(state.clone(), path.clone(), signals.clone())).detach();
     compio::runtime::spawn(reload_on_change(state.clone(), path)).detach();
-    wait_for_stop_signal().await;
+    signals.wait_for_stop().await;
     shut_down(&state).await;
     Ok(())
 }
@@ -110,15 +112,6 @@
     Ok(())
 }
 
-async fn wait_for_stop_signal() {
-    use compio::signal::unix::signal;
-    const SIGINT: i32 = 2;
-    const SIGTERM: i32 = 15;
-    let terminate = std::pin::pin!(signal(SIGTERM));
-    let interrupt = std::pin::pin!(signal(SIGINT));
-    futures_util::future::select(terminate, interrupt).await;
-}
-
 /// Shuts down gracefully. The node disappears from locator responses at once and accepts requests
 /// for `DRAIN_ACCEPT_PERIOD`. Returns when that period is over and no request is in progress, and
 /// at the latest `KILL_MARGIN` before SIGKILL.
@@ -182,14 +175,9 @@
     }
 }
 
-async fn reload_on_signal(state: Rc<GatewayState>, path: PathBuf) {
-    use compio::signal::unix::signal;
-    const SIGHUP: i32 = 1;
+async fn reload_on_signal(state: Rc<GatewayState>, path: PathBuf, signals: ProcessSignals) {
     loop {
-        if let Err(error) = signal(SIGHUP).await {
-            log::warn!("event=signal_unavailable signal=SIGHUP reason=\"{error}\"");
-            return;
-        }
+        signals.wait_for_reload().await;
         reload(&state, &path);
     }
 }
--- a/crates/eelgrassdeal_gateway/src/main.rs
+++ b/crates/eelgrassdeal_gateway/src/main.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use eelgrassdeal_gateway::run_gateway;
+use eelgrassdeal_gateway::{ProcessSignals, run_gateway};
 use eelgrassdeal_platform::{SETTINGS_VARIABLE, load_settings};
 use gumdrop::Options;
 use log::LevelFilter;
@@ -39,6 +39,13 @@
         eprintln!("--settings is missing\n\n{}", GatewayOptions::usage());
         return ExitCode::from(EXIT_INVALID_SETTINGS);
     };
+    let signals = match ProcessSignals::install() {
+        Ok(signals) => signals,
+        Err(error) => {
+            eprintln!("cannot install signal handlers: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
     let settings = match load_settings(&path) {
         Ok(settings) => settings,
         Err(report) => {
@@ -54,7 +61,7 @@
     if let Err(error) = SimpleLogger::init(options.log_level.unwrap_or(LevelFilter::Info), config) {
         eprintln!("cannot initialize logging: {error}");
     }
-    match run_gateway(settings, path).await {
+    match run_gateway(settings, path, signals).await {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
             // The gateway failed to start; a graceful shutdown logs its `event=stop` itself.
--- a/crates/eelgrassdeal_gateway/tests/common/mod.rs
+++ b/crates/eelgrassdeal_gateway/tests/common/mod.rs
@@ -65,6 +65,21 @@
         self.child.as_ref().expect("the gateway runs").terminate();
     }
 
+    /// Requests a reload of the settings by SIGHUP.
+    pub fn hang_up(&self) {
+        self.child.as_ref().expect("the gateway runs").hang_up();
+    }
+
+    /// Suspends the process until [`Self::unpause`].
+    pub fn pause(&self) {
+        self.child.as_ref().expect("the gateway runs").pause();
+    }
+
+    /// Continues the process after [`Self::pause`].
+    pub fn unpause(&self) {
+        self.child.as_ref().expect("the gateway runs").unpause();
+    }
+
     /// Waits up to `GRACE_PERIOD` for the process to exit. Returns whether it exited with success.
     pub async fn exits_successfully(&mut self) -> bool {
         let child = self.child.as_mut().expect("the gateway was started");
--- /dev/null
+++ b/crates/eelgrassdeal_gateway/tests/signals.rs
@@ -0,0 +1,37 @@
+//! Signals that come in series, or while an earlier one still has its effect.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{API_KEY, TestPlatform, complete_stream};
+
+/// An operator, or the platform, may send SIGTERM again before the node has ended.
+#[compio::test]
+async fn second_sigterm_does_not_interrupt_the_requests_that_the_first_one_leaves() {
+    let mut platform = TestPlatform::new().await.with_engines(4, 50).await.with_gateways(1).await;
+    platform.wait_serving(2).await;
+    let stream = platform.send_request(0, "/stream/x", "last", API_KEY);
+    let stop = async {
+        for _ in 0..4 {
+            compio::time::sleep(Duration::from_millis(250)).await;
+            platform.gateways[0].terminate();
+        }
+    };
+    let (answer, ()) = futures_util::future::join(stream, stop).await;
+    assert_eq!(answer.expect("a complete response").body, complete_stream(50));
+    assert!(platform.gateways[0].exits_successfully().await);
+}
+
+/// Scripts that change settings send SIGHUP once for each change.
+#[compio::test]
+async fn sighups_in_quick_series_do_not_end_the_process() {
+    let platform = TestPlatform::new().await.with_plain_workers(1).await.with_gateways(1).await;
+    for index in 0..300_u64 {
+        platform.gateways[0].hang_up();
+        compio::time::sleep(Duration::from_micros(index * 7)).await;
+    }
+    let answer = platform.send_request(0, "/look/x", "a", API_KEY).await.expect("a response");
+    assert_eq!(answer.status, 200);
+    assert!(platform.gateways[0].log().contains("event=reload"));
+}
--- a/crates/eelgrassdeal_node/src/lifecycle.rs
+++ b/crates/eelgrassdeal_node/src/lifecycle.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use compio::net::TcpListener;
@@ -16,6 +18,7 @@
     TableStore,
 };
 use error_stack::{Report, ResultExt};
+use signal_hook::consts::{SIGINT, SIGTERM};
 
 use crate::admin::install_metrics;
 use crate::fleet_sync::{poll_config, poll_vm_list, probe_replicas, run_planner, write_heartbeats};
@@ -29,6 +32,9 @@
 /// How often the drain checks whether connections are left.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// How often a running node checks whether a signal asked it to stop.
+const SIGNAL_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 /// The node cannot be started.
 #[derive(Debug)]
 pub struct NodeError;
@@ -163,13 +169,16 @@
 ///
 /// If the node cannot be started, as in [`start_node`].
 pub async fn run_node(settings: NodeSettings) -> Result<(), Report<NodeError>> {
-    use compio::signal::unix::signal;
-    const SIGINT: i32 = 2;
-    const SIGTERM: i32 = 15;
+    // The handlers stay installed, so that a second signal does not end the process during the
+    // shutdown.
+    let stop = Arc::new(AtomicBool::new(false));
+    for signal in [SIGTERM, SIGINT] {
+        signal_hook::flag::register(signal, stop.clone()).change_context(NodeError)?;
+    }
     let handle = start_node(settings).await?;
-    let terminate = std::pin::pin!(signal(SIGTERM));
-    let interrupt = std::pin::pin!(signal(SIGINT));
-    futures_util::future::select(terminate, interrupt).await;
+    while !stop.load(Ordering::Relaxed) {
+        compio::time::sleep(SIGNAL_POLL_INTERVAL).await;
+    }
     log::info!("shutting down");
     handle.shut_down().await;
     log::info!("shut down");
--- a/crates/eelgrassdeal_node/tests/processes.rs
+++ b/crates/eelgrassdeal_node/tests/processes.rs
@@ -157,9 +157,12 @@
     let (outcomes, refusal) = futures_util::join!(streams, async {
         compio::time::sleep(Duration::from_millis(500)).await;
         fleet.node_process(0).terminate();
+        compio::time::sleep(Duration::from_millis(300)).await;
+        // A second signal must not end the process at once.
+        fleet.node_process(0).terminate();
         // Longer than the lifetime of locator responses (300 ms) plus the shutdown margin (1 s),
         // after which the node refuses new requests.
-        compio::time::sleep(Duration::from_millis(1800)).await;
+        compio::time::sleep(Duration::from_millis(1500)).await;
         caller.chat_without_retry(address, &chat_request("too late", 1)).await
     });
     for (request, outcome) in requests.iter().zip(&outcomes) {
--- a/crates/eelgrassdeal_testkit/src/process.rs
+++ b/crates/eelgrassdeal_testkit/src/process.rs
@@ -71,6 +71,11 @@
         self.signal(Signal::TERM);
     }
 
+    /// Asks the process with SIGHUP to load its settings again.
+    pub fn hang_up(&self) {
+        self.signal(Signal::HUP);
+    }
+
     /// Restricts the process to one CPU, numbered from 0.
     ///
     /// # Errors
