Survive messages between nodes of any content, and panics

Cause: numbers of messages were added without a bound. Request counts near 2^32 overflowed in the sums of two modules, a version gap near 2^64 in the table; a heartbeat of the node's own name with the largest sequence number ended the task that exchanges messages, for good, and the process went on without it. A request whose handler panicked had no answer. A compressed row could claim up to 4 GiB, for which memory was reserved. (The overflows panic in builds with checks; without, counts and sequence numbers would have been wrong.)

Ruled out: that a panic ends the process (the runtime catches it in the task); Instant below zero (allowed by the platform; it is checked now).

Change: sums saturate; heartbeats without a name or with a sequence number above 2^63 are dropped; rows may have 16 MiB; panics are logged as event=panic and counted; long-lived tasks start again after 0.5 s; a request whose handler panics gets 500, outcome unknown.

The other decoders (rows, settings, heads) and 100,000 inputs each remain.

--- a/crates/eelgrassdeal_dispatch/src/counts.rs
+++ b/crates/eelgrassdeal_dispatch/src/counts.rs
@@ -76,7 +76,8 @@
         self.peers.insert(peer.clone(), PeerCounts { scope, received_at: now, counts });
         self.sums.clear();
         for (upstream, count) in self.peers.values().flat_map(|entry| &entry.counts) {
-            *self.sums.entry(upstream.clone()).or_default() += count;
+            let sum = self.sums.entry(upstream.clone()).or_default();
+            *sum = sum.saturating_add(*count);
         }
         self.oldest = self.peers.values().map(|entry| entry.received_at).min();
     }
@@ -91,8 +92,7 @@
         self.fresh(now)
             .flat_map(|(_, entry)| &entry.counts)
             .filter(|(counted, _)| **counted == *upstream)
-            .map(|(_, count)| count)
-            .sum()
+            .fold(0, |sum, (_, count)| sum.saturating_add(*count))
     }
 
     /// Counts in the messages that `is_included` selects by their sender and scope. An upstream
--- a/crates/eelgrassdeal_dispatch/src/placement.rs
+++ b/crates/eelgrassdeal_dispatch/src/placement.rs
@@ -253,7 +253,8 @@
         let mut counts: HashMap<UpstreamId, u32> =
             own.map(|(upstream, load)| (upstream.clone(), load.own_requests)).collect();
         for (upstream, count) in self.others.collect(is_included, now) {
-            *counts.entry(upstream.clone()).or_default() += count;
+            let sum = counts.entry(upstream.clone()).or_default();
+            *sum = sum.saturating_add(*count);
         }
         counts.into_iter().collect()
     }
@@ -261,7 +262,7 @@
     /// Number of requests in progress of all nodes at an upstream.
     pub fn total_requests(&self, upstream: &str, now: Instant) -> u32 {
         let own = self.loads.get(upstream).map_or(0, |load| load.own_requests);
-        own + self.others.total(upstream, now)
+        own.saturating_add(self.others.total(upstream, now))
     }
 
     /// Selects an upstream at random, weighted by free capacity. The fullest upstreams get the
--- a/crates/eelgrassdeal_dispatch/src/table.rs
+++ b/crates/eelgrassdeal_dispatch/src/table.rs
@@ -232,7 +232,7 @@
 
     fn record_gap(&mut self, gap: VersionGap) {
         let is_known = self.gaps.contains(&gap) || gap.after <= self.compacted_version;
-        if !is_known && gap.after > gap.before + 1 {
+        if !is_known && gap.after > gap.before.saturating_add(1) {
             self.gaps.push_back(gap);
         }
         while self.gaps.len() > MAX_GAPS {
--- a/crates/eelgrassdeal_gateway/src/lib.rs
+++ b/crates/eelgrassdeal_gateway/src/lib.rs
@@ -20,6 +20,8 @@
 mod server;
 mod signals;
 mod state;
+mod tasks;
 
 pub use lifecycle::{GatewayError, run_gateway};
 pub use signals::ProcessSignals;
+pub use tasks::{log_panics, run_restarting};
--- a/crates/eelgrassdeal_gateway/src/lifecycle.rs
+++ b/crates/eelgrassdeal_gateway/src/lifecycle.rs
@@ -22,6 +22,7 @@
 use crate::server::{RequestHandler, accept_connections};
 use crate::signals::ProcessSignals;
 use crate::state::GatewayState;
+use crate::tasks::spawn_restarting;
 
 /// Time for which a leaving node still accepts requests: callers may have cached its address from
 /// the locator.
@@ -82,15 +83,16 @@
         settings.listen
     );
     for table in SharedTable::ALL {
-        compio::runtime::spawn(follow_table(state.clone(), table)).detach();
+        let state = state.clone();
+        spawn_restarting("follow_table", move || follow_table(state.clone(), table));
     }
-    compio::runtime::spawn(register_node(state.clone())).detach();
-    compio::runtime::spawn(exchange_messages(state.clone())).detach();
-    compio::runtime::spawn(run_planner(state.clone())).detach();
-    compio::runtime::spawn(run_waiting_room(state.clone())).detach();
-    compio::runtime::spawn(run_housekeeping(state.clone())).detach();
-    compio::runtime::spawn(state.upstream_pool.clone().sweep()).detach();
-    compio::runtime::spawn(state.control_pool.clone().sweep()).detach();
+    spawn_with_state(&state, "register_node", register_node);
+    spawn_with_state(&state, "exchange_messages", exchange_messages);
+    spawn_with_state(&state, "planner", run_planner);
+    spawn_with_state(&state, "waiting_room", run_waiting_room);
+    spawn_with_state(&state, "housekeeping", run_housekeeping);
+    spawn_with_state(&state, "sweep_upstreams", |state| state.upstream_pool.clone().sweep());
+    spawn_with_state(&state, "sweep_control", |state| state.control_pool.clone().sweep());
     compio::runtime::spawn(reload_on_signal(state.clone(), path.clone(), signals.clone())).detach();
     compio::runtime::spawn(reload_on_change(state.clone(), path)).detach();
     signals.wait_for_stop().await;
@@ -98,6 +100,15 @@
     Ok(())
 }
 
+fn spawn_with_state<F: Future<Output = ()> + 'static>(
+    state: &Rc<GatewayState>,
+    name: &'static str,
+    start: impl Fn(Rc<GatewayState>) -> F + 'static,
+) {
+    let state = state.clone();
+    spawn_restarting(name, move || start(state.clone()));
+}
+
 async fn listen<H: RequestHandler>(
     state: &Rc<GatewayState>,
     address: Option<&Arc<str>>,
--- a/crates/eelgrassdeal_gateway/src/main.rs
+++ b/crates/eelgrassdeal_gateway/src/main.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use eelgrassdeal_gateway::{ProcessSignals, run_gateway};
+use eelgrassdeal_gateway::{ProcessSignals, log_panics, run_gateway};
 use eelgrassdeal_platform::{SETTINGS_VARIABLE, load_settings};
 use gumdrop::Options;
 use log::LevelFilter;
@@ -61,6 +61,7 @@
     if let Err(error) = SimpleLogger::init(options.log_level.unwrap_or(LevelFilter::Info), config) {
         eprintln!("cannot initialize logging: {error}");
     }
+    log_panics();
     match run_gateway(settings, path, signals).await {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
--- a/crates/eelgrassdeal_gateway/src/peers/message.rs
+++ b/crates/eelgrassdeal_gateway/src/peers/message.rs
@@ -25,6 +25,13 @@
 /// are sent in the next message, without waiting for the interval.
 const HEARTBEAT_RELAY_INTERVAL: Duration = Duration::from_millis(1_800);
 
+/// Largest sequence number of a heartbeat. Its node adopts it and continues above it, so that there
+/// must be room.
+const MAX_SEQUENCE: u64 = u64::MAX / 2;
+
+/// Largest size of a row's value after decompression, for which memory is reserved before.
+const MAX_ROW_BYTES: usize = 16 * 1024 * 1024;
+
 /// Minimum size of a row's value that is compressed. An uncompressed configuration with many routes
 /// would occupy the link of a small node for longer than the timeout of an exchange.
 const MIN_COMPRESSED_BYTES: usize = 4 * 1024;
@@ -137,8 +144,8 @@
         .collect();
     {
         let mut directory = state.directory.borrow_mut();
-        for heartbeat in message.beats {
-            directory.merge(decode_heartbeat(heartbeat), now);
+        for heartbeat in message.beats.into_iter().filter_map(decode_heartbeat) {
+            directory.merge(heartbeat, now);
         }
         directory.record_direct_message(&node, now);
         let scope = CountScope::for_message(directory.is_large(), role, directory.role());
@@ -146,7 +153,8 @@
         state.waiting.notify();
     }
     for silent in message.silent {
-        let at = now - Duration::from_millis(u64::from(silent.age_ms));
+        let age = Duration::from_millis(u64::from(silent.age_ms));
+        let Some(at) = now.checked_sub(age) else { continue };
         state.mark_silent(&Arc::from(silent.upstream), at, now);
     }
     apply_answered_parts(state, message.answered, now);
@@ -224,8 +232,8 @@
         let value = match (row.is_removed, row.is_compressed) {
             (true, _) => None,
             (false, false) => Some(row.value),
-            (false, true) => match lz4_flex::decompress_size_prepended(&row.value) {
-                Ok(value) => Some(Bytes::from(value)),
+            (false, true) => match decompress(&row.value) {
+                Ok(value) => Some(value),
                 Err(error) => {
                     // A row cannot be decompressed. Only the changes of this table are ignored; the
                     // rest of the message is used.
@@ -242,6 +250,18 @@
     Some(TableChanges { since, version, rows, gaps: gaps.collect() })
 }
 
+fn decompress(compressed: &[u8]) -> Result<Bytes, String> {
+    let (size, block) =
+        lz4_flex::block::uncompressed_size(compressed).map_err(|error| error.to_string())?;
+    if size > MAX_ROW_BYTES {
+        return Err(format!(
+            "{size} bytes after decompression, at most {MAX_ROW_BYTES} are allowed"
+        ));
+    }
+    let value = lz4_flex::block::decompress(block, size).map_err(|error| error.to_string())?;
+    Ok(Bytes::from(value))
+}
+
 fn encode_heartbeat(heartbeat: &NodeHeartbeat) -> HeartbeatMessage {
     HeartbeatMessage {
         node: heartbeat.node.to_string(),
@@ -261,8 +281,10 @@
     }
 }
 
-fn decode_heartbeat(heartbeat: HeartbeatMessage) -> NodeHeartbeat {
-    NodeHeartbeat {
+/// Returns `None` for a heartbeat that no node sends.
+fn decode_heartbeat(heartbeat: HeartbeatMessage) -> Option<NodeHeartbeat> {
+    let is_sound = !heartbeat.node.is_empty() && heartbeat.beat <= MAX_SEQUENCE;
+    is_sound.then(|| NodeHeartbeat {
         node: Arc::from(heartbeat.node),
         sequence: heartbeat.beat,
         stage: match heartbeat.stage {
@@ -277,5 +299,5 @@
         processor_share: heartbeat.processor_share,
         is_planner: heartbeat.is_planner,
         age: Duration::from_millis(u64::from(heartbeat.age_ms)),
-    }
+    })
 }
--- a/crates/eelgrassdeal_gateway/src/server.rs
+++ b/crates/eelgrassdeal_gateway/src/server.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::io;
+use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,8 +10,9 @@
 use compio::net::{TcpListener, TcpStream};
 use cyper_core::CompioTimer;
 use eelgrassdeal_http::{BoundedSocket, discard_unread};
-use futures_util::StreamExt;
+use eelgrassdeal_types::{CallError, ErrorKind};
 use futures_util::stream::LocalBoxStream;
+use futures_util::{FutureExt, StreamExt};
 use http_body_util::{Either, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
 use hyper::header::{CONTENT_TYPE, HeaderValue};
@@ -84,6 +86,21 @@
     }
 }
 
+/// Answers a request also if its handler panics.
+async fn handle_or_report_panic<H: RequestHandler>(
+    handler: Rc<H>,
+    request: Request<Incoming>,
+) -> Reply {
+    let reply = AssertUnwindSafe(Box::pin(handler.handle(request))).catch_unwind().await;
+    reply.unwrap_or_else(|_| {
+        // An upstream may have run the request.
+        let error = CallError::new(ErrorKind::Internal, "an unexpected error of the node");
+        let response = error.kind.response();
+        let status = StatusCode::from_u16(response.status).unwrap_or(StatusCode::BAD_GATEWAY);
+        full_reply(status, "text/plain", Bytes::from(format!("{error}\n")))
+    })
+}
+
 async fn serve_connection<H: RequestHandler>(stream: TcpStream, handler: Rc<H>) {
     // Without Nagle's algorithm an event of a stream is sent before the previous one is
     // acknowledged.
@@ -92,7 +109,7 @@
     let (header_timeout, max_head_bytes) = handler.head_limits();
     let service = service_fn(move |request| {
         let handler = handler.clone();
-        async move { Ok::<_, Infallible>(Box::pin(handler.handle(request)).await) }
+        async move { Ok::<_, Infallible>(handle_or_report_panic(handler, request).await) }
     });
     let ended = http1::Builder::new()
         .timer(CompioTimer)
--- /dev/null
+++ b/crates/eelgrassdeal_gateway/tests/hostile_messages.rs
@@ -0,0 +1,243 @@
+//! Messages between nodes that no sound node sends: extreme numbers, unknown names, garbage.
+//!
+//! `HOSTILE_MESSAGES=100000 cargo test -p eelgrassdeal_gateway --test hostile_messages` sends more.
+
+mod common;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use common::{API_KEY, ENGINE_SERVICE, MODEL, PLAIN_SERVICE, TestPlatform};
+use eelgrassdeal_http::{ConnectionPool, SendOptions};
+use eelgrassdeal_schema::encode_message;
+use eelgrassdeal_schema::gateway::{
+    AnsweredParts, CrashSuspect, InFlightSuspect, NodeHeartbeat, QuarantineRow, RelayedClose,
+    RelayedLeave, RelayedOrder, RowCopy, SharedPart, SilentUpstream, SyncMessage, TableCopy,
+    TableState, UpstreamCount, UpstreamCrash, VersionGap, crash_suspect, relayed_order,
+};
+use http_body_util::Full;
+use hyper::Request;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+const MESSAGES: u64 = 600;
+const SEED: u64 = 22;
+const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+
+/// Draws the fields of messages.
+struct MessageSource(StdRng);
+
+impl MessageSource {
+    fn flag(&mut self) -> bool {
+        self.0.random()
+    }
+
+    fn large(&mut self) -> u64 {
+        match self.0.random_range(0..6) {
+            0 => 0,
+            1 => u64::MAX - self.0.random_range(0..3),
+            2 => 1_u64 << self.0.random_range(0..64),
+            3 => i64::MAX as u64,
+            _ => self.0.random_range(0..100),
+        }
+    }
+
+    fn small(&mut self) -> u32 {
+        u32::try_from(self.large()).unwrap_or(u32::MAX)
+    }
+
+    fn text(&mut self) -> String {
+        const TEXTS: [&str; 14] = [
+            "",
+            "node-0",
+            "node-1",
+            "i-desk0",
+            "i-engine0",
+            "i-engine1",
+            ENGINE_SERVICE,
+            PLAIN_SERVICE,
+            MODEL,
+            "config",
+            "127.0.0.1:1",
+            "[::1]:99999",
+            "\u{0}\u{ffff}",
+            "lease",
+        ];
+        match self.0.random_range(0..20) {
+            0 => "x".repeat(self.0.random_range(0..70_000)),
+            _ => TEXTS[self.0.random_range(0..TEXTS.len())].to_owned(),
+        }
+    }
+
+    fn bytes(&mut self) -> Bytes {
+        let length = self.0.random_range(0..60);
+        (0..length).map(|_| self.0.random::<u8>()).collect::<Vec<_>>().into()
+    }
+
+    fn list<T>(&mut self, mut item: impl FnMut(&mut Self) -> T) -> Vec<T> {
+        let length = [0, 0, 0, 1, 1, 2, 5][self.0.random_range(0..7)];
+        (0..length).map(|_| item(self)).collect()
+    }
+
+    fn suspect(&mut self) -> CrashSuspect {
+        let cause = match self.0.random_range(0..3) {
+            0 => None,
+            1 => Some(crash_suspect::Cause::Request(self.large())),
+            _ => Some(crash_suspect::Cause::Part(SharedPart {
+                model: self.text(),
+                id: self.large(),
+            })),
+        };
+        CrashSuspect { service: self.text(), cause }
+    }
+
+    fn heartbeat(&mut self) -> NodeHeartbeat {
+        NodeHeartbeat {
+            node: self.text(),
+            beat: self.large(),
+            stage: self.small(),
+            has_store: self.flag(),
+            front: self.text(),
+            peer: self.text(),
+            data_centre: self.text(),
+            processor_share: self.small(),
+            is_planner: self.flag(),
+            age_ms: self.small(),
+        }
+    }
+
+    fn row(&mut self) -> RowCopy {
+        RowCopy {
+            key: self.text(),
+            version: self.large(),
+            value: self.bytes(),
+            is_removed: self.flag(),
+            is_compressed: self.flag(),
+        }
+    }
+
+    fn table(&mut self) -> TableCopy {
+        let since = match self.flag() {
+            true => Some(self.large()),
+            false => None,
+        };
+        TableCopy {
+            table: self.0.random_range(0..8),
+            since,
+            version: self.large(),
+            rows: self.list(Self::row),
+            gaps: self.list(|source| VersionGap { before: source.large(), after: source.large() }),
+        }
+    }
+
+    fn sync_message(&mut self) -> SyncMessage {
+        SyncMessage {
+            node: self.text(),
+            beats: self.list(Self::heartbeat),
+            counts: self
+                .list(|source| UpstreamCount { upstream: source.text(), requests: source.small() }),
+            tables: self.list(|source| TableState {
+                table: source.0.random_range(0..8),
+                version: source.large(),
+                age_ms: source.small(),
+            }),
+            has_traffic: self.flag(),
+            silent: self
+                .list(|source| SilentUpstream { upstream: source.text(), age_ms: source.small() }),
+            is_leaf: self.flag(),
+            changes: self.list(Self::table),
+            crashes: self.list(|source| UpstreamCrash {
+                upstream: source.text(),
+                age_ms: source.small(),
+                suspects: source.list(|source| InFlightSuspect {
+                    suspect: source.flag().then(|| source.suspect()),
+                    specificity: source.small(),
+                    answered_age_ms: source.flag().then(|| source.small()),
+                }),
+            }),
+            quarantines: self.list(|source| QuarantineRow {
+                suspect: source.flag().then(|| source.suspect()),
+                until_unix_ms: source.large(),
+                period_ms: source.large(),
+            }),
+            answered: self.list(|source| AnsweredParts {
+                service: source.text(),
+                model: source.text(),
+                parts: source.list(Self::large),
+            }),
+        }
+    }
+
+    fn relayed_order(&mut self) -> RelayedOrder {
+        RelayedOrder {
+            upstream: self.text(),
+            address: self.text(),
+            group: self.text(),
+            generation: self.large(),
+            fencing: self.large(),
+            kind: match self.0.random_range(0..3) {
+                0 => None,
+                1 => Some(relayed_order::Kind::Close(RelayedClose { is_cut: self.flag() })),
+                _ => Some(relayed_order::Kind::Leave(RelayedLeave {})),
+            },
+        }
+    }
+
+    /// The path and the body of a request.
+    fn request(&mut self) -> (&'static str, Bytes) {
+        let (path, mut body) = match self.0.random_range(0..20) {
+            0 => ("/relay", encode_message(&self.relayed_order()).to_vec()),
+            _ => ("/sync", encode_message(&self.sync_message()).to_vec()),
+        };
+        match self.0.random_range(0..5) {
+            0 if !body.is_empty() => body.truncate(self.0.random_range(0..body.len())),
+            1 if !body.is_empty() => {
+                let index = self.0.random_range(0..body.len());
+                body[index] = self.0.random();
+            }
+            _ => {}
+        }
+        (path, body.into())
+    }
+}
+
+async fn send(
+    pool: &ConnectionPool,
+    peer: &Arc<str>,
+    (path, body): (&'static str, Bytes),
+) -> Option<u16> {
+    let request = Request::post(path).header("host", "node").body(Full::new(body));
+    let request = request.expect("a valid request");
+    let timeout = Duration::from_secs(10);
+    let answer = pool.call(peer, request, SendOptions::default(), timeout, MAX_ANSWER_BYTES).await;
+    answer.ok().map(|answer| answer.status)
+}
+
+/// Guards against a message that ends a process or one of its tasks.
+#[compio::test]
+async fn messages_of_any_content_end_no_process_and_no_task() {
+    let count = std::env::var("HOSTILE_MESSAGES").ok().and_then(|count| count.parse().ok());
+    let platform = TestPlatform::new().await.with_engines(2, 5).await.with_plain_workers(2).await;
+    let platform = platform.with_gateways(2).await;
+    let mut source = MessageSource(StdRng::seed_from_u64(SEED));
+    let (pool, peer) = (ConnectionPool::new(), platform.gateways[0].peer.clone());
+    for number in 0..count.unwrap_or(MESSAGES) {
+        let request = source.request();
+        let status = send(&pool, &peer, request).await;
+        assert!(
+            matches!(status, Some(200 | 400)),
+            "message {number} of seed {SEED} is answered {status:?}"
+        );
+    }
+    // Time for the tasks that use what the messages told.
+    compio::time::sleep(Duration::from_secs(8)).await;
+    for gateway in 0..2 {
+        let log = platform.gateways[gateway].log();
+        let panics: Vec<_> = log.lines().filter(|line| line.contains("panicked")).collect();
+        assert_eq!(panics, Vec::<&str>::new());
+        // The messages may have replaced its tables, so that any response will do.
+        let answer = platform.send_request(gateway, "/look/x", "last", API_KEY).await;
+        assert!(answer.is_ok(), "{answer:?}");
+    }
+}
