--- a/crates/eelgrassdeal_gateway/tests/hostile_messages.rs
+++ b/crates/eelgrassdeal_gateway/tests/hostile_messages.rs
@@ -1,4 +1,5 @@
-//! Messages between nodes that no sound node sends: extreme numbers, unknown names, garbage.
+//! Messages between nodes, headers of callers and rows of the store that no sound sender sends:
+//! extreme numbers, unknown names, garbage.
 //!
 //! `HOSTILE_MESSAGES=100000 cargo test -p eelgrassdeal_gateway --test hostile_messages` sends more.
 
@@ -184,6 +185,32 @@
         }
     }
 
+    /// Replaces one of the numbers in a text.
+    fn with_other_number(&mut self, text: &str) -> String {
+        let is_start = |index: &usize| {
+            let before = text[..*index].chars().next_back();
+            text[*index..].starts_with(|first: char| first.is_ascii_digit())
+                && before.is_some_and(|before| before == ':' || before == ',' || before == '[')
+        };
+        let starts: Vec<_> = (0..text.len())
+            .filter(|index| text.is_char_boundary(*index))
+            .filter(is_start)
+            .collect();
+        if starts.is_empty() {
+            return text.to_owned();
+        }
+        let start = starts[self.0.random_range(0..starts.len())];
+        let length = text[start..].find([',', '}', ']']).unwrap_or(text.len() - start);
+        let number = match self.0.random_range(0..6) {
+            0 => "1e300".to_owned(),
+            1 => "-1".to_owned(),
+            2 => "1e21".to_owned(),
+            3 => "0.0".to_owned(),
+            _ => self.large().to_string(),
+        };
+        format!("{}{number}{}", &text[..start], &text[start + length..])
+    }
+
     /// The path and the body of a request.
     fn request(&mut self) -> (&'static str, Bytes) {
         let (path, mut body) = match self.0.random_range(0..20) {
@@ -214,6 +241,18 @@
     answer.ok().map(|answer| answer.status)
 }
 
+/// Asserts that no task of the gateways has panicked, and that all still answer callers.
+async fn assert_unharmed(platform: &TestPlatform) {
+    for (index, gateway) in platform.gateways.iter().enumerate() {
+        let log = gateway.log();
+        let panics: Vec<_> = log.lines().filter(|line| line.contains("panicked")).collect();
+        assert_eq!(panics, Vec::<&str>::new());
+        // What they were told may leave them without a route, so that any response will do.
+        let answer = platform.send_request(index, "/look/x", "last", API_KEY).await;
+        assert!(answer.is_ok(), "{answer:?}");
+    }
+}
+
 /// Guards against a message that ends a process or one of its tasks.
 #[compio::test]
 async fn messages_of_any_content_end_no_process_and_no_task() {
@@ -232,12 +271,84 @@
     }
     // Time for the tasks that use what the messages told.
     compio::time::sleep(Duration::from_secs(8)).await;
-    for gateway in 0..2 {
-        let log = platform.gateways[gateway].log();
-        let panics: Vec<_> = log.lines().filter(|line| line.contains("panicked")).collect();
-        assert_eq!(panics, Vec::<&str>::new());
-        // The messages may have replaced its tables, so that any response will do.
-        let answer = platform.send_request(gateway, "/look/x", "last", API_KEY).await;
-        assert!(answer.is_ok(), "{answer:?}");
+    assert_unharmed(&platform).await;
+}
+
+/// Guards against a caller that ends a process or gets no answer by what its headers claim.
+#[compio::test]
+async fn headers_of_any_content_are_answered() {
+    const NAMES: [&str; 6] = [
+        "x-eelgrassdeal-deadline-ms",
+        "x-eelgrassdeal-token-count",
+        "x-eelgrassdeal-prompt-prefix",
+        "x-eelgrassdeal-length-hint",
+        "last-event-id",
+        "x-eelgrassdeal-model",
+    ];
+    let platform = TestPlatform::new().await.with_engines(2, 2).await.with_plain_workers(1).await;
+    let platform = platform.with_gateways(1).await;
+    platform.wait_serving(1).await;
+    let mut source = MessageSource(StdRng::seed_from_u64(SEED));
+    let (pool, front) = (ConnectionPool::new(), platform.gateways[0].front.clone());
+    for number in 0..400 {
+        let path = ["/stream/x", "/look/x", "/book/x"][number % 3];
+        let mut request = common::caller_request(path, &format!("h{number}"), API_KEY);
+        for name in NAMES {
+            let value = match source.0.random_range(0..6) {
+                0 => source.large().to_string(),
+                1 => format!("{},{}", source.large(), source.large()),
+                2 => format!("{:x}:{},{:x}:{}", 1, source.large(), 2, source.large()),
+                3 => format!("{}e308,-1", source.large()),
+                4 => "9".repeat(source.0.random_range(1..400)),
+                _ => continue,
+            };
+            request.headers_mut().insert(name, value.parse().expect("a valid header"));
+        }
+        let timeout = Duration::from_secs(12);
+        let options = SendOptions::default();
+        let answer = pool.call(&front, request, options, timeout, MAX_ANSWER_BYTES).await;
+        // A stream may be cut at the deadline that its headers claim.
+        let is_cut = |log: String| {
+            let id = format!("event=cut request_id=h{number} ");
+            log.lines().any(|line| line.contains(&id) && line.contains("the deadline passed"))
+        };
+        assert!(
+            answer.is_ok() || is_cut(platform.gateways[0].log()),
+            "request {number} of seed {SEED}: {answer:?}"
+        );
+    }
+    assert_unharmed(&platform).await;
+}
+
+/// Guards against a row of the store that ends a process or one of its tasks.
+#[compio::test]
+async fn rows_of_any_content_end_no_process_and_no_task() {
+    let platform = TestPlatform::new().await.with_engines(4, 5).await.with_plain_workers(1).await;
+    let platform = platform.with_gateways(2).await;
+    platform.wait_serving(1).await;
+    let valid: Vec<_> = ["servers", "op"]
+        .into_iter()
+        .flat_map(|table| {
+            let values = platform.store.table_values(table);
+            values.into_iter().map(move |(key, value)| (table, key, value))
+        })
+        .collect();
+    let mut source = MessageSource(StdRng::seed_from_u64(SEED));
+    for number in 0..800 {
+        let (table, key, value) = &valid[source.0.random_range(0..valid.len())];
+        let mut text = String::from_utf8_lossy(value).into_owned();
+        for _ in 0..source.0.random_range(1..4) {
+            text = source.with_other_number(&text);
+        }
+        platform.store.put(table, key, text.as_bytes());
+        if number % 4 == 0 {
+            platform.store.put(table, key, value);
+        }
+        compio::time::sleep(Duration::from_millis(10)).await;
+    }
+    for (table, key, value) in &valid {
+        platform.store.put(table, key, value);
     }
+    compio::time::sleep(Duration::from_secs(2)).await;
+    assert_unharmed(&platform).await;
 }
