Wait for signals without polling

Cause: the tasks looked at the flags of signals every 20 ms each.

Change: the handlers write to a socket pair that the runtime waits for.

--- a/crates/eelgrassdeal_gateway/src/lifecycle.rs
+++ b/crates/eelgrassdeal_gateway/src/lifecycle.rs
@@ -20,7 +20,7 @@
 use crate::placing::run_waiting_room;
 use crate::plan::run_planner;
 use crate::server::{RequestHandler, accept_connections};
-use crate::signals::ProcessSignals;
+use crate::signals::{ProcessSignals, SignalListener};
 use crate::state::GatewayState;
 use crate::tasks::spawn_restarting;
 
@@ -93,9 +93,10 @@
     spawn_with_state(&state, "housekeeping", run_housekeeping);
     spawn_with_state(&state, "sweep_upstreams", |state| state.upstream_pool.clone().sweep());
     spawn_with_state(&state, "sweep_control", |state| state.control_pool.clone().sweep());
-    compio::runtime::spawn(reload_on_signal(state.clone(), path.clone(), signals.clone())).detach();
+    let (mut stop, reload) = signals.into_listeners().change_context(GatewayError)?;
+    compio::runtime::spawn(reload_on_signal(state.clone(), path.clone(), reload)).detach();
     compio::runtime::spawn(reload_on_change(state.clone(), path)).detach();
-    signals.wait_for_stop().await;
+    stop.wait().await;
     shut_down(&state).await;
     Ok(())
 }
@@ -186,9 +187,9 @@
     }
 }
 
-async fn reload_on_signal(state: Rc<GatewayState>, path: PathBuf, signals: ProcessSignals) {
+async fn reload_on_signal(state: Rc<GatewayState>, path: PathBuf, mut signals: SignalListener) {
     loop {
-        signals.wait_for_reload().await;
+        signals.wait().await;
         reload(&state, &path);
     }
 }
--- a/crates/eelgrassdeal_gateway/src/signals.rs
+++ b/crates/eelgrassdeal_gateway/src/signals.rs
@@ -4,20 +4,22 @@
 //! one of the same kind has its effect would end the process at once.
 
 use std::io;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::os::unix::net::UnixStream as BlockingStream;
 
+use compio::BufResult;
+use compio::io::AsyncRead;
+use compio::net::UnixStream;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
-use signal_hook::flag;
+use signal_hook::low_level::pipe;
 
-const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Capacity for the bytes of signals that came in series, which count as one.
+const SERIES_BYTES: usize = 1_024;
 
-/// The signals that have come, from when this is created on.
-#[derive(Clone, Debug)]
+/// The signals that come from when this is created on. The handlers write a byte for each.
+#[derive(Debug)]
 pub struct ProcessSignals {
-    stop: Arc<AtomicBool>,
-    reload: Arc<AtomicBool>,
+    stop: BlockingStream,
+    reload: BlockingStream,
 }
 
 impl ProcessSignals {
@@ -25,27 +27,42 @@
     ///
     /// # Errors
     ///
-    /// When the operating system refuses a handler.
+    /// When the operating system refuses a handler or its pipe.
     pub fn install() -> io::Result<Self> {
-        let signals = Self { stop: Arc::default(), reload: Arc::default() };
-        for signal in [SIGTERM, SIGINT] {
-            flag::register(signal, signals.stop.clone())?;
-        }
-        flag::register(SIGHUP, signals.reload.clone())?;
-        Ok(signals)
+        Ok(Self { stop: notify_on(&[SIGTERM, SIGINT])?, reload: notify_on(&[SIGHUP])? })
     }
 
-    /// Waits for the first SIGTERM or SIGINT.
-    pub(crate) async fn wait_for_stop(&self) {
-        while !self.stop.load(Ordering::Relaxed) {
-            compio::time::sleep(POLL_INTERVAL).await;
-        }
+    /// The signals that ask the process to end, and those that ask it to load its settings again.
+    pub(crate) fn into_listeners(self) -> io::Result<(SignalListener, SignalListener)> {
+        Ok((SignalListener::new(self.stop)?, SignalListener::new(self.reload)?))
     }
+}
 
-    /// Waits for SIGHUP. Several that came since the last call count as one.
-    pub(crate) async fn wait_for_reload(&self) {
-        while !self.reload.swap(false, Ordering::Relaxed) {
-            compio::time::sleep(POLL_INTERVAL).await;
+/// Waits for signals of one kind.
+#[derive(Debug)]
+pub(crate) struct SignalListener(UnixStream);
+
+impl SignalListener {
+    fn new(stream: BlockingStream) -> io::Result<Self> {
+        stream.set_nonblocking(true)?;
+        Ok(Self(UnixStream::from_std(stream)?))
+    }
+
+    /// Waits for the next signal. Several that came since the last call count as one.
+    pub(crate) async fn wait(&mut self) {
+        let BufResult(read, _) = self.0.read(Vec::with_capacity(SERIES_BYTES)).await;
+        if let Err(error) = read {
+            log::error!("event=signal_unavailable reason=\"{error}\"");
+            std::future::pending().await
         }
     }
 }
+
+/// The end at which a byte can be read after each of these signals.
+fn notify_on(signals: &[i32]) -> io::Result<BlockingStream> {
+    let (reader, writer) = BlockingStream::pair()?;
+    for signal in signals {
+        pipe::register(*signal, writer.try_clone()?)?;
+    }
+    Ok(reader)
+}
