--- /dev/null
+++ b/crates/eelgrassdeal_gateway/tests/broken_off_responses.rs
@@ -0,0 +1,184 @@
+//! Responses that workers break off at any byte: callers never take a part for the whole.
+
+mod common;
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
+use std::rc::Rc;
+
+use common::scripted_worker::{AnswerEnd, ScriptedAnswer, ScriptedRequest, start_scripted_worker};
+use common::{API_KEY, TestPlatform, complete_stream};
+
+/// Events of a stream.
+const EVENTS: u64 = 3;
+/// Of the positions within a head, one in this number is tried.
+const HEAD_STEP: usize = 9;
+
+/// How a response says where its body ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum BodyFraming {
+    Length,
+    Chunks,
+    /// By the end of the connection.
+    ConnectionEnd,
+}
+
+/// Response of a sound worker.
+fn response(id: &str, framing: BodyFraming, pieces: &[String]) -> Vec<u8> {
+    let length: usize = pieces.iter().map(String::len).sum();
+    let framing_field = match framing {
+        BodyFraming::Length => format!("content-length: {length}\r\n"),
+        BodyFraming::Chunks => "transfer-encoding: chunked\r\n".to_owned(),
+        BodyFraming::ConnectionEnd => String::new(),
+    };
+    let mut response = format!(
+        "HTTP/1.1 200 OK\r\nx-eelgrassdeal-request-id: {id}\r\n\
+         x-eelgrassdeal-response-seal: seal\r\n{framing_field}\r\n"
+    );
+    for piece in pieces {
+        match framing {
+            BodyFraming::Chunks => {
+                response.push_str(&format!("{:x}\r\n{piece}\r\n", piece.len()));
+            }
+            BodyFraming::Length | BodyFraming::ConnectionEnd => response.push_str(piece),
+        }
+    }
+    if framing == BodyFraming::Chunks {
+        response.push_str("0\r\n\r\n");
+    }
+    response.into_bytes()
+}
+
+/// Events of a stream after `last_event`.
+fn events_after(last_event: u64) -> Vec<String> {
+    (last_event + 1..=EVENTS).map(|id| format!("id: {id}\ndata: event {id}\n\n")).collect()
+}
+
+/// Pieces of the body that answers a request.
+fn body_pieces(request: &ScriptedRequest) -> Vec<String> {
+    match request.path.starts_with("/feed/") {
+        true => events_after(request.last_event.unwrap_or(0)),
+        false => vec!["0123456789".to_owned()],
+    }
+}
+
+/// Positions at which a response is cut: all within the body, some within the head.
+fn cut_positions(response: &[u8]) -> Vec<usize> {
+    let head_end = response.windows(4).position(|bytes| bytes == b"\r\n\r\n");
+    let head_end = head_end.expect("a head") + 4;
+    (0..head_end).step_by(HEAD_STEP).chain(head_end - 2..response.len()).collect()
+}
+
+/// Two workers break off the first answer to each request at a given position. Checks that the
+/// caller gets what `is_allowed` accepts, given the position in the body and the answer's body.
+async fn assert_no_part_is_taken_for_the_whole(
+    path: &str,
+    framing: BodyFraming,
+    end: AnswerEnd,
+    is_allowed: impl Fn(&str, &str) -> bool,
+) {
+    let platform = TestPlatform::new().await;
+    let position = Rc::new(Cell::new(0));
+    let broken_off: Rc<RefCell<HashSet<String>>> = Rc::default();
+    for index in 0..2 {
+        let (position, broken_off) = (position.clone(), broken_off.clone());
+        let script = move |request: &ScriptedRequest| {
+            let pieces = body_pieces(request);
+            match broken_off.borrow_mut().insert(request.id.clone()) {
+                true => {
+                    let bytes = response(&request.id, framing, &pieces);
+                    ScriptedAnswer::new(&bytes[..position.get()], end)
+                }
+                false => {
+                    let bytes = response(&request.id, BodyFraming::Length, &pieces);
+                    ScriptedAnswer::new(bytes, AnswerEnd::KeepOpen)
+                }
+            }
+        };
+        start_scripted_worker(&platform.store, &format!("i-desk{index}"), script).await;
+    }
+    let platform = platform.with_gateways(1).await;
+    let sample = ScriptedRequest { path: path.to_owned(), ..ScriptedRequest::default() };
+    let positions = cut_positions(&response("id-000", framing, &body_pieces(&sample)));
+    let mut failures = Vec::new();
+    for (index, at) in positions.into_iter().enumerate() {
+        position.set(at);
+        let id = format!("id-{index:03}");
+        let sent = response(&id, framing, &body_pieces(&sample));
+        let sent = String::from_utf8_lossy(&sent[..at]).into_owned();
+        let sent_body = sent.split_once("\r\n\r\n").map_or("", |(_, body)| body);
+        let answer = platform.send_request(0, path, &id, API_KEY).await;
+        let verdict = match &answer {
+            Ok(answer) if answer.status == 200 => {
+                let body = String::from_utf8_lossy(&answer.body).into_owned();
+                is_allowed(sent_body, &body).then_some(()).ok_or(body)
+            }
+            Ok(answer) => Err(format!("status {}", answer.status)),
+            Err(failure) => Err(format!("{failure:?}")),
+        };
+        if let Err(got) = verdict {
+            failures.push(format!("at byte {at} after {sent_body:?}: got {got:?}"));
+        }
+    }
+    assert_eq!(failures, Vec::<String>::new(), "{framing:?} {end:?}");
+}
+
+/// Whether a caller got a complete stream. A stream without a length may also end after any event.
+fn is_whole_stream(framing: BodyFraming, end: AnswerEnd, sent: &str, got: &str) -> bool {
+    let may_end_here =
+        framing == BodyFraming::ConnectionEnd && end == AnswerEnd::Close && sent.ends_with("\n\n");
+    got == complete_stream(EVENTS) || (may_end_here && got == sent)
+}
+
+async fn assert_streams_are_whole(framing: BodyFraming, end: AnswerEnd) {
+    assert_no_part_is_taken_for_the_whole("/feed/x", framing, end, |sent, got| {
+        is_whole_stream(framing, end, sent, got)
+    })
+    .await;
+}
+
+#[compio::test]
+async fn stream_without_length_that_is_closed_early_is_not_taken_for_whole() {
+    assert_streams_are_whole(BodyFraming::ConnectionEnd, AnswerEnd::Close).await;
+}
+
+#[compio::test]
+async fn stream_without_length_that_is_reset_is_not_taken_for_whole() {
+    assert_streams_are_whole(BodyFraming::ConnectionEnd, AnswerEnd::Reset).await;
+}
+
+#[compio::test]
+async fn stream_in_chunks_that_is_closed_early_is_not_taken_for_whole() {
+    assert_streams_are_whole(BodyFraming::Chunks, AnswerEnd::Close).await;
+}
+
+#[compio::test]
+async fn stream_in_chunks_that_is_reset_is_not_taken_for_whole() {
+    assert_streams_are_whole(BodyFraming::Chunks, AnswerEnd::Reset).await;
+}
+
+/// The end of a response without a length is only told by its connection, so an early close after
+/// the head leaves nothing to tell it by; a reset does.
+async fn assert_responses_are_whole(framing: BodyFraming, end: AnswerEnd) {
+    let may_end_here = framing == BodyFraming::ConnectionEnd && end == AnswerEnd::Close;
+    assert_no_part_is_taken_for_the_whole("/look/x", framing, end, |sent, got| {
+        got == "0123456789" || (may_end_here && got == sent)
+    })
+    .await;
+}
+
+#[compio::test]
+async fn response_without_length_that_is_closed_in_its_head_is_not_taken_for_whole() {
+    assert_responses_are_whole(BodyFraming::ConnectionEnd, AnswerEnd::Close).await;
+}
+
+#[compio::test]
+async fn response_without_length_that_is_reset_is_not_taken_for_whole() {
+    assert_responses_are_whole(BodyFraming::ConnectionEnd, AnswerEnd::Reset).await;
+}
+
+#[compio::test]
+async fn response_with_length_that_is_broken_off_is_not_taken_for_whole() {
+    assert_responses_are_whole(BodyFraming::Length, AnswerEnd::Close).await;
+    assert_responses_are_whole(BodyFraming::Length, AnswerEnd::Reset).await;
+}
--- a/crates/eelgrassdeal_gateway/tests/common/mod.rs
+++ b/crates/eelgrassdeal_gateway/tests/common/mod.rs
@@ -4,6 +4,8 @@
 #![allow(dead_code, reason = "no test file uses all helpers")]
 #![allow(unreachable_pub, reason = "shared by several test files")]
 
+pub mod scripted_worker;
+
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::ffi::OsStr;
@@ -26,8 +28,8 @@
 pub const API_KEY: &str = "key-1";
 pub const MODEL: &str = "model-1";
 pub const ENGINE_SERVICE: &str = "engines";
-/// Service without an engine, to which two routes lead: `/book/` for requests that are not
-/// idempotent, and `/look/` for idempotent requests. Its workers are called `i-desk0`, `i-desk1`
+/// Service without an engine, to which three routes lead: `/book/` for requests that are not
+/// idempotent, `/look/` for idempotent requests, and `/feed/` for streams. Its workers are called `i-desk0`, `i-desk1`
 /// and so on.
 pub const PLAIN_SERVICE: &str = "desk";
 
@@ -223,6 +225,7 @@
                 route("stream", "/stream/", "stream", ENGINE_SERVICE, 2),
                 route("book", "/book/", "non_idempotent", PLAIN_SERVICE, 1),
                 route("look", "/look/", "idempotent", PLAIN_SERVICE, 2),
+                route("feed", "/feed/", "stream", PLAIN_SERVICE, 2),
             ],
             "services": [
                 { "name": ENGINE_SERVICE, "health_path": "/health", "max_conns": 100, "cold_per_s": 30.0,
--- /dev/null
+++ b/crates/eelgrassdeal_gateway/tests/common/scripted_worker.rs
@@ -0,0 +1,126 @@
+//! Worker that answers with any bytes, and ends its connections in any way.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::BufResult;
+use compio::io::{AsyncRead, AsyncWriteExt};
+use compio::net::{TcpListener, TcpStream};
+use eelgrassdeal_standins::MetadataStoreFake;
+use rustix::net::sockopt::set_socket_linger;
+
+use super::PLAIN_SERVICE;
+
+const HEAD_END: &[u8] = b"\r\n\r\n";
+
+/// A request that a scripted worker received.
+#[derive(Clone, Debug, Default)]
+pub struct ScriptedRequest {
+    pub worker: String,
+    /// Id of the request; empty if it has none.
+    pub id: String,
+    pub path: String,
+    /// Id of the last event that the caller received, if the request resumes a stream.
+    pub last_event: Option<u64>,
+    /// Number of earlier requests on the same connection.
+    pub earlier_requests: u32,
+}
+
+/// What follows the bytes of an answer on the connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerEnd {
+    KeepOpen,
+    Close,
+    Reset,
+}
+
+/// Bytes that answer a request.
+#[derive(Clone, Debug)]
+pub struct ScriptedAnswer {
+    pub bytes: Vec<u8>,
+    pub end: AnswerEnd,
+}
+
+impl ScriptedAnswer {
+    pub fn new(bytes: impl Into<Vec<u8>>, end: AnswerEnd) -> Self {
+        Self { bytes: bytes.into(), end }
+    }
+}
+
+type AnswerScript = dyn Fn(&ScriptedRequest) -> ScriptedAnswer;
+
+/// Starts a worker of the plain service that answers as `script` says.
+pub async fn start_scripted_worker(
+    store: &MetadataStoreFake,
+    id: &str,
+    script: impl Fn(&ScriptedRequest) -> ScriptedAnswer + 'static,
+) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("a bound address");
+    let row = serde_json::json!({ "service": PLAIN_SERVICE, "address": address.to_string(),
+        "zone": "zone-a", "version": "1", "slots": 6, "state": "ready", "cold_left_ms": 0,
+        "seq": 1, "born": 1 });
+    store.put("servers", id, row.to_string().as_bytes());
+    let (script, id): (Rc<AnswerScript>, _) = (Rc::new(script), id.to_owned());
+    compio::runtime::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let (script, id) = (script.clone(), id.clone());
+            compio::runtime::spawn(async move { answer_requests(stream, &id, &*script).await })
+                .detach();
+        }
+    })
+    .detach();
+}
+
+async fn answer_requests(mut stream: TcpStream, worker: &str, script: &AnswerScript) {
+    let _ = stream.set_nodelay(true);
+    let mut received = Vec::new();
+    let mut earlier_requests = 0;
+    while let Some(request) = read_request(&mut stream, &mut received).await {
+        let worker = worker.to_owned();
+        let answer = script(&ScriptedRequest { worker, earlier_requests, ..request });
+        earlier_requests += 1;
+        if stream.write_all(answer.bytes).await.0.is_err() {
+            return;
+        }
+        match answer.end {
+            AnswerEnd::KeepOpen => {}
+            AnswerEnd::Close => return,
+            AnswerEnd::Reset => {
+                set_socket_linger(&stream, Some(Duration::ZERO)).expect("an open socket");
+                return;
+            }
+        }
+    }
+}
+
+/// Reads a request with a length; `None` at the end of the connection.
+async fn read_request(stream: &mut TcpStream, received: &mut Vec<u8>) -> Option<ScriptedRequest> {
+    loop {
+        let head_end = received.windows(HEAD_END.len()).position(|bytes| bytes == HEAD_END);
+        if let Some(head_end) = head_end {
+            let head = String::from_utf8_lossy(&received[..head_end]).into_owned();
+            let value = |name: &str| {
+                let mut fields = head.lines().filter_map(|line| line.split_once(": "));
+                fields.find(|(field, _)| field.eq_ignore_ascii_case(name)).map(|(_, value)| value)
+            };
+            let length =
+                value("content-length").map_or(0, |value| value.parse().expect("a number"));
+            let request_end = head_end + HEAD_END.len() + length;
+            if received.len() >= request_end {
+                received.drain(..request_end);
+                return Some(ScriptedRequest {
+                    id: value("x-eelgrassdeal-request-id").unwrap_or_default().to_owned(),
+                    path: head.split(' ').nth(1).unwrap_or_default().to_owned(),
+                    last_event: value("last-event-id").and_then(|value| value.parse().ok()),
+                    ..ScriptedRequest::default()
+                });
+            }
+        }
+        let BufResult(count, buffer) = stream.read(Vec::with_capacity(8 * 1024)).await;
+        match count {
+            Ok(0) | Err(_) => return None,
+            Ok(_) => received.extend_from_slice(&buffer),
+        }
+    }
+}
