Treat a stream without a length that ends before its first event as broken off

Callers saw: 200 with an empty body that is framed as whole, when an upstream closed a stream with neither a length nor chunks right after its head. Cause: the end of the connection counted as the end of the response unless an event was unfinished; a response without any event has nothing unfinished. Change: EventAssembler (dispatch, without network or clock) takes over the assembly of events and decides what the end of a response means: without a length or chunks, an attempt must have given an event. Property test of the assembler.

--- /dev/null
+++ b/crates/eelgrassdeal_dispatch/src/event_stream.rs
@@ -0,0 +1,150 @@
+//! Assembly of a stream's events from the pieces in which they arrive, over all its attempts.
+
+use bytes::{Bytes, BytesMut};
+
+/// Maximum size of an event. A response with more bytes before the next end of an event is not a
+/// valid event stream.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
+const EVENT_END: &[u8] = b"\n\n";
+const ID_FIELD: &[u8] = b"id:";
+const DATA_FIELD: &[u8] = b"data";
+
+/// Why an attempt's bytes are not the continuation of the stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EventFault {
+    /// An event exceeds 256 KiB.
+    TooLarge,
+}
+
+/// What the end of a response means for its stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StreamEnd {
+    /// The stream is complete after these bytes, which may be empty.
+    Complete(Bytes),
+    /// The response was broken off.
+    BrokenOff,
+}
+
+/// Takes complete events from the pieces of a response, and remembers where to resume the stream if
+/// it is interrupted.
+#[derive(Clone, Debug, Default)]
+pub struct EventAssembler {
+    /// Bytes after the last event that was taken.
+    pending: BytesMut,
+    /// Number of bytes of `pending` that contain no end of an event.
+    searched: usize,
+    /// Id of the last event that was taken, or that the caller already had.
+    last_event: Option<u64>,
+    /// Number of events that were taken from the current attempt.
+    attempt_events: u64,
+}
+
+impl EventAssembler {
+    /// Creates an assembler for a stream that goes on after `last_event`.
+    pub fn new(last_event: Option<u64>) -> Self {
+        Self { last_event, ..Self::default() }
+    }
+
+    /// Id of the last event that was taken, or that the caller already had.
+    pub fn last_event(&self) -> Option<u64> {
+        self.last_event
+    }
+
+    /// Discards what the interrupted attempt sent after its last complete event.
+    pub fn begin_attempt(&mut self) {
+        self.pending.clear();
+        self.searched = 0;
+        self.attempt_events = 0;
+    }
+
+    /// Adds a piece of the response.
+    pub fn push(&mut self, piece: &[u8]) {
+        self.pending.extend_from_slice(piece);
+    }
+
+    /// Takes the complete events that have arrived; `None` if the next event is incomplete.
+    ///
+    /// # Errors
+    ///
+    /// [`EventFault`] if the next event must not be forwarded.
+    pub fn take_events(&mut self) -> Result<Option<Bytes>, EventFault> {
+        let mut taken = 0;
+        while let Some(end) = self.find_event_end(taken) {
+            let event = EventFields::parse(&self.pending[taken..end]);
+            self.last_event = event.id.or(self.last_event);
+            self.attempt_events += u64::from(event.has_data || event.id.is_some());
+            taken = end;
+            self.searched = end;
+        }
+        match taken {
+            0 if self.pending.len() > MAX_EVENT_BYTES => Err(EventFault::TooLarge),
+            0 => Ok(None),
+            _ => {
+                self.searched = self.searched.saturating_sub(taken);
+                Ok(Some(self.pending.split_to(taken).freeze()))
+            }
+        }
+    }
+
+    /// Decides whether the stream is complete when a response has ended without an error.
+    ///
+    /// `ends_with_connection` is whether only the end of the connection told the end of the response.
+    /// Such a response without any event proves nothing: its upstream may have ended after the head.
+    pub fn end(&mut self, ends_with_connection: bool) -> StreamEnd {
+        let rest = self.pending.split().freeze();
+        self.searched = 0;
+        let is_empty = self.attempt_events == 0 && !has_fields(&rest);
+        match has_unfinished_event(&rest) || (is_empty && ends_with_connection) {
+            true => StreamEnd::BrokenOff,
+            false => StreamEnd::Complete(rest),
+        }
+    }
+
+    /// Returns the position after the first end of an event in `pending` that lies after `from`.
+    fn find_event_end(&mut self, from: usize) -> Option<usize> {
+        // The end of an event may begin in the bytes that were searched before.
+        let start = self.searched.saturating_sub(EVENT_END.len() - 1).max(from);
+        let mut windows = self.pending[start..].windows(EVENT_END.len());
+        let position = windows.position(|window| window == EVENT_END);
+        if position.is_none() {
+            self.searched = self.pending.len();
+        }
+        position.map(|position| start + position + EVENT_END.len())
+    }
+}
+
+/// What the fields of an event say about its place in the stream.
+#[derive(Clone, Copy, Debug, Default)]
+struct EventFields {
+    /// The id, if there is one that is a number.
+    id: Option<u64>,
+    has_data: bool,
+}
+
+impl EventFields {
+    fn parse(event: &[u8]) -> Self {
+        event.split(|byte| *byte == b'\n').fold(Self::default(), |fields, line| Self {
+            id: event_id(line).or(fields.id),
+            has_data: fields.has_data || line.starts_with(DATA_FIELD),
+        })
+    }
+}
+
+/// Whether bytes contain a field of an event. Comments and empty lines belong to no event.
+fn has_fields(bytes: &[u8]) -> bool {
+    let mut lines = bytes.split(|byte| matches!(byte, b'\n' | b'\r'));
+    lines.any(|line| line.first().is_some_and(|first| *first != b':'))
+}
+
+/// Whether bytes after the last complete event contain a field of another one.
+fn has_unfinished_event(bytes: &[u8]) -> bool {
+    let is_ended = bytes.ends_with(b"\n\r\n") || bytes.ends_with(b"\r\r");
+    !is_ended && has_fields(bytes)
+}
+
+/// Parses the id in a line of an event; `None` if the line is another field or the id is not a
+/// number.
+fn event_id(line: &[u8]) -> Option<u64> {
+    let value = line.strip_prefix(ID_FIELD)?;
+    std::str::from_utf8(value).ok()?.trim().parse().ok()
+}
--- a/crates/eelgrassdeal_dispatch/src/lib.rs
+++ b/crates/eelgrassdeal_dispatch/src/lib.rs
@@ -10,6 +10,7 @@
 //! - Placement: [`LoadTracker`] selects the upstream that runs a request.
 //! - Waiting: [`RequestQueue`] orders and bounds the requests that wait for free capacity.
 //! - Crashes: [`CrashLedger`] finds what the requests that crash upstreams have in common.
+//! - Streams: [`EventAssembler`] tells whole events and a complete stream from what was broken off.
 //! - Fleet-wide limits: [`ColdShare`] and [`RetryShare`] are the shares that one node may use.
 //! - Nodes: [`NodeDirectory`] tracks the other nodes by their heartbeats.
 //! - Store tables: [`TableMirror`] is a local copy that nodes replicate among each other.
@@ -18,6 +19,7 @@
 mod counts;
 mod crash_ledger;
 mod directory;
+mod event_stream;
 mod fleet;
 mod limit;
 mod placement;
@@ -35,6 +37,7 @@
     CrashLedger, CrashReport, CrashSuspect, MAX_QUARANTINE, Quarantine, SuspectReport,
 };
 pub use directory::{NodeCondition, NodeDirectory, NodeHeartbeat, NodeRole, NodeStage};
+pub use event_stream::{EventAssembler, EventFault, StreamEnd};
 pub use fleet::{
     FleetSummary, FleetView, GroupMembership, GroupRecord, GroupState, Replica, UpstreamRecord,
     UpstreamState,
--- /dev/null
+++ b/crates/eelgrassdeal_dispatch/tests/event_stream.rs
@@ -0,0 +1,77 @@
+//! Assembly of events, whatever the pieces in which a stream arrives.
+
+use eelgrassdeal_dispatch::{EventAssembler, EventFault, StreamEnd};
+use proptest::prelude::*;
+
+fn event(id: u64) -> String {
+    format!("id: {id}\ndata: event {id}\n\n")
+}
+
+fn events(ids: impl IntoIterator<Item = u64>) -> String {
+    ids.into_iter().map(event).collect()
+}
+
+/// Takes all events that an assembler has, until it needs more bytes or finds a fault.
+fn take_all(assembler: &mut EventAssembler) -> (String, Option<EventFault>) {
+    let mut taken = String::new();
+    loop {
+        match assembler.take_events() {
+            Ok(Some(bytes)) => taken.push_str(&String::from_utf8_lossy(&bytes)),
+            Ok(None) => return (taken, None),
+            Err(fault) => return (taken, Some(fault)),
+        }
+    }
+}
+
+proptest! {
+    #[test]
+    fn pieces_of_any_size_give_whole_events_once(
+        count in 0_u64..8,
+        sizes in prop::collection::vec(1_usize..40, 1..80),
+        cut in 0_usize..200,
+    ) {
+        let stream = events(1..=count);
+        let sent = &stream[..cut.min(stream.len())];
+        let mut assembler = EventAssembler::new(None);
+        let (mut taken, mut rest) = (String::new(), sent);
+        for size in sizes.iter().cycle() {
+            let (piece, left) = rest.split_at((*size).min(rest.len()));
+            assembler.push(piece.as_bytes());
+            let (events, fault) = take_all(&mut assembler);
+            prop_assert_eq!(fault, None);
+            taken.push_str(&events);
+            rest = left;
+            if rest.is_empty() {
+                break;
+            }
+        }
+        let whole = sent.rfind("\n\n").map_or("", |end| &sent[..end + 2]);
+        prop_assert_eq!(&taken, whole);
+        prop_assert_eq!(assembler.last_event(), (1..=count).rev().find(|id| taken.contains(&event(*id))));
+        let is_cut = taken.len() < sent.len() || sent.is_empty();
+        prop_assert_eq!(assembler.end(true) == StreamEnd::BrokenOff, is_cut);
+    }
+}
+
+#[test]
+fn stream_without_length_and_events_is_broken_off() {
+    for sent in ["", "\n", ": hello\n", ": hello\n\n"] {
+        let mut assembler = EventAssembler::new(None);
+        assembler.push(sent.as_bytes());
+        take_all(&mut assembler);
+        assert_eq!(assembler.end(true), StreamEnd::BrokenOff, "{sent:?}");
+    }
+    let mut assembler = EventAssembler::new(Some(3));
+    assembler.begin_attempt();
+    assert!(matches!(assembler.end(false), StreamEnd::Complete(_)), "nothing is left to send");
+}
+
+#[test]
+fn event_without_end_is_a_fault() {
+    let mut assembler = EventAssembler::new(None);
+    let fault = (0..20_000).find_map(|_| {
+        assembler.push(b"data: 0123456789abcdef\n");
+        take_all(&mut assembler).1
+    });
+    assert_eq!(fault, Some(EventFault::TooLarge));
+}
--- a/crates/eelgrassdeal_gateway/src/front/stream.rs
+++ b/crates/eelgrassdeal_gateway/src/front/stream.rs
@@ -5,8 +5,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
-use eelgrassdeal_dispatch::RouteRule;
+use bytes::Bytes;
+use eelgrassdeal_dispatch::{EventAssembler, EventFault, RouteRule, StreamEnd};
 use eelgrassdeal_platform::UpstreamResponse;
 use futures_util::StreamExt;
 use futures_util::stream::unfold;
@@ -20,9 +20,6 @@
 use crate::server::{Reply, stream_reply};
 use crate::state::{GatewayState, InFlightGuard};
 
-/// Maximum size of an event. A response with more bytes before the next end of an event is not a
-/// valid event stream.
-const MAX_EVENT_BYTES: usize = 256 * 1024;
 /// Callers are assumed to abandon a stream without a new event after this time, after this multiple
 /// of the target latency, or after this multiple of the target gap, whichever is longest.
 const CALLER_PATIENCE: Duration = Duration::from_secs(2);
@@ -31,8 +28,6 @@
 /// Fraction of the callers' patience after which a stream without a complete event is resumed on
 /// another upstream. The rest of it is left for the resumption.
 const STALL_FRACTION: f64 = 0.7;
-const EVENT_END: &[u8] = b"\n\n";
-const EVENT_ID_FIELD: &[u8] = b"id:";
 
 /// Handles a request whose response is a stream of events.
 pub(super) async fn handle(
@@ -74,12 +69,14 @@
 enum StreamFailure {
     /// The connection to the upstream ended before the response did.
     Disconnected,
+    /// The response ended without an error, but inside an event or before the first one.
+    BrokenOff,
     /// The upstream counts as silent.
     Silent,
     /// Bytes arrive, but no event is completed.
     Stalled,
-    /// An event exceeds [`MAX_EVENT_BYTES`].
-    EventTooLarge,
+    /// An event must not be forwarded.
+    InvalidEvent(EventFault),
 }
 
 impl StreamFailure {
@@ -88,9 +85,15 @@
             Self::Disconnected => "response interrupted",
             Self::Silent => "silent",
             Self::Stalled => "no complete event",
-            Self::EventTooLarge => "an event exceeds the size limit",
+            Self::BrokenOff => "response ended inside an event or without any",
+            Self::InvalidEvent(EventFault::TooLarge) => "an event exceeds the size limit",
         }
     }
+
+    /// Whether the upstream closed the connection before the stream was complete.
+    fn is_disconnected(self) -> bool {
+        matches!(self, Self::Disconnected | Self::BrokenOff)
+    }
 }
 
 /// Forwards one event stream to a caller. Dropping it cancels the request on the upstream.
@@ -98,32 +101,24 @@
     runner: AttemptRunner,
     /// The attempt that is being forwarded; `None` while the stream is resumed and after its end.
     attempt: Option<RunningAttempt>,
-    /// Bytes of an event that is not complete.
-    partial: BytesMut,
-    /// Number of bytes of `partial` that contain no end of an event.
-    searched: usize,
+    events: EventAssembler,
     /// When the wait for the next complete event began. Other bytes, such as comments, are no
     /// progress. The time in which the caller reads does not count.
     waiting_since: Instant,
     /// Whether the running attempt is known not to crash its upstream.
     is_acquitted: bool,
-    /// Id of the last event that was forwarded, or that the caller already had.
-    last_event: Option<u64>,
     is_over: bool,
 }
 
 impl StreamRelay {
     fn new(runner: AttemptRunner, attempt: RunningAttempt) -> Self {
-        let last_event = runner.call.caller.last_event;
-        let (attempt, partial) = (Some(attempt), BytesMut::new());
+        let events = EventAssembler::new(runner.call.caller.last_event);
         Self {
             runner,
-            attempt,
-            partial,
-            searched: 0,
+            attempt: Some(attempt),
+            events,
             waiting_since: Instant::now(),
             is_acquitted: false,
-            last_event,
             is_over: false,
         }
     }
@@ -142,41 +137,35 @@
     async fn next(&mut self) -> Option<io::Result<Bytes>> {
         self.waiting_since = Instant::now();
         while !self.is_over {
-            match self.read().await {
-                ReadResult::Bytes(bytes) => {
-                    self.partial.extend_from_slice(&bytes);
-                    if let Some(events) = self.take_events() {
-                        return Some(Ok(events));
-                    }
-                    if self.is_stalled()
-                        && let Err(reason) = self.resume(StreamFailure::Stalled).await
-                    {
-                        return self.fail(&reason);
-                    }
-                    if self.partial.len() > MAX_EVENT_BYTES
-                        && let Err(reason) = self.resume(StreamFailure::EventTooLarge).await
-                    {
-                        return self.fail(&reason);
-                    }
-                }
-                // Without a length, the end of the connection is that of the response.
-                ReadResult::End if has_unfinished_event(&self.partial) => {
-                    if let Err(reason) = self.resume(StreamFailure::Disconnected).await {
-                        return self.fail(&reason);
+            let failure = match self.events.take_events() {
+                Ok(Some(events)) => return Some(Ok(events)),
+                Ok(None) if self.is_stalled() => StreamFailure::Stalled,
+                Ok(None) => match self.read().await {
+                    ReadResult::Bytes(bytes) => {
+                        self.events.push(&bytes);
+                        continue;
                     }
-                }
-                ReadResult::End => return self.finish(),
-                ReadResult::Failed(failure) => {
-                    if let Err(reason) = self.resume(failure).await {
-                        return self.fail(&reason);
-                    }
-                }
-                ReadResult::Deadline => return self.fail("the deadline passed"),
+                    ReadResult::End => match self.events.end(self.ends_with_connection()) {
+                        StreamEnd::Complete(rest) => return self.finish(rest),
+                        StreamEnd::BrokenOff => StreamFailure::BrokenOff,
+                    },
+                    ReadResult::Failed(failure) => failure,
+                    ReadResult::Deadline => return self.fail("the deadline passed"),
+                },
+                Err(fault) => StreamFailure::InvalidEvent(fault),
+            };
+            if let Err(reason) = self.resume(failure).await {
+                return self.fail(&reason);
             }
         }
         None
     }
 
+    /// Whether only the end of the connection tells the end of the running attempt's response.
+    fn ends_with_connection(&self) -> bool {
+        self.attempt.as_ref().is_some_and(|attempt| attempt.response.ends_with_connection())
+    }
+
     /// Time at which the stream is resumed on another upstream unless an event is completed before;
     /// `None` if no further attempt is allowed, so that waiting is all that is left.
     fn stalled_at(&self) -> Option<Instant> {
@@ -220,21 +209,6 @@
         }
     }
 
-    /// Takes the complete events that were read, and stores the id of the last one.
-    fn take_events(&mut self) -> Option<Bytes> {
-        // The end of an event may begin in the bytes that were searched before.
-        let from = self.searched.saturating_sub(EVENT_END.len() - 1);
-        self.searched = self.partial.len();
-        let end = from + find_last(&self.partial[from..], EVENT_END)? + EVENT_END.len();
-        let events = self.partial.split_to(end).freeze();
-        self.searched = 0;
-        let mut ids = events.rsplit(|byte| *byte == b'\n').filter_map(event_id);
-        if let Some(id) = ids.next() {
-            self.last_event = Some(id);
-        }
-        Some(events)
-    }
-
     /// Resumes the stream on another upstream after its last forwarded event.
     ///
     /// # Errors
@@ -242,13 +216,12 @@
     /// The reason why the stream cannot be resumed.
     async fn resume(&mut self, failure: StreamFailure) -> Result<(), String> {
         let reason = failure.reason();
-        self.partial.clear();
-        self.searched = 0;
+        self.events.begin_attempt();
         if let Some(attempt) = self.attempt.take() {
             self.runner.record_failed_attempt(FailedAttempt {
                 upstream: &attempt.load.upstream,
                 response_began: Some(attempt.response_began),
-                is_disconnected: failure == StreamFailure::Disconnected,
+                is_disconnected: failure.is_disconnected(),
                 reason,
             });
         }
@@ -256,7 +229,7 @@
             if !self.runner.may_run_again() {
                 return Err(format!("{reason}; no further attempt is allowed"));
             }
-            let attempt = match self.runner.start(self.last_event).await {
+            let attempt = match self.runner.start(self.events.last_event()).await {
                 Ok(attempt) => attempt,
                 Err(refusal) => return Err(format!("{reason}; resume failed: {}", refusal.kind())),
             };
@@ -266,7 +239,7 @@
                 log::info!(
                     "event=resumed request_id={} upstream={upstream} last_event={:?} reason=\"{reason}\"",
                     self.runner.call.request_id,
-                    self.last_event
+                    self.events.last_event()
                 );
                 self.attempt = Some(attempt);
                 self.is_acquitted = false;
@@ -282,9 +255,8 @@
         }
     }
 
-    /// Ends the stream after the last byte of the response, and returns what follows its last event,
-    /// if anything.
-    fn finish(&mut self) -> Option<io::Result<Bytes>> {
+    /// Ends the stream after `rest`, which follows the last event of the response and may be empty.
+    fn finish(&mut self, rest: Bytes) -> Option<io::Result<Bytes>> {
         self.is_over = true;
         if let Some(attempt) = self.attempt.take() {
             self.runner.state.loads.borrow_mut().record_outcome(
@@ -295,17 +267,17 @@
             let call = &self.runner.call;
             call.record_survival(&self.runner.state);
             log::info!(
-                "event=answered request_id={} route={} upstream={} runs={} last_event={:?} took_ms={}",
+                "event=answered request_id={} route={} upstream={} runs={} last_event={:?} ends_with_connection={} took_ms={}",
                 call.request_id,
                 call.route.name,
                 attempt.load.upstream,
                 self.runner.attempts,
-                self.last_event,
+                self.events.last_event(),
+                attempt.response.ends_with_connection(),
                 call.received.elapsed().as_millis()
             );
             attempt.response.release_connection();
         }
-        let rest = self.partial.split().freeze();
         (!rest.is_empty()).then_some(Ok(rest))
     }
 
@@ -319,7 +291,7 @@
             "event=cut request_id={} route={} last_event={:?} took_ms={} reason=\"{reason}\"",
             call.request_id,
             call.route.name,
-            self.last_event,
+            self.events.last_event(),
             call.received.elapsed().as_millis()
         );
         metrics::counter!("eelgrassdeal_cut_streams_total").increment(1);
@@ -334,23 +306,3 @@
         .max(route.target_event_gap * CALLER_PATIENCE_GAPS);
     patience.mul_f64(STALL_FRACTION)
 }
-
-/// Whether bytes after the last complete event contain a field of another one. Comments and empty
-/// lines belong to no event.
-fn has_unfinished_event(bytes: &[u8]) -> bool {
-    let is_ended = bytes.ends_with(b"\n\r\n") || bytes.ends_with(b"\r\r");
-    let mut lines = bytes.split(|byte| matches!(byte, b'\n' | b'\r'));
-    !is_ended && lines.any(|line| line.first().is_some_and(|first| *first != b':'))
-}
-
-/// Returns the position of the last occurrence of `needle`.
-fn find_last(bytes: &[u8], needle: &[u8]) -> Option<usize> {
-    bytes.windows(needle.len()).rposition(|window| window == needle)
-}
-
-/// Parses the id in a line of an event; `None` if the line is another field or the id is not a
-/// number.
-fn event_id(line: &[u8]) -> Option<u64> {
-    let value = line.strip_prefix(EVENT_ID_FIELD)?;
-    std::str::from_utf8(value).ok()?.trim().parse().ok()
-}
--- a/crates/eelgrassdeal_gateway/tests/broken_off_responses.rs
+++ b/crates/eelgrassdeal_gateway/tests/broken_off_responses.rs
@@ -182,3 +182,51 @@
     assert_responses_are_whole(BodyFraming::Length, AnswerEnd::Close).await;
     assert_responses_are_whole(BodyFraming::Length, AnswerEnd::Reset).await;
 }
+
+/// Sends a stream request to two workers that answer as `script` says, which gets the number of
+/// earlier sends of the request. Returns the body if the answer is framed as whole, and what ran.
+async fn stream_from_script(
+    script: impl Fn(&ScriptedRequest, usize) -> ScriptedAnswer + Clone + 'static,
+) -> (Option<String>, Vec<ScriptedRequest>) {
+    let platform = TestPlatform::new().await;
+    let requests: Rc<RefCell<Vec<ScriptedRequest>>> = Rc::default();
+    for index in 0..2 {
+        let (script, requests) = (script.clone(), requests.clone());
+        let answer = move |request: &ScriptedRequest| {
+            let earlier = requests.borrow().len();
+            requests.borrow_mut().push(request.clone());
+            script(request, earlier)
+        };
+        start_scripted_worker(&platform.store, &format!("i-desk{index}"), answer).await;
+    }
+    let platform = platform.with_gateways(1).await;
+    let answer = platform.send_request(0, "/feed/x", "stream", API_KEY).await;
+    let body = answer.ok().filter(|answer| answer.status == 200);
+    let body = body.map(|answer| String::from_utf8_lossy(&answer.body).into_owned());
+    (body, requests.take())
+}
+
+/// The first bytes of a stream in chunks, with `events` whole events, after which the connection
+/// ends.
+fn broken_off_stream(events: usize) -> ScriptedAnswer {
+    let whole = response("stream", BodyFraming::Chunks, &events_after(0));
+    let text = String::from_utf8(whole).expect("text");
+    let end = text.match_indices("\n\n\r\n").nth(events - 1).expect("an event").0;
+    ScriptedAnswer::new(&text[..end + 4], AnswerEnd::Close)
+}
+
+#[compio::test]
+async fn error_after_a_broken_off_stream_is_not_written_into_it() {
+    for head in ["500 Internal Server Error", "503 Service Unavailable", "200 OK"] {
+        let error = format!(
+            "HTTP/1.1 {head}\r\nx-eelgrassdeal-request-id: stream\r\ncontent-length: 5\r\n\r\nerror"
+        );
+        let (body, requests) = stream_from_script(move |_, earlier| match earlier {
+            0 => broken_off_stream(2),
+            _ => ScriptedAnswer::new(error.clone(), AnswerEnd::Close),
+        })
+        .await;
+        assert_eq!(body, None, "{head}: the stream must not look complete");
+        assert_eq!(requests.len(), 2, "{head}");
+    }
+}
--- a/crates/eelgrassdeal_http/src/pool.rs
+++ b/crates/eelgrassdeal_http/src/pool.rs
@@ -15,7 +15,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{CONNECTION, HeaderMap};
+use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, TRANSFER_ENCODING};
 use hyper::{Request, Response};
 
 use crate::socket::{BoundedSocket, CLIENT_BUFFER_BYTES};
@@ -142,6 +142,14 @@
 }
 
 impl PooledResponse {
+    /// Whether the body has neither a length nor chunks, so that only the end of the connection tells
+    /// its end.
+    pub fn ends_with_connection(&self) -> bool {
+        let headers = self.inner.headers();
+        let is_chunked = has_token(headers, TRANSFER_ENCODING, "chunked");
+        !is_chunked && !headers.contains_key(CONTENT_LENGTH)
+    }
+
     /// Returns the connection to the pool, unless the peer closes it. The body must have been read
     /// completely.
     pub fn release_connection(mut self) {
@@ -388,12 +396,17 @@
 
 /// Whether the peer closes the connection after this response.
 fn is_closing(headers: &HeaderMap) -> bool {
+    has_token(headers, CONNECTION, "close")
+}
+
+/// Whether a header that holds a list of tokens contains `token`.
+fn has_token(headers: &HeaderMap, name: HeaderName, token: &str) -> bool {
     headers
-        .get_all(CONNECTION)
+        .get_all(name)
         .iter()
         .filter_map(|value| value.to_str().ok())
         .flat_map(|value| value.split(','))
-        .any(|token| token.trim().eq_ignore_ascii_case("close"))
+        .any(|listed| listed.trim().eq_ignore_ascii_case(token))
 }
 
 /// Idle timeout from the peer's `Keep-Alive: timeout=N` header, in seconds there.
