Do not forward events whose ids do not increase

Cause: the id of the last event was only stored; nothing compared the next one with it. Change: the events before such an event are forwarded, the attempt ends there, and the stream is resumed or cut. Dropping the repeated events instead would join pieces of two runs. Test: broken_off_responses events_that_a_resumed_stream_repeats_are_not_forwarded failed on the code of (events 1, 2, 1, 2, 3, framed as whole).

--- a/crates/eelgrassdeal_dispatch/src/event_stream.rs
+++ b/crates/eelgrassdeal_dispatch/src/event_stream.rs
@@ -14,6 +14,9 @@
 pub enum EventFault {
     /// An event exceeds 256 KiB.
     TooLarge,
+    /// The id of an event is not greater than the one before: the event comes again, or the attempt
+    /// did not go on after the last event.
+    NotIncreasing,
 }
 
 /// What the end of a response means for its stream.
@@ -62,7 +65,8 @@
         self.pending.extend_from_slice(piece);
     }
 
-    /// Takes the complete events that have arrived; `None` if the next event is incomplete.
+    /// Takes the complete events that have arrived, up to the first one with a fault; `None` if the
+    /// next event is incomplete.
     ///
     /// # Errors
     ///
@@ -71,7 +75,15 @@
         let mut taken = 0;
         while let Some(end) = self.find_event_end(taken) {
             let event = EventFields::parse(&self.pending[taken..end]);
-            self.last_event = event.id.or(self.last_event);
+            match (event.id, self.last_event) {
+                (Some(id), Some(last)) if id <= last && taken == 0 => {
+                    return Err(EventFault::NotIncreasing);
+                }
+                // The events before this one are taken first.
+                (Some(id), Some(last)) if id <= last => break,
+                (Some(id), _) => self.last_event = Some(id),
+                (None, _) => {}
+            }
             self.attempt_events += u64::from(event.has_data || event.id.is_some());
             taken = end;
             self.searched = end;
--- a/crates/eelgrassdeal_dispatch/tests/event_stream.rs
+++ b/crates/eelgrassdeal_dispatch/tests/event_stream.rs
@@ -66,6 +66,27 @@
     assert!(matches!(assembler.end(false), StreamEnd::Complete(_)), "nothing is left to send");
 }
 
+#[test]
+fn repeated_event_is_not_forwarded() {
+    let mut assembler = EventAssembler::new(None);
+    assembler.push(events([1, 2, 2, 3]).as_bytes());
+    assert_eq!(take_all(&mut assembler), (events([1, 2]), Some(EventFault::NotIncreasing)));
+    assert_eq!(assembler.last_event(), Some(2));
+    assembler.begin_attempt();
+    assembler.push(events([3]).as_bytes());
+    assert_eq!(take_all(&mut assembler), (events([3]), None));
+}
+
+#[test]
+fn attempt_that_starts_from_the_beginning_is_not_forwarded() {
+    let mut assembler = EventAssembler::new(None);
+    assembler.push(events([1, 2]).as_bytes());
+    take_all(&mut assembler);
+    assembler.begin_attempt();
+    assembler.push(events([1, 2, 3]).as_bytes());
+    assert_eq!(take_all(&mut assembler), (String::new(), Some(EventFault::NotIncreasing)));
+}
+
 #[test]
 fn event_without_end_is_a_fault() {
     let mut assembler = EventAssembler::new(None);
--- a/crates/eelgrassdeal_gateway/src/front/stream.rs
+++ b/crates/eelgrassdeal_gateway/src/front/stream.rs
@@ -87,6 +87,7 @@
             Self::Stalled => "no complete event",
             Self::BrokenOff => "response ended inside an event or without any",
             Self::InvalidEvent(EventFault::TooLarge) => "an event exceeds the size limit",
+            Self::InvalidEvent(EventFault::NotIncreasing) => "the ids of events do not increase",
         }
     }
 
--- a/crates/eelgrassdeal_gateway/tests/broken_off_responses.rs
+++ b/crates/eelgrassdeal_gateway/tests/broken_off_responses.rs
@@ -230,3 +230,18 @@
         assert_eq!(requests.len(), 2, "{head}");
     }
 }
+
+#[compio::test]
+async fn events_that_a_resumed_stream_repeats_are_not_forwarded() {
+    let (body, requests) = stream_from_script(|_, earlier| match earlier {
+        0 => broken_off_stream(2),
+        // Ignores the id after which the stream should go on.
+        _ => {
+            let whole = response("stream", BodyFraming::Length, &events_after(0));
+            ScriptedAnswer::new(whole, AnswerEnd::Close)
+        }
+    })
+    .await;
+    assert_eq!(requests.last().and_then(|request| request.last_event), Some(2));
+    assert_eq!(body, None, "two events came twice");
+}
