Do not start a stream again after events without an id

Callers saw: the same event twice in a stream that looks whole, when its upstream broke off after an event without an id (ORDER). Cause: the resumption goes on after the last id, and without one it starts from the beginning, although events were forwarded. Change: a stream whose last event has data and no id is cut when it is interrupted. Comments don't count. Test: broken_off_responses stream_of_events_without_ids_is_not_started_again failed on the code of ('one' came twice).

--- a/crates/eelgrassdeal_dispatch/src/event_stream.rs
+++ b/crates/eelgrassdeal_dispatch/src/event_stream.rs
@@ -38,6 +38,8 @@
     searched: usize,
     /// Id of the last event that was taken, or that the caller already had.
     last_event: Option<u64>,
+    /// Whether an event with data and without an id was taken after `last_event`.
+    has_unnumbered: bool,
     /// Number of events that were taken from the current attempt.
     attempt_events: u64,
 }
@@ -53,6 +55,12 @@
         self.last_event
     }
 
+    /// Whether another attempt can go on where this one stopped: the events that were taken are told
+    /// by the id of the last one.
+    pub fn is_resumable(&self) -> bool {
+        !self.has_unnumbered
+    }
+
     /// Discards what the interrupted attempt sent after its last complete event.
     pub fn begin_attempt(&mut self) {
         self.pending.clear();
@@ -81,8 +89,11 @@
                 }
                 // The events before this one are taken first.
                 (Some(id), Some(last)) if id <= last => break,
-                (Some(id), _) => self.last_event = Some(id),
-                (None, _) => {}
+                (Some(id), _) => {
+                    self.last_event = Some(id);
+                    self.has_unnumbered = false;
+                }
+                (None, _) => self.has_unnumbered |= event.has_data,
             }
             self.attempt_events += u64::from(event.has_data || event.id.is_some());
             taken = end;
--- a/crates/eelgrassdeal_dispatch/tests/event_stream.rs
+++ b/crates/eelgrassdeal_dispatch/tests/event_stream.rs
@@ -87,6 +87,20 @@
     assert_eq!(take_all(&mut assembler), (String::new(), Some(EventFault::NotIncreasing)));
 }
 
+#[test]
+fn stream_is_not_resumed_after_an_event_without_id() {
+    let mut assembler = EventAssembler::new(None);
+    assembler.push(b": a comment\n\n");
+    take_all(&mut assembler);
+    assert!(assembler.is_resumable(), "a comment is not part of the stream");
+    assembler.push(b"data: a\n\n");
+    take_all(&mut assembler);
+    assert!(!assembler.is_resumable());
+    assembler.push(event(7).as_bytes());
+    take_all(&mut assembler);
+    assert!(assembler.is_resumable(), "the id of the last event tells where to go on");
+}
+
 #[test]
 fn event_without_end_is_a_fault() {
     let mut assembler = EventAssembler::new(None);
--- a/crates/eelgrassdeal_gateway/src/front/stream.rs
+++ b/crates/eelgrassdeal_gateway/src/front/stream.rs
@@ -226,6 +226,9 @@
                 reason,
             });
         }
+        if !self.events.is_resumable() {
+            return Err(format!("{reason}; the last event has no id to resume after"));
+        }
         loop {
             if !self.runner.may_run_again() {
                 return Err(format!("{reason}; no further attempt is allowed"));
--- a/crates/eelgrassdeal_gateway/tests/broken_off_responses.rs
+++ b/crates/eelgrassdeal_gateway/tests/broken_off_responses.rs
@@ -245,3 +245,22 @@
     assert_eq!(requests.last().and_then(|request| request.last_event), Some(2));
     assert_eq!(body, None, "two events came twice");
 }
+
+#[compio::test]
+async fn stream_of_events_without_ids_is_not_started_again() {
+    let (body, requests) = stream_from_script(|_, earlier| match earlier {
+        0 => {
+            let pieces = ["data: one\n\n".to_owned(), "data: two\n\n".to_owned()];
+            let whole = response("stream", BodyFraming::Chunks, &pieces);
+            let cut = whole.len() - 10;
+            ScriptedAnswer::new(&whole[..cut], AnswerEnd::Close)
+        }
+        _ => {
+            let pieces = ["data: one\n\n".to_owned()];
+            ScriptedAnswer::new(response("stream", BodyFraming::Length, &pieces), AnswerEnd::Close)
+        }
+    })
+    .await;
+    assert_eq!(body, None, "an event would come twice");
+    assert_eq!(requests.len(), 1);
+}
