Send orders and probes on new connections

Could happen: the planner takes the copy of an earlier answer on a kept connection for the answer to its next order (a close that counts as accepted and was not), or a copy of status 421 for the loss of an upstream that runs. From the users' report of refusals that a faulty worker wrote once more. Cause: orders and probes have no id that would tell their answers apart, and reused connections. Change: they don't reuse connections, as requests without an id don't; a maximum idle time of zero now also excludes a connection that was released at the same instant. Test: platform orders, both tests failed before (Accepted instead of Conflict; Lost instead of Alive).

--- a/crates/eelgrassdeal_http/src/pool.rs
+++ b/crates/eelgrassdeal_http/src/pool.rs
@@ -63,7 +63,7 @@
 pub struct SendOptions {
     /// Timeout for opening a new connection.
     pub connect_timeout: Duration,
-    /// Greatest time for which a reused connection may have been idle.
+    /// A connection that has been idle for this long is not reused; with zero, none is.
     pub max_idle: Duration,
     /// Maximum number of connections to the peer that may be open at the same time.
     pub max_connections: usize,
@@ -80,7 +80,7 @@
 }
 
 impl SendOptions {
-    /// Sets the greatest time for which a reused connection may have been idle.
+    /// Sets the idle time from which on a connection is not reused.
     pub fn with_max_idle(mut self, max_idle: Duration) -> Self {
         self.max_idle = max_idle;
         self
@@ -286,7 +286,7 @@
         let peer = peers.get_mut(address)?;
         peer.idle.retain(|pooled| now < pooled.expires && !pooled.sender.is_closed());
         let is_usable = |pooled: &PooledConnection| {
-            pooled.sender.is_ready() && now.duration_since(pooled.idle_since) <= max_idle
+            pooled.sender.is_ready() && now.duration_since(pooled.idle_since) < max_idle
         };
         let position = peer.idle.iter().rposition(is_usable)?;
         Some(peer.idle.remove(position).sender)
