Reset the connection of an HTTP/1.0 caller whose stream is cut

Change: such a connection ends with a reset when its response fails. Tests: broken_off_responses stream_that_is_cut_does_not_look_complete_to_an_http_1_0_caller failed before (a plain end).

--- a/crates/eelgrassdeal_gateway/src/server.rs
+++ b/crates/eelgrassdeal_gateway/src/server.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 server for all listen addresses of the gateway.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::io;
 use std::panic::AssertUnwindSafe;
@@ -9,7 +10,7 @@
 use bytes::Bytes;
 use compio::net::{TcpListener, TcpStream};
 use cyper_core::CompioTimer;
-use eelgrassdeal_http::{BoundedSocket, discard_unread};
+use eelgrassdeal_http::{BoundedSocket, discard_unread, reset_connection};
 use eelgrassdeal_types::{CallError, ErrorKind};
 use futures_util::stream::LocalBoxStream;
 use futures_util::{FutureExt, StreamExt};
@@ -18,7 +19,7 @@
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode, Version};
 
 use crate::state::{CountGuard, GatewayState};
 
@@ -107,8 +108,11 @@
     let _ = stream.set_nodelay(true);
     let raw_stream = stream.clone();
     let (header_timeout, max_head_bytes) = handler.head_limits();
-    let service = service_fn(move |request| {
+    let has_chunks = Rc::new(Cell::new(true));
+    let version_seen = has_chunks.clone();
+    let service = service_fn(move |request: Request<Incoming>| {
         let handler = handler.clone();
+        version_seen.set(request.version() >= Version::HTTP_11);
         async move { Ok::<_, Infallible>(handle_or_report_panic(handler, request).await) }
     });
     let ended = http1::Builder::new()
@@ -121,6 +125,12 @@
         // Closing the socket with unread bytes would reset the connection, and the caller could
         // lose the last response.
         Ok(()) => discard_unread(raw_stream).await,
-        Err(error) => log::debug!("event=connection_ended reason=\"{error}\""),
+        Err(error) => {
+            log::debug!("event=connection_ended reason=\"{error}\"");
+            // Without chunks, a plain close would make a response that was cut look complete.
+            if !has_chunks.get() {
+                reset_connection(raw_stream);
+            }
+        }
     }
 }
--- a/crates/eelgrassdeal_gateway/tests/broken_off_responses.rs
+++ b/crates/eelgrassdeal_gateway/tests/broken_off_responses.rs
@@ -7,7 +7,10 @@
 use std::rc::Rc;
 
 use common::scripted_worker::{AnswerEnd, ScriptedAnswer, ScriptedRequest, start_scripted_worker};
-use common::{API_KEY, TestPlatform, complete_stream};
+use common::{API_KEY, HOST, TestPlatform, complete_stream};
+use compio::BufResult;
+use compio::io::{AsyncRead, AsyncWriteExt};
+use compio::net::TcpStream;
 
 /// Events of a stream.
 const EVENTS: u64 = 3;
@@ -264,3 +267,69 @@
     assert_eq!(body, None, "an event would come twice");
     assert_eq!(requests.len(), 1);
 }
+
+#[compio::test]
+async fn booking_whose_response_is_broken_off_is_neither_refused_nor_sent_again() {
+    for framing in [BodyFraming::Length, BodyFraming::Chunks] {
+        for end in [AnswerEnd::Close, AnswerEnd::Reset] {
+            let platform = TestPlatform::new().await;
+            let (position, run_count) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(0)));
+            for index in 0..2 {
+                let (position, run_count) = (position.clone(), run_count.clone());
+                let script = move |request: &ScriptedRequest| {
+                    run_count.set(run_count.get() + 1);
+                    let bytes = response(&request.id, framing, &body_pieces(request));
+                    ScriptedAnswer::new(&bytes[..position.get()], end)
+                };
+                start_scripted_worker(&platform.store, &format!("i-desk{index}"), script).await;
+            }
+            let platform = platform.with_gateways(1).await;
+            let sample = ScriptedRequest { path: "/book/x".to_owned(), ..Default::default() };
+            let positions = cut_positions(&response("id-000", framing, &body_pieces(&sample)));
+            for (index, at) in positions.into_iter().enumerate() {
+                position.set(at);
+                run_count.set(0);
+                let id = format!("id-{index:03}");
+                let answer = platform.send_request(0, "/book/x", &id, API_KEY).await;
+                let status = answer.expect("a response").status;
+                let label = format!("{framing:?} {end:?} at byte {at}");
+                assert!(matches!(status, 502 | 504), "{label}: status {status}");
+                assert_eq!(run_count.get(), 1, "{label}");
+            }
+        }
+    }
+}
+
+/// A caller that speaks HTTP/1.0 gets no chunks, so only a reset tells it that a stream was cut.
+#[compio::test]
+async fn stream_that_is_cut_does_not_look_complete_to_an_http_1_0_caller() {
+    let platform = TestPlatform::new().await;
+    for index in 0..2 {
+        let script = |request: &ScriptedRequest| {
+            let whole = response(&request.id, BodyFraming::Length, &body_pieces(request));
+            ScriptedAnswer::new(&whole[..whole.len() - 5], AnswerEnd::Close)
+        };
+        start_scripted_worker(&platform.store, &format!("i-desk{index}"), script).await;
+    }
+    let platform = platform.with_gateways(1).await;
+    let front: std::net::SocketAddr = platform.gateways[0].front.parse().expect("an address");
+    let mut caller = TcpStream::connect(front).await.expect("the gateway listens");
+    let head = format!(
+        "POST /feed/x HTTP/1.0\r\nhost: {HOST}\r\nauthorization: Bearer {API_KEY}\r\n\
+         x-eelgrassdeal-request-id: old\r\nx-eelgrassdeal-deadline-ms: 8000\r\n\
+         content-length: 0\r\n\r\n"
+    );
+    caller.write_all(head).await.0.expect("the request is sent");
+    let mut received = Vec::new();
+    let ended = loop {
+        let BufResult(read, buffer) = caller.read(Vec::with_capacity(64 * 1024)).await;
+        match read {
+            Ok(0) => break Ok(()),
+            Ok(_) => received.extend_from_slice(&buffer),
+            Err(error) => break Err(error.kind()),
+        }
+    };
+    let text = String::from_utf8_lossy(&received);
+    assert!(text.contains("data: event 2"), "the stream began: {text}");
+    assert_eq!(ended, Err(std::io::ErrorKind::ConnectionReset), "after {text}");
+}
--- a/crates/eelgrassdeal_http/src/discard.rs
+++ b/crates/eelgrassdeal_http/src/discard.rs
@@ -1,9 +1,10 @@
-//! Lingering close of a connection whose caller may still send data.
+//! Ways to close a connection to a caller: after what it still sends, or with a reset.
 
 use std::time::Duration;
 
 use compio::io::AsyncRead;
 use compio::net::TcpStream;
+use rustix::net::sockopt::set_socket_linger;
 
 /// Longest time for which data is read from a caller after the last response to it.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
@@ -32,3 +33,11 @@
     };
     let _ = compio::time::timeout(DISCARD_TIMEOUT, discard).await;
 }
+
+/// Closes a connection with a reset, which tells its other side that a response without a length or
+/// chunks is incomplete. Data that was not sent yet is lost.
+pub fn reset_connection(stream: TcpStream) {
+    if let Err(error) = set_socket_linger(&stream, Some(Duration::ZERO)) {
+        log::debug!("a connection is closed without a reset: {error}");
+    }
+}
--- a/crates/eelgrassdeal_http/src/lib.rs
+++ b/crates/eelgrassdeal_http/src/lib.rs
@@ -1,7 +1,8 @@
 //! HTTP/1.1 on compio: sockets with bounded buffers and pooled connections to other processes.
 //!
 //! - [`BoundedSocket`] adapts a compio TCP or TLS stream to hyper.
-//! - [`discard_unread`] closes a server connection so that the caller receives the last response.
+//! - [`discard_unread`] closes a server connection so that the caller receives the last response,
+//!   and [`reset_connection`] so that it can tell that the last response is incomplete.
 //! - [`ConnectionPool`] sends requests on connections that are reused only after a response was
 //!   read completely.
 
@@ -9,6 +10,6 @@
 mod pool;
 mod socket;
 
-pub use discard::discard_unread;
+pub use discard::{discard_unread, reset_connection};
 pub use pool::{BufferedResponse, ConnectionPool, PooledResponse, SendFailure, SendOptions};
 pub use socket::{BoundedSocket, CLIENT_BUFFER_BYTES};
