Treat an encoded response as not the upstream's

Callers could get a body with a content encoding that they had not asked for: the signature counted, whatever was done to the body after it. Test: troubled_workers encoded_response_is_not_forwarded failed before (200).

--- a/crates/eelgrassdeal_gateway/tests/troubled_workers.rs
+++ b/crates/eelgrassdeal_gateway/tests/troubled_workers.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use common::scripted_worker::{AnswerEnd, ScriptedAnswer, ScriptedRequest, start_scripted_worker};
 use common::{API_KEY, PLAIN_SERVICE, TestPlatform, complete_stream};
 use compio::BufResult;
 use compio::io::{AsyncRead, AsyncWriteExt};
@@ -28,6 +29,26 @@
     assert_eq!(platform.runs_for_request("book").len(), 1);
 }
 
+/// The body of such a response is not the one that the worker signed.
+#[compio::test]
+async fn encoded_response_is_not_forwarded() {
+    let platform = TestPlatform::new().await;
+    let script = |request: &ScriptedRequest| {
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nx-eelgrassdeal-request-id: {}\r\ncontent-encoding: gzip\r\n\
+             x-eelgrassdeal-response-seal: seal\r\ncontent-length: 4\r\n\r\ngzip",
+            request.id
+        );
+        ScriptedAnswer::new(head, AnswerEnd::KeepOpen)
+    };
+    start_scripted_worker(&platform.store, "i-encoding", script).await;
+    let platform = platform.with_gateways(1).await;
+    for path in ["/book/x", "/look/x", "/feed/x"] {
+        let answer = platform.send_request(0, path, "encoded", API_KEY).await.expect("a response");
+        assert_eq!(answer.status, 502, "{path}");
+    }
+}
+
 /// Sends a stream to two replicas, of which the one that is used first has a fault, and checks that
 /// it is complete and that no event takes longer than callers wait.
 async fn assert_stream_moves_away(fault: WorkerFault) {
