Heed upstreams that leave or want no requests for a while

A node that was cut off from the store, or read it late, went on sending to an upstream that had told it to stop (DRAIN), and sent to one that wanted nothing (BUDGET). Change: every response to a request, an order and a probe is read for notices. A leaving upstream is shown as draining whatever its record says, so that placement and planner treat it as one whose record does; its connection is not kept; other nodes get hints. A paused one gets no requests and no probes; requests are placed elsewhere, or refused at once with the time until the first return, spread out, if all are paused, those that wait included. A request that may have run waits instead, if it can still start in time. Log lines set_aside and taken_back, gauge eelgrassdeal_upstreams_set_aside by cause. The worker fake plays both.

--- a/crates/eelgrassdeal_gateway/src/front/attempt.rs
+++ b/crates/eelgrassdeal_gateway/src/front/attempt.rs
@@ -5,7 +5,7 @@
 
 use eelgrassdeal_dispatch::UpstreamRecord;
 use eelgrassdeal_http::{PooledResponse, SendFailure, SendOptions};
-use eelgrassdeal_platform::{UpstreamResponse, upstream_headers};
+use eelgrassdeal_platform::{UpstreamNotice, UpstreamResponse, upstream_headers};
 use eelgrassdeal_types::{ErrorKind, UpstreamId};
 use http_body_util::Full;
 use hyper::Request;
@@ -13,7 +13,8 @@
 use super::call::GatewayCall;
 use super::refusal::CallRefusal;
 use crate::crash::{check_for_crash, is_crash_onset};
-use crate::placing::{LoadGuard, Placement, PlacementNeed, place};
+use crate::notice::record_notice;
+use crate::placing::{LoadGuard, Placement, PlacementNeed, RoomForecast, place};
 use crate::state::GatewayState;
 
 /// Maximum number of sends in one call of [`AttemptRunner::start`], including those that upstreams
@@ -311,7 +312,11 @@
             }
             Err(failure) => {
                 let refusal = self.final_refusal(failure.reason);
-                Err(refusal.with_retry_at_least(failure.room_in.unwrap_or_default()))
+                Err(match failure.room {
+                    RoomForecast::Unknown => refusal,
+                    RoomForecast::AtLeast(wait) => refusal.with_retry_at_least(wait),
+                    RoomForecast::After(wait) => refusal.with_retry_instead(wait),
+                })
             }
         }
     }
@@ -351,6 +356,11 @@
         if time_left.is_zero() {
             return Err(self.final_refusal("the deadline passed"));
         }
+        // The upstream may have asked for no requests while this one waited.
+        if !self.state.notices.borrow().may_send(record, now) {
+            self.need.excluded.push(record.upstream.clone());
+            return Ok(None);
+        }
         let Some(request) = self.build_request(record, time_left, last_event) else {
             return Err(self
                 .call
@@ -444,6 +454,7 @@
         response: PooledResponse,
         silence_timeout: Option<Duration>,
     ) -> Result<Option<RunningAttempt>, CallRefusal> {
+        let mut response = response;
         let response_info = UpstreamResponse::from_headers(response.inner.headers());
         let status = response.inner.status();
         // Upstreams echo the id, and a late copy of another response may lack it.
@@ -451,6 +462,11 @@
             return self.handle_failed_attempt(record, false, "response to another request");
         }
         // Status 421: another upstream now responds at the address.
+        if status.as_u16() != 421 {
+            let notice = UpstreamNotice::from_response(status.as_u16(), response.inner.headers());
+            record_notice(&self.state, record, notice, &self.call.request_id);
+            response.set_reusable(!notice.is_leaving);
+        }
         if response_info.is_not_run || status.as_u16() == 421 {
             self.arrivals += 1;
             // `at_fault` is the upstream that caused the failure, if it is not the responding one.
--- a/crates/eelgrassdeal_gateway/src/front/refusal.rs
+++ b/crates/eelgrassdeal_gateway/src/front/refusal.rs
@@ -40,6 +40,12 @@
         self
     }
 
+    /// Replaces the time after which the caller may retry, if it is told one.
+    pub(super) fn with_retry_instead(mut self, retry_after: Duration) -> Self {
+        self.retry_after = self.retry_after.map(|_| retry_after);
+        self
+    }
+
     pub(super) fn kind(&self) -> ErrorKind {
         self.error.kind
     }
--- a/crates/eelgrassdeal_gateway/src/lib.rs
+++ b/crates/eelgrassdeal_gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod locator;
 mod metrics_export;
 mod mirror;
+mod notice;
 mod peers;
 mod placing;
 mod plan;
--- a/crates/eelgrassdeal_gateway/src/lifecycle.rs
+++ b/crates/eelgrassdeal_gateway/src/lifecycle.rs
@@ -16,6 +16,7 @@
 use crate::front::FrontHandler;
 use crate::locator::LocatorHandler;
 use crate::metrics_export::install_metrics;
+use crate::notice::take_back_upstreams;
 use crate::peers::{PeerHandler, exchange_messages, sync_with_partners};
 use crate::placing::run_waiting_room;
 use crate::plan::run_planner;
@@ -161,6 +162,7 @@
     loop {
         state.mirror.borrow_mut().remove_missing(Instant::now());
         decide_quarantines(&state);
+        take_back_upstreams(&state);
         if state.stage.get() == NodeStage::Starting && state.mirror.borrow().is_loaded() {
             state.stage.set(NodeStage::Serving);
             log::info!("event=ready");
--- a/crates/eelgrassdeal_gateway/src/metrics_export.rs
+++ b/crates/eelgrassdeal_gateway/src/metrics_export.rs
@@ -2,6 +2,7 @@
 
 use std::sync::OnceLock;
 
+use eelgrassdeal_dispatch::NoticeCause;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 
 use crate::state::GatewayState;
@@ -27,5 +28,10 @@
     // The number of connections opened since the start, not of those that are open now.
     metrics::gauge!("eelgrassdeal_upstream_connections_opened")
         .set(state.upstream_pool.opened_count() as f64);
+    let now = std::time::Instant::now();
+    for cause in NoticeCause::ALL {
+        metrics::gauge!("eelgrassdeal_upstreams_set_aside", "cause" => cause.name())
+            .set(state.notices.borrow().count(cause, now) as f64);
+    }
     METRICS.get().map(PrometheusHandle::render).unwrap_or_default()
 }
--- a/crates/eelgrassdeal_gateway/src/mirror.rs
+++ b/crates/eelgrassdeal_gateway/src/mirror.rs
@@ -6,7 +6,8 @@
 use std::time::{Duration, Instant};
 
 use eelgrassdeal_dispatch::{
-    FleetView, RowChange, ServiceConfig, SharedTable, TableChanges, TableMirror,
+    FleetView, NoticeTracker, RowChange, ServiceConfig, SharedTable, TableChanges, TableMirror,
+    UpstreamRecord, UpstreamState,
 };
 use eelgrassdeal_platform::{
     CONFIG_KEY, decode_config, decode_group, decode_upstream, evacuated_zone,
@@ -108,6 +109,29 @@
         !changes.is_empty()
     }
 
+    /// Shows the upstreams whose processes leave as draining.
+    pub(crate) fn mark_draining(&mut self, notices: &NoticeTracker) {
+        for upstream in notices.leaving() {
+            let record = self.view.upstreams.get(upstream).filter(|record| {
+                record.state == UpstreamState::Ready && notices.is_leaving(record)
+            });
+            if let Some(record) = record {
+                let state = UpstreamState::Draining;
+                let record = Arc::new(UpstreamRecord { state, ..(**record).clone() });
+                Arc::make_mut(&mut self.view).upstreams.insert(upstream.clone(), record);
+            }
+        }
+    }
+
+    /// Shows an upstream as its row describes it again.
+    pub(crate) fn reload_upstream(&mut self, upstream: &UpstreamId, now: Instant) {
+        let rows = self.tables.get(&SharedTable::Upstreams).into_iter().flat_map(TableMirror::rows);
+        let row = rows.into_iter().find(|(key, ..)| *key == upstream);
+        if let Some(Ok(record)) = row.map(|(key, _, value)| decode_upstream(key, value, now)) {
+            Arc::make_mut(&mut self.view).upstreams.insert(upstream.clone(), Arc::new(record));
+        }
+    }
+
     /// Removes the upstreams whose rows are still missing at the end of their grace period.
     pub(crate) fn remove_missing(&mut self, now: Instant) {
         if !self.missing.values().any(|until| *until <= now) {
--- a/crates/eelgrassdeal_gateway/src/peers/message.rs
+++ b/crates/eelgrassdeal_gateway/src/peers/message.rs
@@ -18,6 +18,7 @@
     adopt_quarantines, apply_answered_parts, apply_crashes, encode_answered_parts, encode_crashes,
     encode_quarantines,
 };
+use crate::notice::{adopt_hints, encode_hints};
 use crate::state::{GatewayState, PeerVersions};
 
 /// Interval at which the heartbeats of other nodes are sent to a peer if there are many nodes
@@ -102,6 +103,7 @@
         crashes: encode_crashes(state, now),
         quarantines: encode_quarantines(state, now),
         answered: encode_answered_parts(state, now),
+        leaving: encode_hints(state, now),
     }
 }
 
@@ -157,6 +159,7 @@
         let Some(at) = now.checked_sub(age) else { continue };
         state.mark_silent(&Arc::from(silent.upstream), at, now);
     }
+    adopt_hints(state, message.leaving, now);
     apply_answered_parts(state, message.answered, now);
     adopt_quarantines(state, message.quarantines, now);
     apply_crashes(state, message.crashes, now);
--- a/crates/eelgrassdeal_gateway/src/peers/relay.rs
+++ b/crates/eelgrassdeal_gateway/src/peers/relay.rs
@@ -18,6 +18,7 @@
 use std::time::Instant;
 
 use super::{RELAY_PATH, RELAY_TIMEOUT, send_to_peer};
+use crate::notice::send_order;
 use crate::state::GatewayState;
 
 /// Outcomes in the order of their numbers in messages. If the nodes' outcomes differ,
@@ -68,7 +69,7 @@
 ) -> RelayedOutcome {
     let fencing = message.fencing;
     let outcome = match decode_order(message) {
-        Some(order) => state.order_client.send_order(&order, fencing).await,
+        Some(order) => send_order(state, &order, fencing).await,
         // This node does not know the kind of order. It sends nothing to the upstream and replies
         // as if it could not reach it.
         None => OrderOutcome::Unreachable,
--- a/crates/eelgrassdeal_gateway/src/placing.rs
+++ b/crates/eelgrassdeal_gateway/src/placing.rs
@@ -10,8 +10,8 @@
 use std::time::{Duration, Instant};
 
 use eelgrassdeal_dispatch::{
-    EngineSpec, FleetView, ModelSpec, PlacementConstraints, PlacementRefusal, PlacementTarget,
-    QueueId, Replica, RequestQueue, WaitingKey, WaitingRequest,
+    EngineSpec, FleetView, ModelSpec, NoticeCause, PlacementConstraints, PlacementRefusal,
+    PlacementTarget, QueueId, Replica, RequestQueue, WaitingKey, WaitingRequest,
 };
 use eelgrassdeal_types::{ClientAccountId, ModelId, ServiceId, UpstreamId};
 use event_listener::Event;
@@ -95,8 +95,17 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct PlacementFailure {
     pub(crate) reason: &'static str,
-    /// Time until room is expected, if the request did not wait because it would have been in vain.
-    pub(crate) room_in: Option<Duration>,
+    pub(crate) room: RoomForecast,
+}
+
+/// When a refused request would find an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RoomForecast {
+    Unknown,
+    /// No earlier than this: the queue is too long.
+    AtLeast(Duration),
+    /// After this time: all upstreams have asked for no requests until then.
+    After(Duration),
 }
 
 impl PlacementNeed {
@@ -145,7 +154,11 @@
 /// A request that waits, and the placement that it was given.
 struct WaitingSeat {
     need: PlacementNeed,
+    start_by: Instant,
     placement: Option<Placement>,
+    /// Why the request need not wait any longer.
+    failure: Option<PlacementFailure>,
+    /// Notified when there is a placement or a failure.
     granted: Rc<Event>,
 }
 
@@ -177,6 +190,10 @@
     fn take_placement(&self) -> Option<Placement> {
         self.room.seats.borrow_mut().get_mut(&self.key)?.placement.take()
     }
+
+    fn failure(&self) -> Option<PlacementFailure> {
+        self.room.seats.borrow().get(&self.key)?.failure
+    }
 }
 
 impl Drop for SeatGuard<'_> {
@@ -206,6 +223,9 @@
     if need.excluded.is_empty() && !need.is_rerun {
         room.queue.borrow_mut().record_arrival(&request, now);
     }
+    if let Some(failure) = paused_failure(state, need, &queue, until, now) {
+        return Err(failure);
+    }
     let must_wait = room.queue.borrow().precedes(&request, now);
     let refusal = match must_wait {
         true => PlacementRefusal::AllFull,
@@ -220,15 +240,21 @@
     };
     if refusal == PlacementRefusal::NoneServing && !is_replica_expected(&state.view(), &queue) {
         let reason = "no upstream is available for the request, and none is being prepared";
-        return Err(PlacementFailure { reason, room_in: None });
+        return Err(PlacementFailure { reason, room: RoomForecast::Unknown });
     }
     let pushed = room.queue.borrow_mut().push(request, now);
     let key = pushed.map_err(|room_in| PlacementFailure {
         reason: "every upstream is at capacity, and the queue is too long",
-        room_in: Some(room_in),
+        room: RoomForecast::AtLeast(room_in),
     })?;
     let granted = Rc::new(Event::new());
-    let seat = WaitingSeat { need: need.clone(), placement: None, granted: granted.clone() };
+    let seat = WaitingSeat {
+        need: need.clone(),
+        start_by: until,
+        placement: None,
+        failure: None,
+        granted: granted.clone(),
+    };
     room.seats.borrow_mut().insert(key, seat);
     let guard = SeatGuard { room, key };
     loop {
@@ -237,13 +263,16 @@
             need.excluded.clear();
             return Ok(placement);
         }
+        if let Some(failure) = guard.failure() {
+            return Err(failure);
+        }
         let left = until.saturating_duration_since(Instant::now());
         if left.is_zero() {
             let reason = match refusal {
                 PlacementRefusal::NoneServing => "no upstream is available for the request",
                 PlacementRefusal::AllFull => "every upstream is at capacity",
             };
-            return Err(PlacementFailure { reason, room_in: None });
+            return Err(PlacementFailure { reason, room: RoomForecast::Unknown });
         }
         // A timeout is handled above.
         let _ = compio::time::timeout(left, grant).await;
@@ -274,7 +303,15 @@
             let seats = state.waiting.seats.borrow();
             let Some(seat) = seats.get(&key) else { continue };
             let (mut need, granted) = (seat.need.clone(), seat.granted.clone());
+            let start_by = seat.start_by;
             drop(seats);
+            if let Some(failure) = paused_failure(state, &need, &queue, start_by, now) {
+                if let Some(seat) = state.waiting.seats.borrow_mut().get_mut(&key) {
+                    seat.failure = Some(failure);
+                }
+                granted.notify(1);
+                continue;
+            }
             let limit = need.max_per_slot(queue.1.is_some(), now);
             if limit <= full_limit {
                 continue;
@@ -325,20 +362,51 @@
             }
             Err(refusal) => return Err(refusal),
         };
-        if state.try_take_cold_share(&target.record, now) {
+        let may_return = state.try_take_return(&target.record, now);
+        if may_return && state.try_take_cold_share(&target.record, now) {
             return Ok(target);
         }
         candidates.retain(|other| other.record.upstream != target.record.upstream);
         if candidates.is_empty() {
-            // All upstreams are cold, and this node may not send to any of them now.
+            // All upstreams are cold or return from a pause, and this node may not send to any of
+            // them now.
             return Err(PlacementRefusal::AllFull);
         }
     }
 }
 
+/// Returns a failure if every upstream that serves a queue has asked for no requests. A request that may
+/// have run waits instead if it can still start by `start_by`, since a refusal would end it for good.
+fn paused_failure(
+    state: &GatewayState,
+    need: &PlacementNeed,
+    queue: &QueueId,
+    start_by: Instant,
+    now: Instant,
+) -> Option<PlacementFailure> {
+    let notices = state.notices.borrow();
+    if notices.count(NoticeCause::Paused, now) == 0 {
+        return None;
+    }
+    let targets = serving_targets(state, queue);
+    let end = notices.pause_end(targets.iter().map(|target| &*target.record), now)?;
+    let reason = "every upstream of the service has asked for no requests for a while";
+    let wait = end.left + end.spread.mul_f64(rand::random());
+    let may_wait = need.is_rerun && now + end.left < start_by;
+    (!may_wait).then_some(PlacementFailure { reason, room: RoomForecast::After(wait) })
+}
+
+/// Returns the upstreams that serve a queue and have not asked for no requests.
+fn candidates(state: &GatewayState, queue: &QueueId) -> Vec<PlacementTarget> {
+    let (notices, now) = (state.notices.borrow(), Instant::now());
+    let mut targets = serving_targets(state, queue);
+    targets.retain(|target| !notices.is_paused(&target.record, now));
+    targets
+}
+
 /// Returns the head VMs that serve the model of a queue, or without a model all upstreams of its
 /// service that accept requests.
-fn candidates(state: &GatewayState, queue: &QueueId) -> Vec<PlacementTarget> {
+fn serving_targets(state: &GatewayState, queue: &QueueId) -> Vec<PlacementTarget> {
     let (service, model) = queue;
     let view = state.view();
     let Some(model) = model else {
--- a/crates/eelgrassdeal_gateway/src/plan.rs
+++ b/crates/eelgrassdeal_gateway/src/plan.rs
@@ -19,6 +19,7 @@
 use eelgrassdeal_types::{FencingNumber, GroupId};
 use event_listener::Event;
 
+use crate::notice::{probe, send_order};
 use crate::peers::relay_order;
 use crate::state::GatewayState;
 
@@ -256,7 +257,7 @@
 
     fn send_order(self: Rc<Self>, order: UpstreamOrder, fencing: FencingNumber) {
         compio::runtime::spawn(async move {
-            let mut outcome = self.state.order_client.send_order(&order, fencing).await;
+            let mut outcome = send_order(&self.state, &order, fencing).await;
             if matches!(outcome, OrderOutcome::Unreachable | OrderOutcome::Unknown)
                 && matches!(order.kind, OrderKind::Close { .. } | OrderKind::Leave)
             {
@@ -285,7 +286,7 @@
             let (runner, answered) = (self.clone(), answered.clone());
             compio::runtime::spawn(async move {
                 let started_at = Instant::now();
-                let mut probe = std::pin::pin!(runner.state.order_client.probe(&target));
+                let mut probe = std::pin::pin!(probe(&runner.state, &target));
                 let first = compio::time::timeout(SHORT_PROBE_TIMEOUT, probe.as_mut()).await;
                 let outcome = match first {
                     Ok(outcome) => outcome,
--- a/crates/eelgrassdeal_gateway/src/state.rs
+++ b/crates/eelgrassdeal_gateway/src/state.rs
@@ -8,8 +8,8 @@
 
 use eelgrassdeal_dispatch::{
     ColdLimit, ColdShare, CrashLedger, FleetView, GatewaySettings, LoadTracker, NodeDirectory,
-    NodeHeartbeat, NodeStage, RetryShare, ServiceConfig, SharedTable, TableChanges, TableTimings,
-    TrafficSummary, UpstreamRecord, UsualTimeout,
+    NodeHeartbeat, NodeStage, NoticeTracker, RetryShare, ServiceConfig, SharedTable, TableChanges,
+    TableTimings, TrafficSummary, UpstreamRecord, UsualTimeout,
 };
 use eelgrassdeal_http::ConnectionPool;
 use eelgrassdeal_platform::{OrderClient, PlatformStore};
@@ -92,6 +92,10 @@
     pub(crate) loads: RefCell<LoadTracker>,
     /// Crashes of upstreams, and what is refused because of them.
     pub(crate) crash_ledger: RefCell<CrashLedger>,
+    /// What upstreams said of themselves.
+    pub(crate) notices: RefCell<NoticeTracker>,
+    /// When it was last logged that the pause of an upstream cannot be read.
+    pub(crate) invalid_pause_logged_at: Cell<Option<Instant>>,
     /// Notified when this node has observed a crash that it tells the other nodes of at once.
     pub(crate) crash_observed: Event,
     /// Requests that wait for an upstream with free capacity.
@@ -153,6 +157,8 @@
             directory: RefCell::new(NodeDirectory::new(own)),
             loads: RefCell::default(),
             crash_ledger: RefCell::default(),
+            notices: RefCell::default(),
+            invalid_pause_logged_at: Cell::new(None),
             crash_observed: Event::new(),
             waiting: WaitingRoom::default(),
             usual_timeouts: RefCell::default(),
@@ -269,6 +275,9 @@
         }
         let is_changed = changes.is_some_and(|changes| mirror.apply(table, changes, now));
         drop(mirror);
+        if is_changed && table == SharedTable::Upstreams {
+            self.drain_leaving_upstreams();
+        }
         if is_changed {
             self.waiting.notify();
         }
@@ -278,6 +287,18 @@
         is_changed
     }
 
+    /// Shows upstreams that have said that they leave as draining, also before their records do.
+    pub(crate) fn drain_leaving_upstreams(&self) {
+        self.mirror.borrow_mut().mark_draining(&self.notices.borrow());
+    }
+
+    /// Takes one request of this node's share of the return to an upstream after a pause. Returns
+    /// false if the share is used up.
+    pub(crate) fn try_take_return(&self, record: &UpstreamRecord, now: Instant) -> bool {
+        let nodes = self.sharing_node_count();
+        self.notices.borrow_mut().try_take_return(record, nodes, now)
+    }
+
     /// Summary of the request traffic of all nodes, as far as this node knows, for the planner.
     pub(crate) fn traffic_summary(&self, config: &ServiceConfig, now: Instant) -> TrafficSummary {
         let (view, loads) = (self.view(), self.loads.borrow());
--- a/crates/eelgrassdeal_gateway/tests/hostile_messages.rs
+++ b/crates/eelgrassdeal_gateway/tests/hostile_messages.rs
@@ -13,9 +13,9 @@
 use eelgrassdeal_http::{ConnectionPool, SendOptions};
 use eelgrassdeal_schema::encode_message;
 use eelgrassdeal_schema::gateway::{
-    AnsweredParts, CrashSuspect, InFlightSuspect, NodeHeartbeat, QuarantineRow, RelayedClose,
-    RelayedLeave, RelayedOrder, RowCopy, SharedPart, SilentUpstream, SyncMessage, TableCopy,
-    TableState, UpstreamCount, UpstreamCrash, VersionGap, crash_suspect, relayed_order,
+    AnsweredParts, CrashSuspect, InFlightSuspect, LeavingUpstream, NodeHeartbeat, QuarantineRow,
+    RelayedClose, RelayedLeave, RelayedOrder, RowCopy, SharedPart, SilentUpstream, SyncMessage,
+    TableCopy, TableState, UpstreamCount, UpstreamCrash, VersionGap, crash_suspect, relayed_order,
 };
 use http_body_util::Full;
 use hyper::Request;
@@ -167,6 +167,11 @@
                 model: source.text(),
                 parts: source.list(Self::large),
             }),
+            leaving: self.list(|source| LeavingUpstream {
+                upstream: source.text(),
+                start_time_ms: source.large(),
+                age_ms: source.small(),
+            }),
         }
     }
 
--- a/crates/eelgrassdeal_http/src/pool.rs
+++ b/crates/eelgrassdeal_http/src/pool.rs
@@ -137,6 +137,7 @@
     /// Head of the response, and its body as it arrives.
     pub inner: Response<Incoming>,
     connection: Option<SendRequest<Full<Bytes>>>,
+    is_reusable: bool,
     address: Arc<str>,
     pool: ConnectionPool,
 }
@@ -150,12 +151,17 @@
         !is_chunked && !headers.contains_key(CONTENT_LENGTH)
     }
 
-    /// Returns the connection to the pool, unless the peer closes it. The body must have been read
-    /// completely.
+    /// Sets whether the connection is kept after the response; otherwise it is closed.
+    pub fn set_reusable(&mut self, is_reusable: bool) {
+        self.is_reusable = is_reusable;
+    }
+
+    /// Returns the connection to the pool, unless the peer closes it or it must not be reused. The body
+    /// must have been read completely.
     pub fn release_connection(mut self) {
         let headers = self.inner.headers();
         let Some(sender) = self.connection.take() else { return };
-        if !is_closing(headers) {
+        if self.is_reusable && !is_closing(headers) {
             let idle_timeout = advertised_idle_timeout(headers).unwrap_or(DEFAULT_IDLE_TIMEOUT);
             self.pool.put_idle(&self.address, sender, idle_timeout);
         }
@@ -271,6 +277,7 @@
         PooledResponse {
             inner,
             connection: Some(sender),
+            is_reusable: true,
             address: address.clone(),
             pool: self.clone(),
         }
--- a/crates/eelgrassdeal_standins/src/gateway_platform/mod.rs
+++ b/crates/eelgrassdeal_standins/src/gateway_platform/mod.rs
@@ -8,4 +8,4 @@
 mod worker;
 
 pub use store::{MetadataStoreFake, StoreStats};
-pub use worker::{WorkerFake, WorkerFault, WorkerOptions, WorkerRun};
+pub use worker::{WorkerArrival, WorkerFake, WorkerFault, WorkerOptions, WorkerRun};
--- a/crates/eelgrassdeal_standins/src/gateway_platform/worker.rs
+++ b/crates/eelgrassdeal_standins/src/gateway_platform/worker.rs
@@ -15,7 +15,7 @@
 use futures_util::SinkExt;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
-use hyper::header::HeaderMap;
+use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Request, Response};
 use serde_json::{Value, json};
 
@@ -56,6 +56,9 @@
     pub event_padding: usize,
     /// Id of a prompt part that crashes the worker shortly after the first event of the response.
     pub deadly_part: Option<String>,
+    /// Number of requests at which the worker turns further ones away, and the time for which it then
+    /// wants none; `None` if it accepts all.
+    pub turns_away: Option<(u32, Duration)>,
 }
 
 impl WorkerOptions {
@@ -70,9 +73,16 @@
             event_interval: Duration::from_millis(10),
             event_padding: 0,
             deadly_part: None,
+            turns_away: None,
         }
     }
 
+    /// Makes the worker answer 503 while it runs `limit` requests, with a `Retry-After` of `pause`.
+    pub fn with_turning_away(mut self, limit: u32, pause: Duration) -> Self {
+        self.turns_away = Some((limit, pause));
+        self
+    }
+
     /// Makes the worker crash when it writes a response to a prompt with this part.
     pub fn with_deadly_part(mut self, part: &str) -> Self {
         self.deadly_part = Some(part.to_owned());
@@ -106,6 +116,8 @@
     LostResponse,
     /// The request does not run, and the response (503) says so in a header.
     NotExecuted,
+    /// Like [`Self::NotExecuted`], and the response asks for no requests for this time.
+    TurnedAway(Duration),
     /// The stream is interrupted after this many events, in the middle of the next one.
     InterruptAfter(u64),
     /// The stream ends after this many events, in the middle of the next one, as if it were complete.
@@ -149,6 +161,21 @@
     pub started_at: Instant,
 }
 
+/// A request that reached a worker, whether it ran or not.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WorkerArrival {
+    /// Id of the worker.
+    pub worker: String,
+    /// Request id that the gateway forwarded.
+    pub request_id: String,
+    /// When the request arrived.
+    pub at: Instant,
+    /// Time for which the worker then asked for no requests, if it turned the request away.
+    pub pause: Option<Duration>,
+    /// Whether the worker had said in an earlier answer that it leaves.
+    pub is_after_notice: bool,
+}
+
 #[derive(Clone, Debug)]
 struct Membership {
     group: String,
@@ -166,6 +193,13 @@
     runs: Rc<RefCell<Vec<WorkerRun>>>,
     is_down: Cell<bool>,
     is_draining: Cell<bool>,
+    /// Start time of the process in ms of its own clock.
+    started_ms: Cell<u64>,
+    /// Whether answers say that the worker leaves.
+    is_leaving: Cell<bool>,
+    /// Whether an answer has said so.
+    has_given_notice: Cell<bool>,
+    arrivals: RefCell<Vec<WorkerArrival>>,
     /// Model whose weights are on the host, after an order to stage or join.
     staged: RefCell<Option<String>>,
     /// Model that the worker has loaded; it stays loaded when the worker leaves its group.
@@ -209,6 +243,10 @@
             runs: runs.clone(),
             is_down: Cell::default(),
             is_draining: Cell::default(),
+            started_ms: Cell::new(1),
+            is_leaving: Cell::default(),
+            has_given_notice: Cell::default(),
+            arrivals: RefCell::default(),
             staged: RefCell::default(),
             loaded: RefCell::default(),
             membership: RefCell::default(),
@@ -296,6 +334,27 @@
         self.register();
     }
 
+    /// Says in all further answers that the worker leaves. Its row doesn't change.
+    pub fn leave(&self) {
+        self.0.is_leaving.set(true);
+    }
+
+    /// Starts a new process under the same id and address, which knows nothing of before.
+    pub fn restart(&self) {
+        let state = &self.0;
+        state.started_ms.set(state.started_ms.get() + 1);
+        state.is_leaving.set(false);
+        state.has_given_notice.set(false);
+        *state.membership.borrow_mut() = None;
+        *state.loaded.borrow_mut() = None;
+        self.register();
+    }
+
+    /// Requests that have reached the worker, in their order.
+    pub fn arrivals(&self) -> Vec<WorkerArrival> {
+        self.0.arrivals.borrow().clone()
+    }
+
     /// Writes the worker's row to the metadata store.
     pub fn register(&self) {
         let state = &self.0;
@@ -304,8 +363,8 @@
         });
         let models: Vec<Value> =
             state.loaded.borrow().iter().map(|model| json!({ "name": model })).collect();
-        // `cold_left_ms` is the time until the worker is warm, and `born` its start time in ms of
-        // its own clock. They are constant here, like `seq`, which the gateway does not read.
+        // `cold_left_ms` is the time until the worker is warm. It is constant here, like `seq`, which
+        // the gateway does not read. `born` is the start time of the process.
         let mut row = json!({
             "service": state.options.service,
             "address": *state.address.borrow(),
@@ -315,7 +374,7 @@
             "state": if state.is_draining.get() { "draining" } else { "ready" },
             "cold_left_ms": 0,
             "seq": 1,
-            "born": 1,
+            "born": state.started_ms.get(),
         });
         if let Some(domain) = &state.options.domain {
             row["domain"] = json!(domain);
@@ -329,6 +388,15 @@
     }
 
     async fn handle(&self, request: Request<Incoming>) -> Reply {
+        let mut reply = self.answer(request).await?;
+        if self.0.is_leaving.get() {
+            reply.headers_mut().insert("server-leaving", HeaderValue::from_static("1"));
+            self.0.has_given_notice.set(true);
+        }
+        Some(reply)
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Reply {
         if self.0.is_down.get() {
             // A VM that failed neither responds nor closes its connections.
             std::future::pending::<()>().await;
@@ -454,11 +522,26 @@
         let body = request.into_body().collect().await.ok()?.to_bytes();
         let fault = state.faults.borrow_mut().pop_front();
         let request_id = header_text(&headers, "x-eelgrassdeal-request-id").unwrap_or_default();
-        if fault == Some(WorkerFault::NotExecuted) {
-            let rejection = Response::builder()
+        let pause = match (fault, state.options.turns_away) {
+            (Some(WorkerFault::TurnedAway(pause)), _) => Some(pause),
+            (_, Some((limit, pause))) if self.running() >= limit => Some(pause),
+            _ => None,
+        };
+        state.arrivals.borrow_mut().push(WorkerArrival {
+            worker: self.id().to_owned(),
+            request_id: request_id.clone(),
+            at: Instant::now(),
+            pause,
+            is_after_notice: state.has_given_notice.get(),
+        });
+        if fault == Some(WorkerFault::NotExecuted) || pause.is_some() {
+            let mut rejection = Response::builder()
                 .status(503)
                 .header("x-eelgrassdeal-not-executed", "1")
                 .header("x-eelgrassdeal-request-id", request_id);
+            if let Some(pause) = pause {
+                rejection = rejection.header("retry-after", pause.as_secs_f64().to_string());
+            }
             return rejection.body(http_body_util::Either::Left(Full::new(Bytes::new()))).ok();
         }
         let number = |name: &str| header_text(&headers, name).and_then(|value| value.parse().ok());
--- a/crates/eelgrassdeal_standins/src/lib.rs
+++ b/crates/eelgrassdeal_standins/src/lib.rs
@@ -27,7 +27,7 @@
 pub use engine::{EngineFake, EngineOptions, EngineRun, StreamFault, answer_text, answer_token};
 pub use fault::{FaultInjector, FaultPlan, FaultRates};
 pub use gateway_platform::{
-    MetadataStoreFake, StoreStats, WorkerFake, WorkerFault, WorkerOptions, WorkerRun,
+    MetadataStoreFake, StoreStats, WorkerArrival, WorkerFake, WorkerFault, WorkerOptions, WorkerRun,
 };
 pub use object::ObjectFake;
 pub use server::{Reply, ReplyBody, ServerHandle, empty_reply, json_reply, serve_http};
