Soak of gateways: workers that leave, turn requests away and break off streams

The soak counts requests that reach a worker later than 2 s after one of its answers with Server-Leaving was passed on, and more than two in a pause it asked for, for gateways that were not restarted or paused meanwhile. Also streams that end inside an event.

--- a/crates/eelgrassdeal_gateway/tests/process_soak.rs
+++ b/crates/eelgrassdeal_gateway/tests/process_soak.rs
@@ -1,6 +1,6 @@
 //! Soak of a fleet of gateway processes: signals, crashes, restarts, outages of the store and changes
-//! of the configuration come in overlapping series, while callers go on using their connections until
-//! the process at the other end is gone.
+//! of the configuration come in overlapping series, and workers crash, break off streams, leave and turn
+//! requests away, while callers go on using their connections until the process at the other end is gone.
 //!
 //! `PROCESS_SOAK_SEEDS=100..150 cargo test -p eelgrassdeal_gateway --test process_soak` plays these
 //! seeds one after the other. Every fifth seed has `MANY_GATEWAYS`.
@@ -8,6 +8,7 @@
 mod common;
 
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::ops::Range;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -39,6 +40,12 @@
 const MAX_ANSWER_BYTES: usize = 1024 * 1024;
 /// Time from the exit of a process to its callers' notice of closed connections.
 const EXIT_NOTICE: Duration = Duration::from_millis(300);
+/// Time after an answer of a leaving worker from which on no new request may reach it.
+const LEAVING_PERIOD: Duration = Duration::from_secs(2);
+/// Time after a worker has asked for no requests from which on more than [`MAX_PAUSED_ARRIVALS`] from
+/// one gateway are a fault.
+const IN_FLIGHT_PERIOD: Duration = Duration::from_millis(500);
+const MAX_PAUSED_ARRIVALS: usize = 2;
 
 /// What a request is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -78,6 +85,8 @@
     earlier_logs: RefCell<String>,
     /// Periods from a signal that ends the process until it has ended, and whether it was SIGKILL.
     stops: RefCell<Vec<(Instant, Instant, bool)>>,
+    /// Periods in which the process was paused.
+    pauses: RefCell<Vec<(Instant, Instant)>>,
 }
 
 impl SoakGateway {
@@ -88,6 +97,7 @@
             front,
             earlier_logs: RefCell::default(),
             stops: RefCell::default(),
+            pauses: RefCell::default(),
         }
     }
 
@@ -129,9 +139,18 @@
     }
 
     async fn pause(&self, rng: &mut StdRng) {
+        let began = Instant::now();
         self.process.borrow().pause();
         compio::time::sleep(Duration::from_millis(rng.random_range(20..700))).await;
         self.process.borrow().unpause();
+        self.pauses.borrow_mut().push((began, Instant::now()));
+    }
+
+    /// Whether the process was told to end, killed or paused within a period.
+    fn was_disturbed_within(&self, from: Instant, to: Instant) -> bool {
+        let overlaps = |began: Instant, ended: Instant| began <= to && ended >= from;
+        self.stops.borrow().iter().any(|(began, ended, _)| overlaps(*began, *ended))
+            || self.pauses.borrow().iter().any(|(began, ended)| overlaps(*began, *ended))
     }
 
     /// Whether the process was told to end, or killed, while this request was in progress.
@@ -241,8 +260,22 @@
             compio::time::sleep(Duration::from_millis(rng.random_range(300..2_500))).await;
             let ids: Vec<_> = self.platform.workers.borrow().keys().cloned().collect();
             let worker = self.platform.worker(&ids[rng.random_range(0..ids.len())]);
-            match rng.random_range(0..5) {
+            match rng.random_range(0..8) {
                 0 => compio::runtime::spawn(async move { worker.crash().await }).detach(),
+                5 => {
+                    let pause = Duration::from_millis(rng.random_range(200..5_000));
+                    worker.push_fault(WorkerFault::TurnedAway(pause));
+                }
+                6 => worker.push_fault(WorkerFault::EndInsideEvent(rng.random_range(0..5))),
+                7 => {
+                    worker.leave();
+                    let rest = Duration::from_millis(rng.random_range(1_000..6_000));
+                    compio::runtime::spawn(async move {
+                        compio::time::sleep(rest).await;
+                        worker.crash().await;
+                    })
+                    .detach();
+                }
                 1 => worker.push_fault(WorkerFault::LostResponse),
                 2 => worker.push_fault(WorkerFault::NotExecuted),
                 3 => worker.push_fault(WorkerFault::InterruptAfter(rng.random_range(0..5))),
@@ -322,6 +355,57 @@
         }
     }
 
+    /// Requests that reached workers that had said that they leave, or want no requests.
+    fn unheeded_notices(&self) -> Vec<String> {
+        let mut faults = Vec::new();
+        let ended = self.ended.borrow();
+        let senders: HashMap<&str, (usize, Instant)> = ended
+            .iter()
+            .map(|request| (request.id.as_str(), (request.gateway, request.sent_at)))
+            .collect();
+        for (id, worker) in self.platform.workers.borrow().iter() {
+            let arrivals = worker.arrivals();
+            let sent: Vec<_> = arrivals
+                .iter()
+                .filter_map(|arrival| Some((arrival, *senders.get(&*arrival.request_id)?)))
+                .collect();
+            let notices = ended.iter().filter_map(|request| {
+                let headers = &request.result.as_ref().ok()?.headers;
+                let is_notice = headers.contains_key("server-leaving")
+                    && headers.get("x-eelgrassdeal-response-seal")? == &*format!("seal-{id}");
+                is_notice.then_some((request.gateway, request.ended_at))
+            });
+            for (gateway, told_at) in notices {
+                let late = sent.iter().find(|(arrival, (sender, sent_at))| {
+                    *sender == gateway
+                        && *sent_at > told_at + LEAVING_PERIOD
+                        && !self.gateways[gateway].was_disturbed_within(told_at, arrival.at)
+                });
+                faults.extend(late.map(|(arrival, _)| {
+                    format!(
+                        "{} reached {id} after it had told gateway {gateway} that it leaves",
+                        arrival.request_id
+                    )
+                }));
+            }
+            for (asked, (gateway, _)) in &sent {
+                let Some(pause) = asked.pause else { continue };
+                let (from, to) = (asked.at + IN_FLIGHT_PERIOD, asked.at + pause);
+                let within = sent.iter().filter(|(arrival, (sender, _))| {
+                    sender == gateway && from < arrival.at && arrival.at < to
+                });
+                let count = within.count();
+                if count > MAX_PAUSED_ARRIVALS
+                    && !self.gateways[*gateway].was_disturbed_within(asked.at, to)
+                {
+                    faults
+                        .push(format!("{count} requests of gateway {gateway} in a pause of {id}"));
+                }
+            }
+        }
+        faults
+    }
+
     /// Everything that must not have happened.
     fn collect_faults(&self) -> Vec<String> {
         let mut faults = self.faults.borrow().clone();
@@ -344,6 +428,7 @@
             }
         }
         faults.extend(self.platform.violations.borrow().iter().cloned());
+        faults.extend(self.unheeded_notices());
         faults
     }
 }
