Test of faulty streams: each worker's fault occurs before the next one is set

stream_with_comments_instead_of_events_moves_to_another_replica failed once in a run of four crates, and once in 48 runs with eight at once. Trace: the four streams of the first round all went to one head, before the gateway had read that the other one was open, so that its fault was still to come; a stream of the second round met both faults. With two attempts allowed it was held to its deadline and cut, which is allowed. The test now sends rounds until the fault has occurred, and demands that it does within 10.

--- a/crates/eelgrassdeal_gateway/tests/troubled_workers.rs
+++ b/crates/eelgrassdeal_gateway/tests/troubled_workers.rs
@@ -15,6 +15,8 @@
 
 /// Time after which callers abandon a stream without a new event.
 const CALLER_PATIENCE: Duration = Duration::from_secs(2);
+/// Rounds of streams in which one of them must reach a given worker.
+const MAX_ROUNDS: u32 = 10;
 /// Events of a stream.
 const EVENTS: u64 = 20;
 
@@ -55,17 +57,24 @@
     let platform = TestPlatform::new().await.with_engines(4, EVENTS).await.with_gateways(1).await;
     platform.wait_serving(2).await;
     for head in platform.heads() {
-        platform.worker(&head).push_fault(fault);
-        // Streams beside it show that the worker itself runs.
-        let streams = (0..4).map(|index| {
-            let (platform, id) = (&platform, format!("{head}-{index}"));
-            async move { platform.send_request(0, "/stream/x", &id, API_KEY).await }
-        });
-        let started = Instant::now();
-        for answer in futures_util::future::join_all(streams).await {
-            assert_eq!(answer.expect("a complete response").body, complete_stream(EVENTS));
+        let worker = platform.worker(&head);
+        worker.push_fault(fault);
+        let mut round = 0;
+        // Until the fault has occurred, so that no stream meets those of two workers.
+        while worker.pending_faults() > 0 {
+            // Streams beside it show that the worker itself runs.
+            let streams = (0..4).map(|index| {
+                let (platform, id) = (&platform, format!("{head}-{round}-{index}"));
+                async move { platform.send_request(0, "/stream/x", &id, API_KEY).await }
+            });
+            let started = Instant::now();
+            for answer in futures_util::future::join_all(streams).await {
+                assert_eq!(answer.expect("a complete response").body, complete_stream(EVENTS));
+            }
+            assert!(started.elapsed() < CALLER_PATIENCE * 2, "took {:?}", started.elapsed());
+            round += 1;
+            assert!(round < MAX_ROUNDS, "no stream was sent to {head}");
         }
-        assert!(started.elapsed() < CALLER_PATIENCE * 2, "took {:?}", started.elapsed());
     }
     let moved = platform.runs.borrow().iter().any(|run| run.last_event_id.is_some());
     assert!(moved || fault == WorkerFault::EndlessEvent, "the fault occurred");
--- a/crates/eelgrassdeal_standins/src/gateway_platform/worker.rs
+++ b/crates/eelgrassdeal_standins/src/gateway_platform/worker.rs
@@ -350,6 +350,11 @@
         self.register();
     }
 
+    /// Number of faults that have not occurred yet.
+    pub fn pending_faults(&self) -> usize {
+        self.0.faults.borrow().len()
+    }
+
     /// Requests that have reached the worker, in their order.
     pub fn arrivals(&self) -> Vec<WorkerArrival> {
         self.0.arrivals.borrow().clone()
