Share the memory for responses, so that bodies without end don't exhaust a node

Cause: each response could take 8 MiB, and nothing bounded all of them together. Change: BufferBudget (dispatch, without network or clock) shares a fifth of the memory limit. A body counts until the caller has it; an incomplete event of a stream counts too. A response without room ends like one that is broken off: another attempt, or 502.

--- a/crates/eelgrassdeal_dispatch/src/event_stream.rs
+++ b/crates/eelgrassdeal_dispatch/src/event_stream.rs
@@ -55,6 +55,11 @@
         self.last_event
     }
 
+    /// Number of bytes after the last event that was taken.
+    pub fn pending_bytes(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Whether another attempt can go on where this one stopped: the events that were taken are told
     /// by the id of the last one.
     pub fn is_resumable(&self) -> bool {
--- a/crates/eelgrassdeal_dispatch/src/lib.rs
+++ b/crates/eelgrassdeal_dispatch/src/lib.rs
@@ -12,10 +12,12 @@
 //! - Waiting: [`RequestQueue`] orders and bounds the requests that wait for free capacity.
 //! - Crashes: [`CrashLedger`] finds what the requests that crash upstreams have in common.
 //! - Streams: [`EventAssembler`] tells whole events and a complete stream from what was broken off.
+//! - Memory: [`BufferBudget`] shares what a node may hold for responses.
 //! - Fleet-wide limits: [`ColdShare`] and [`RetryShare`] are the shares that one node may use.
 //! - Nodes: [`NodeDirectory`] tracks the other nodes by their heartbeats.
 //! - Store tables: [`TableMirror`] is a local copy that nodes replicate among each other.
 
+mod buffer_budget;
 mod config;
 mod counts;
 mod crash_ledger;
@@ -30,6 +32,7 @@
 mod settings;
 mod table;
 
+pub use buffer_budget::BufferBudget;
 pub use config::{
     AccountEntry, CallerLimits, EngineSpec, ModelSpec, RouteKind, RouteRule, ServiceConfig,
     ServiceSpec, ServiceSplit,
--- a/crates/eelgrassdeal_gateway/src/front/buffered.rs
+++ b/crates/eelgrassdeal_gateway/src/front/buffered.rs
@@ -11,11 +11,12 @@
 
 use super::attempt::{AttemptRunner, FailedAttempt, RunningAttempt};
 use super::call::GatewayCall;
+use super::hold::ResponseHold;
 use super::refusal::CallRefusal;
 use crate::server::Reply;
 use crate::state::GatewayState;
 
-/// Maximum size of a response body that is buffered.
+/// Maximum size of a response body that is buffered, if the memory for responses has room for it.
 const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 
 /// Handles a request whose response is not a stream.
@@ -43,9 +44,14 @@
 ) -> Result<Option<BufferedResponse>, CallRefusal> {
     let RunningAttempt { response, load, response_began, .. } = attempt;
     let upstream = load.upstream.clone();
-    let response = response.collect(MAX_RESPONSE_BYTES);
+    let mut hold = ResponseHold::new(&runner.state);
+    let may_hold = |bytes| bytes <= MAX_RESPONSE_BYTES && hold.try_resize(bytes);
+    let response = response.collect_while(may_hold);
     match runner.wait_for_bytes(&upstream, None, None, response).await {
-        Ok(Ok(response)) => Ok(Some(response)),
+        Ok(Ok(response)) => {
+            let body = hold.attach_to(response.body);
+            Ok(Some(BufferedResponse { body, ..response }))
+        }
         Ok(Err(_)) => {
             runner.record_failed_attempt(FailedAttempt {
                 upstream: &upstream,
--- /dev/null
+++ b/crates/eelgrassdeal_gateway/src/front/hold.rs
@@ -0,0 +1,54 @@
+//! Memory that responses of upstreams hold at this node until they are forwarded.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use bytes::Bytes;
+use eelgrassdeal_dispatch::BufferBudget;
+
+use crate::state::GatewayState;
+
+/// Bytes that one response holds of the node's [`BufferBudget`]. Dropping it gives them back.
+pub(super) struct ResponseHold {
+    // Shared with bodies, which hyper requires to be `Send`.
+    budget: Arc<Mutex<BufferBudget>>,
+    bytes: usize,
+}
+
+impl ResponseHold {
+    pub(super) fn new(state: &GatewayState) -> Self {
+        Self { budget: state.response_budget.clone(), bytes: 0 }
+    }
+
+    /// Changes the number of bytes that the response holds. Returns false, and changes nothing, if
+    /// there is no room for them.
+    pub(super) fn try_resize(&mut self, bytes: usize) -> bool {
+        let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_allowed = budget.try_resize(self.bytes, bytes);
+        if is_allowed {
+            self.bytes = bytes;
+        }
+        is_allowed
+    }
+
+    /// Returns a body that holds its bytes until it is dropped.
+    pub(super) fn attach_to(self, body: Bytes) -> Bytes {
+        Bytes::from_owner(HeldBody { body, _hold: self })
+    }
+}
+
+impl Drop for ResponseHold {
+    fn drop(&mut self) {
+        self.try_resize(0);
+    }
+}
+
+struct HeldBody {
+    body: Bytes,
+    _hold: ResponseHold,
+}
+
+impl AsRef<[u8]> for HeldBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.body
+    }
+}
--- a/crates/eelgrassdeal_gateway/src/front/mod.rs
+++ b/crates/eelgrassdeal_gateway/src/front/mod.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod buffered;
 mod call;
+mod hold;
 mod refusal;
 mod stream;
 
--- a/crates/eelgrassdeal_gateway/src/front/stream.rs
+++ b/crates/eelgrassdeal_gateway/src/front/stream.rs
@@ -15,6 +15,7 @@
 use super::attempt::{AttemptRunner, FailedAttempt, RunningAttempt, WaitError};
 use super::buffered;
 use super::call::GatewayCall;
+use super::hold::ResponseHold;
 use super::refusal::CallRefusal;
 use crate::crash::is_crash_onset;
 use crate::server::{Reply, stream_reply};
@@ -75,6 +76,8 @@
     Silent,
     /// Bytes arrive, but no event is completed.
     Stalled,
+    /// The memory for responses has no room for an event that is not complete.
+    NoRoom,
     /// An event must not be forwarded.
     InvalidEvent(EventFault),
 }
@@ -85,6 +88,7 @@
             Self::Disconnected => "response interrupted",
             Self::Silent => "silent",
             Self::Stalled => "no complete event",
+            Self::NoRoom => "no room for an incomplete event",
             Self::BrokenOff => "response ended inside an event or without any",
             Self::InvalidEvent(EventFault::TooLarge) => "an event exceeds the size limit",
             Self::InvalidEvent(EventFault::NotIncreasing) => "the ids of events do not increase",
@@ -103,6 +107,8 @@
     /// The attempt that is being forwarded; `None` while the stream is resumed and after its end.
     attempt: Option<RunningAttempt>,
     events: EventAssembler,
+    /// Memory for the bytes of an event that is not complete.
+    hold: ResponseHold,
     /// When the wait for the next complete event began. Other bytes, such as comments, are no
     /// progress. The time in which the caller reads does not count.
     waiting_since: Instant,
@@ -114,10 +120,12 @@
 impl StreamRelay {
     fn new(runner: AttemptRunner, attempt: RunningAttempt) -> Self {
         let events = EventAssembler::new(runner.call.caller.last_event);
+        let hold = ResponseHold::new(&runner.state);
         Self {
             runner,
             attempt: Some(attempt),
             events,
+            hold,
             waiting_since: Instant::now(),
             is_acquitted: false,
             is_over: false,
@@ -143,8 +151,11 @@
                 Ok(None) if self.is_stalled() => StreamFailure::Stalled,
                 Ok(None) => match self.read().await {
                     ReadResult::Bytes(bytes) => {
-                        self.events.push(&bytes);
-                        continue;
+                        if self.hold.try_resize(self.events.pending_bytes() + bytes.len()) {
+                            self.events.push(&bytes);
+                            continue;
+                        }
+                        StreamFailure::NoRoom
                     }
                     ReadResult::End => match self.events.end(self.ends_with_connection()) {
                         StreamEnd::Complete(rest) => return self.finish(rest),
--- a/crates/eelgrassdeal_gateway/src/metrics_export.rs
+++ b/crates/eelgrassdeal_gateway/src/metrics_export.rs
@@ -28,6 +28,8 @@
     // The number of connections opened since the start, not of those that are open now.
     metrics::gauge!("eelgrassdeal_upstream_connections_opened")
         .set(state.upstream_pool.opened_count() as f64);
+    let response_bytes = state.response_budget.lock().map_or(0, |budget| budget.held());
+    metrics::gauge!("eelgrassdeal_response_bytes_held").set(response_bytes as f64);
     let now = std::time::Instant::now();
     for cause in NoticeCause::ALL {
         metrics::gauge!("eelgrassdeal_upstreams_set_aside", "cause" => cause.name())
--- a/crates/eelgrassdeal_gateway/src/state.rs
+++ b/crates/eelgrassdeal_gateway/src/state.rs
@@ -3,13 +3,13 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use eelgrassdeal_dispatch::{
-    ColdLimit, ColdShare, CrashLedger, FleetView, GatewaySettings, LoadTracker, NodeDirectory,
-    NodeHeartbeat, NodeStage, NoticeTracker, RetryShare, ServiceConfig, SharedTable, TableChanges,
-    TableTimings, TrafficSummary, UpstreamRecord, UsualTimeout,
+    BufferBudget, ColdLimit, ColdShare, CrashLedger, FleetView, GatewaySettings, LoadTracker,
+    NodeDirectory, NodeHeartbeat, NodeStage, NoticeTracker, RetryShare, ServiceConfig, SharedTable,
+    TableChanges, TableTimings, TrafficSummary, UpstreamRecord, UsualTimeout,
 };
 use eelgrassdeal_http::ConnectionPool;
 use eelgrassdeal_platform::{OrderClient, PlatformStore};
@@ -73,6 +73,9 @@
 /// by the planner.
 const SILENCE_LIFETIME: Duration = Duration::from_millis(800);
 
+/// Divisor of the memory limit of the process for the bytes that responses may hold.
+const RESPONSE_MEMORY_DIVISOR: u64 = 5;
+
 /// Version of each table copy that a peer last reported.
 pub(crate) type PeerVersions = HashMap<SharedTable, u64>;
 
@@ -92,6 +95,8 @@
     pub(crate) loads: RefCell<LoadTracker>,
     /// Crashes of upstreams, and what is refused because of them.
     pub(crate) crash_ledger: RefCell<CrashLedger>,
+    /// Memory for responses that are not forwarded yet.
+    pub(crate) response_budget: Arc<Mutex<BufferBudget>>,
     /// What upstreams said of themselves.
     pub(crate) notices: RefCell<NoticeTracker>,
     /// When it was last logged that the pause of an upstream cannot be read.
@@ -147,7 +152,10 @@
             processor_share: settings.processor_share,
             age: Duration::ZERO,
         };
+        let response_bytes = settings.memory_bytes / RESPONSE_MEMORY_DIVISOR;
+        let response_budget = BufferBudget::new(response_bytes.try_into().unwrap_or(usize::MAX));
         Self {
+            response_budget: Arc::new(Mutex::new(response_budget)),
             store: PlatformStore::new(control_pool.clone(), settings.store.address.clone()),
             order_client: OrderClient::new(control_pool.clone()),
             upstream_pool,
--- a/crates/eelgrassdeal_gateway/tests/common/mod.rs
+++ b/crates/eelgrassdeal_gateway/tests/common/mod.rs
@@ -72,6 +72,15 @@
         self.child.as_ref().expect("the gateway runs").hang_up();
     }
 
+    /// Greatest resident memory of the process so far, in bytes.
+    pub fn peak_memory(&self) -> u64 {
+        let id = self.child.as_ref().expect("the gateway runs").id();
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).expect("a process");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
+        kilobytes.expect("a peak in kB") * 1024
+    }
+
     /// Suspends the process until [`Self::unpause`].
     pub fn pause(&self) {
         self.child.as_ref().expect("the gateway runs").pause();
--- a/crates/eelgrassdeal_gateway/tests/common/scripted_worker.rs
+++ b/crates/eelgrassdeal_gateway/tests/common/scripted_worker.rs
@@ -32,6 +32,8 @@
     KeepOpen,
     Close,
     Reset,
+    /// Writes this again and again until the connection is closed.
+    Repeat(&'static [u8]),
 }
 
 /// Bytes that answer a request.
@@ -90,6 +92,7 @@
                 set_socket_linger(&stream, Some(Duration::ZERO)).expect("an open socket");
                 return;
             }
+            AnswerEnd::Repeat(piece) => while stream.write_all(piece).await.0.is_ok() {},
         }
     }
 }
--- a/crates/eelgrassdeal_http/src/pool.rs
+++ b/crates/eelgrassdeal_http/src/pool.rs
@@ -8,11 +8,11 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use compio::net::TcpStream;
 use event_listener::Event;
 use futures_util::future::Either;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, TRANSFER_ENCODING};
@@ -172,16 +172,37 @@
     /// # Errors
     ///
     /// [`SendFailure::MaybeSent`] when the body is incomplete or too large.
-    pub async fn collect(mut self, max_bytes: usize) -> Result<BufferedResponse, SendFailure> {
+    pub async fn collect(self, max_bytes: usize) -> Result<BufferedResponse, SendFailure> {
+        self.collect_while(|bytes| bytes <= max_bytes).await
+    }
+
+    /// Reads the complete body and returns the connection to the pool. `may_hold` is asked, with the
+    /// size that the body then has, before bytes are added to it.
+    ///
+    /// # Errors
+    ///
+    /// [`SendFailure::MaybeSent`] when the body is incomplete, or `may_hold` refused its bytes.
+    pub async fn collect_while(
+        mut self,
+        mut may_hold: impl FnMut(usize) -> bool,
+    ) -> Result<BufferedResponse, SendFailure> {
+        let mut body = BytesMut::new();
+        while let Some(frame) = self.inner.body_mut().frame().await {
+            let frame = frame.map_err(|error| {
+                log::debug!("peer={} response body could not be read: {error}", self.address);
+                SendFailure::MaybeSent
+            })?;
+            let Ok(data) = frame.into_data() else { continue };
+            if !may_hold(body.len() + data.len()) {
+                log::debug!("peer={} no room for a response body", self.address);
+                return Err(SendFailure::MaybeSent);
+            }
+            body.extend_from_slice(&data);
+        }
         let status = self.inner.status().as_u16();
         let headers = self.inner.headers().clone();
-        let body = Limited::new(self.inner.body_mut(), max_bytes).collect().await;
-        let body = body.map_err(|error| {
-            log::debug!("peer={} response body could not be read: {error}", self.address);
-            SendFailure::MaybeSent
-        })?;
         self.release_connection();
-        Ok(BufferedResponse { status, headers, body: body.to_bytes() })
+        Ok(BufferedResponse { status, headers, body: body.freeze() })
     }
 }
 
