Close the connection of an order or a probe after its answer

Cause: sends each order on a new connection, but put it back into the pool, where it is never used again and stays until it expires: about three a worker. Change: a request that must not reuse a connection doesn't leave one either. Test: platform orders connections_of_orders_and_probes_do_not_accumulate failed before (20 stay open).

--- a/crates/eelgrassdeal_http/src/pool.rs
+++ b/crates/eelgrassdeal_http/src/pool.rs
@@ -63,7 +63,8 @@
 pub struct SendOptions {
     /// Timeout for opening a new connection.
     pub connect_timeout: Duration,
-    /// A connection that has been idle for this long is not reused; with zero, none is.
+    /// A connection that has been idle for this long is not reused. With zero, none is, and the one that
+    /// is opened is closed after the response.
     pub max_idle: Duration,
     /// Maximum number of connections to the peer that may be open at the same time.
     pub max_connections: usize,
@@ -246,7 +247,11 @@
         }
         let mut sender = self.connect(address, options).await?;
         match limit.wait_for(sender.try_send_request(request)).await? {
-            Ok(response) => Ok(self.pooled_response(address, sender, response)),
+            Ok(response) => {
+                let mut response = self.pooled_response(address, sender, response);
+                response.set_reusable(!options.max_idle.is_zero());
+                Ok(response)
+            }
             Err(mut error) => {
                 log::debug!("peer={address} request failed: {}", error.error());
                 match error.take_message() {
