--- a/crates/eelgrassdeal_http/src/pool.rs
+++ b/crates/eelgrassdeal_http/src/pool.rs
@@ -68,8 +68,6 @@
     pub max_idle: Duration,
     /// Maximum number of connections to the peer that may be open at the same time.
     pub max_connections: usize,
-    /// Whether the connection is only kept after a response with a 2xx status.
-    pub is_reused_after_success_only: bool,
 }
 
 impl Default for SendOptions {
@@ -78,18 +76,11 @@
             connect_timeout: Duration::from_millis(300),
             max_idle: Duration::from_secs(60),
             max_connections: usize::MAX,
-            is_reused_after_success_only: false,
         }
     }
 }
 
 impl SendOptions {
-    /// Keeps the connection only after a response with a 2xx status.
-    pub fn with_reuse_after_success_only(mut self) -> Self {
-        self.is_reused_after_success_only = true;
-        self
-    }
-
     /// Sets the idle time from which on a connection is not reused.
     pub fn with_max_idle(mut self, max_idle: Duration) -> Self {
         self.max_idle = max_idle;
@@ -243,9 +234,7 @@
         let limit = InformationalLimit::new(&mut request);
         while let Some(mut sender) = self.take_idle(address, options.max_idle) {
             match limit.wait_for(sender.try_send_request(request)).await? {
-                Ok(response) => {
-                    return Ok(self.pooled_response(address, sender, response, options));
-                }
+                Ok(response) => return Ok(self.pooled_response(address, sender, response)),
                 Err(mut error) => match error.take_message() {
                     // The connection closed before the request was written.
                     Some(unsent) => request = unsent,
@@ -258,7 +247,11 @@
         }
         let mut sender = self.connect(address, options).await?;
         match limit.wait_for(sender.try_send_request(request)).await? {
-            Ok(response) => Ok(self.pooled_response(address, sender, response, options)),
+            Ok(response) => {
+                let mut response = self.pooled_response(address, sender, response);
+                response.set_reusable(!options.max_idle.is_zero());
+                Ok(response)
+            }
             Err(mut error) => {
                 log::debug!("peer={address} request failed: {}", error.error());
                 match error.take_message() {
@@ -306,13 +299,11 @@
         address: &Arc<str>,
         sender: SendRequest<Full<Bytes>>,
         inner: Response<Incoming>,
-        options: SendOptions,
     ) -> PooledResponse {
-        let may_follow = !options.is_reused_after_success_only || inner.status().is_success();
         PooledResponse {
             inner,
             connection: Some(sender),
-            is_reusable: may_follow && !options.max_idle.is_zero(),
+            is_reusable: true,
             address: address.clone(),
             pool: self.clone(),
         }
