Treat a response without a length as broken off if its upstream has crashed

Callers could see: 200 with a part of a response that is framed as whole, when an upstream that sends neither a length nor chunks crashes between two events of a stream, or within another body. Cause: only the bytes of the response were asked. What else is known of the upstream wasn't. Change: when such a response has ended, the gateway opens a connection to the upstream, which it keeps for later requests. If the host refuses it, the process has ended, and the attempt counts as broken off: a stream is resumed after its last event, a lookup gets another attempt, a booking 502. EventAssembler decides, by an EndSignal. An upstream that had said that it leaves is not asked, as it may end after its last response; one that does not answer proves nothing. A response that has no body by its status (204, HEAD) no longer counts as ending with its connection. Tests: broken_off_responses, two tests ..of_a_crashed_worker failed before (complete after one event; 4 of 10 bytes of a lookup with 200); ..of_a_worker_that_left passed before and after.

--- a/crates/eelgrassdeal_dispatch/src/event_stream.rs
+++ b/crates/eelgrassdeal_dispatch/src/event_stream.rs
@@ -19,6 +19,17 @@
     NotIncreasing,
 }
 
+/// What told that a response has ended without an error.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndSignal {
+    /// Its length or its last chunk.
+    Framing,
+    /// The end of its connection. Its upstream may have ended it early.
+    Disconnection,
+    /// The end of its connection, when the process of its upstream crashed.
+    Crash,
+}
+
 /// What the end of a response means for its stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StreamEnd {
@@ -114,17 +125,18 @@
         }
     }
 
-    /// Decides whether the stream is complete when a response has ended without an error.
-    ///
-    /// `ends_with_connection` is whether only the end of the connection told the end of the response.
-    /// Such a response without any event proves nothing: its upstream may have ended after the head.
-    pub fn end(&mut self, ends_with_connection: bool) -> StreamEnd {
+    /// Decides whether the stream is complete when a response has ended without an error, as `signal`
+    /// told.
+    pub fn end(&mut self, signal: EndSignal) -> StreamEnd {
         let rest = self.pending.split().freeze();
         self.searched = 0;
         let is_empty = self.attempt_events == 0 && !has_fields(&rest);
-        match has_unfinished_event(&rest) || (is_empty && ends_with_connection) {
-            true => StreamEnd::BrokenOff,
-            false => StreamEnd::Complete(rest),
+        match signal {
+            EndSignal::Crash => StreamEnd::BrokenOff,
+            // Without any event, the upstream may have ended the connection after the head.
+            EndSignal::Disconnection if is_empty => StreamEnd::BrokenOff,
+            _ if has_unfinished_event(&rest) => StreamEnd::BrokenOff,
+            _ => StreamEnd::Complete(rest),
         }
     }
 
--- a/crates/eelgrassdeal_dispatch/src/lib.rs
+++ b/crates/eelgrassdeal_dispatch/src/lib.rs
@@ -42,7 +42,7 @@
     CrashLedger, CrashReport, CrashSuspect, MAX_QUARANTINE, Quarantine, SuspectReport,
 };
 pub use directory::{NodeCondition, NodeDirectory, NodeHeartbeat, NodeRole, NodeStage};
-pub use event_stream::{EventAssembler, EventFault, StreamEnd};
+pub use event_stream::{EndSignal, EventAssembler, EventFault, StreamEnd};
 pub use fleet::{
     FleetSummary, FleetView, GroupMembership, GroupRecord, GroupState, Replica, UpstreamRecord,
     UpstreamState,
--- a/crates/eelgrassdeal_dispatch/tests/event_stream.rs
+++ b/crates/eelgrassdeal_dispatch/tests/event_stream.rs
@@ -1,6 +1,6 @@
 //! Assembly of events, whatever the pieces in which a stream arrives.
 
-use eelgrassdeal_dispatch::{EventAssembler, EventFault, StreamEnd};
+use eelgrassdeal_dispatch::{EndSignal, EventAssembler, EventFault, StreamEnd};
 use proptest::prelude::*;
 
 fn event(id: u64) -> String {
@@ -49,7 +49,8 @@
         prop_assert_eq!(&taken, whole);
         prop_assert_eq!(assembler.last_event(), (1..=count).rev().find(|id| taken.contains(&event(*id))));
         let is_cut = taken.len() < sent.len() || sent.is_empty();
-        prop_assert_eq!(assembler.end(true) == StreamEnd::BrokenOff, is_cut);
+        prop_assert_eq!(assembler.clone().end(EndSignal::Disconnection) == StreamEnd::BrokenOff, is_cut);
+        prop_assert_eq!(assembler.end(EndSignal::Crash), StreamEnd::BrokenOff);
     }
 }
 
@@ -59,11 +60,14 @@
         let mut assembler = EventAssembler::new(None);
         assembler.push(sent.as_bytes());
         take_all(&mut assembler);
-        assert_eq!(assembler.end(true), StreamEnd::BrokenOff, "{sent:?}");
+        assert_eq!(assembler.end(EndSignal::Disconnection), StreamEnd::BrokenOff, "{sent:?}");
     }
     let mut assembler = EventAssembler::new(Some(3));
     assembler.begin_attempt();
-    assert!(matches!(assembler.end(false), StreamEnd::Complete(_)), "nothing is left to send");
+    assert!(
+        matches!(assembler.end(EndSignal::Framing), StreamEnd::Complete(_)),
+        "nothing is left to send"
+    );
 }
 
 #[test]
--- a/crates/eelgrassdeal_gateway/src/front/attempt.rs
+++ b/crates/eelgrassdeal_gateway/src/front/attempt.rs
@@ -1,9 +1,10 @@
 //! Attempts to run a request on an upstream: sending, retries and the detection of silent upstreams.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use eelgrassdeal_dispatch::UpstreamRecord;
+use eelgrassdeal_dispatch::{UpstreamRecord, UpstreamState};
 use eelgrassdeal_http::{PooledResponse, SendFailure, SendOptions};
 use eelgrassdeal_platform::{UpstreamNotice, UpstreamResponse, upstream_headers};
 use eelgrassdeal_types::{ErrorKind, UpstreamId};
@@ -58,6 +59,8 @@
 /// Time for which a silent upstream is avoided. By its end the group of a silent head VM is closed
 /// or works again.
 const SILENT_BACKOFF: Duration = Duration::from_secs(2);
+/// Timeout of the check whether the upstream of a response that ended with its connection has crashed.
+const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 /// Assumed maximum number of prompt tokens that an engine processes in one step. The configuration
 /// of an engine does not state it.
 const PREFILL_CHUNK_TOKENS: f64 = 2_048.0;
@@ -158,6 +161,20 @@
         }
     }
 
+    /// Whether the process of an upstream has ended without having said that it leaves: its host refuses
+    /// connections. One that does not answer proves nothing.
+    pub(super) async fn has_crashed(&self, upstream: &UpstreamId) -> bool {
+        let record = self.state.view().upstreams.get(upstream).cloned();
+        let is_asked = |record: &Arc<UpstreamRecord>| {
+            record.state == UpstreamState::Ready
+                && self.state.notices.borrow().may_send(record, Instant::now())
+        };
+        let Some(record) = record.filter(is_asked) else { return false };
+        let options = self.send_options().with_connect_timeout(CRASH_CHECK_TIMEOUT);
+        let opened = self.state.upstream_pool.open_idle(&record.address, options).await;
+        opened == Err(SendFailure::Refused)
+    }
+
     /// Excludes the upstream from further attempts of this request. Other requests avoid it for a
     /// while if there is an alternative.
     fn exclude(&mut self, upstream: &UpstreamId) {
--- a/crates/eelgrassdeal_gateway/src/front/buffered.rs
+++ b/crates/eelgrassdeal_gateway/src/front/buffered.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use eelgrassdeal_http::BufferedResponse;
+use eelgrassdeal_http::{BufferedResponse, SendFailure};
 use eelgrassdeal_platform::UpstreamResponse;
 use eelgrassdeal_types::{ErrorKind, UpstreamId};
 use http_body_util::{Either, Full};
@@ -46,8 +46,15 @@
     let upstream = load.upstream.clone();
     let mut hold = ResponseHold::new(&runner.state);
     let may_hold = |bytes| bytes <= MAX_RESPONSE_BYTES && hold.try_resize(bytes);
+    let ends_with_connection = response.ends_with_connection();
     let response = response.collect_while(may_hold);
-    match runner.wait_for_bytes(&upstream, None, None, response).await {
+    let collected = match runner.wait_for_bytes(&upstream, None, None, response).await {
+        Ok(Ok(_)) if ends_with_connection && runner.has_crashed(&upstream).await => {
+            Ok(Err(SendFailure::MaybeSent))
+        }
+        collected => collected,
+    };
+    match collected {
         Ok(Ok(response)) => {
             let body = hold.attach_to(response.body);
             Ok(Some(BufferedResponse { body, ..response }))
--- a/crates/eelgrassdeal_gateway/src/front/stream.rs
+++ b/crates/eelgrassdeal_gateway/src/front/stream.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use eelgrassdeal_dispatch::{EventAssembler, EventFault, RouteRule, StreamEnd};
+use eelgrassdeal_dispatch::{EndSignal, EventAssembler, EventFault, RouteRule, StreamEnd};
 use eelgrassdeal_platform::UpstreamResponse;
 use futures_util::StreamExt;
 use futures_util::stream::unfold;
@@ -57,8 +57,8 @@
 /// Result of reading from an upstream.
 enum ReadResult {
     Bytes(Bytes),
-    /// The response is complete.
-    End,
+    /// The response has ended without an error.
+    End(EndSignal),
     /// The response ended early.
     Failed(StreamFailure),
     /// The deadline of the request passed.
@@ -70,7 +70,7 @@
 enum StreamFailure {
     /// The connection to the upstream ended before the response did.
     Disconnected,
-    /// The response ended without an error, but inside an event or before the first one.
+    /// The response ended without an error, but inside an event, before the first one, or in a crash.
     BrokenOff,
     /// The upstream counts as silent.
     Silent,
@@ -89,7 +89,7 @@
             Self::Silent => "silent",
             Self::Stalled => "no complete event",
             Self::NoRoom => "no room for an incomplete event",
-            Self::BrokenOff => "response ended inside an event or without any",
+            Self::BrokenOff => "response ended inside an event, without any, or in a crash",
             Self::InvalidEvent(EventFault::TooLarge) => "an event exceeds the size limit",
             Self::InvalidEvent(EventFault::NotIncreasing) => "the ids of events do not increase",
         }
@@ -157,7 +157,7 @@
                         }
                         StreamFailure::NoRoom
                     }
-                    ReadResult::End => match self.events.end(self.ends_with_connection()) {
+                    ReadResult::End(signal) => match self.events.end(signal) {
                         StreamEnd::Complete(rest) => return self.finish(rest),
                         StreamEnd::BrokenOff => StreamFailure::BrokenOff,
                     },
@@ -173,11 +173,6 @@
         None
     }
 
-    /// Whether only the end of the connection tells the end of the running attempt's response.
-    fn ends_with_connection(&self) -> bool {
-        self.attempt.as_ref().is_some_and(|attempt| attempt.response.ends_with_connection())
-    }
-
     /// Whether the stream can be resumed on another upstream. If not, waiting is all that is left.
     fn may_move(&self) -> bool {
         self.runner.may_run_again() && self.events.is_resumable()
@@ -216,7 +211,13 @@
                 ReadResult::Bytes(frame.into_data().unwrap_or_default())
             }
             Ok(Some(Err(_))) => ReadResult::Failed(StreamFailure::Disconnected),
-            Ok(None) => ReadResult::End,
+            Ok(None) if !attempt.response.ends_with_connection() => {
+                ReadResult::End(EndSignal::Framing)
+            }
+            Ok(None) => match self.runner.has_crashed(&upstream).await {
+                true => ReadResult::End(EndSignal::Crash),
+                false => ReadResult::End(EndSignal::Disconnection),
+            },
             Err(WaitError::Silent) => {
                 self.runner.report_silent(&upstream);
                 match may_move {
--- a/crates/eelgrassdeal_gateway/tests/broken_off_responses.rs
+++ b/crates/eelgrassdeal_gateway/tests/broken_off_responses.rs
@@ -11,6 +11,7 @@
 use compio::BufResult;
 use compio::io::{AsyncRead, AsyncWriteExt};
 use compio::net::TcpStream;
+use eelgrassdeal_http::{BufferedResponse, SendFailure};
 
 /// Events of a stream.
 const EVENTS: u64 = 3;
@@ -191,6 +192,18 @@
 async fn stream_from_script(
     script: impl Fn(&ScriptedRequest, usize) -> ScriptedAnswer + Clone + 'static,
 ) -> (Option<String>, Vec<ScriptedRequest>) {
+    let (answer, requests) = answer_from_script("/feed/x", "stream", script).await;
+    let body = answer.ok().filter(|answer| answer.status == 200);
+    (body.map(|answer| String::from_utf8_lossy(&answer.body).into_owned()), requests)
+}
+
+/// Sends a request to two workers that answer as `script` says, which gets the number of earlier
+/// sends. Returns the answer, and what ran.
+async fn answer_from_script(
+    path: &str,
+    id: &str,
+    script: impl Fn(&ScriptedRequest, usize) -> ScriptedAnswer + Clone + 'static,
+) -> (Result<BufferedResponse, SendFailure>, Vec<ScriptedRequest>) {
     let platform = TestPlatform::new().await;
     let requests: Rc<RefCell<Vec<ScriptedRequest>>> = Rc::default();
     for index in 0..2 {
@@ -203,10 +216,8 @@
         start_scripted_worker(&platform.store, &format!("i-desk{index}"), answer).await;
     }
     let platform = platform.with_gateways(1).await;
-    let answer = platform.send_request(0, "/feed/x", "stream", API_KEY).await;
-    let body = answer.ok().filter(|answer| answer.status == 200);
-    let body = body.map(|answer| String::from_utf8_lossy(&answer.body).into_owned());
-    (body, requests.take())
+    let answer = platform.send_request(0, path, id, API_KEY).await;
+    (answer, requests.take())
 }
 
 /// The first bytes of a stream in chunks, with `events` whole events, after which the connection
@@ -218,6 +229,71 @@
     ScriptedAnswer::new(&text[..end + 4], AnswerEnd::Close)
 }
 
+/// The first bytes of a response without a length, up to the position `at` in the body, after which
+/// the process of the worker ends. `head_field` is a line of its head, which may be empty.
+fn exit_within(pieces: &[String], head_field: &str, id: &str, at: usize) -> ScriptedAnswer {
+    let whole = response(id, BodyFraming::ConnectionEnd, pieces);
+    let text = String::from_utf8(whole).expect("text").replacen("\r\n", head_field, 1);
+    let head_end = text.find("\r\n\r\n").expect("a head") + 4;
+    ScriptedAnswer::new(&text[..head_end + at], AnswerEnd::Exit)
+}
+
+#[compio::test]
+async fn stream_without_length_of_a_crashed_worker_is_not_taken_for_whole() {
+    for events in 1..EVENTS {
+        let (body, requests) = stream_from_script(move |request, earlier| match earlier {
+            0 => {
+                let end = complete_stream(events).len();
+                exit_within(&events_after(0), "\r\n", &request.id, end)
+            }
+            _ => {
+                let rest = events_after(request.last_event.unwrap_or(0));
+                let rest = response(&request.id, BodyFraming::Length, &rest);
+                ScriptedAnswer::new(rest, AnswerEnd::KeepOpen)
+            }
+        })
+        .await;
+        assert_eq!(body, Some(complete_stream(EVENTS)), "cut after {events} events");
+        assert_eq!(requests.last().and_then(|request| request.last_event), Some(events));
+    }
+}
+
+#[compio::test]
+async fn response_without_length_of_a_crashed_worker_is_not_taken_for_whole() {
+    for (path, status, sends) in [("/look/x", 200, 2), ("/book/x", 502, 1)] {
+        let (answer, requests) = answer_from_script(path, "one", |request, earlier| {
+            let pieces = body_pieces(request);
+            match earlier {
+                0 => exit_within(&pieces, "\r\n", &request.id, 4),
+                _ => {
+                    let whole = response(&request.id, BodyFraming::Length, &pieces);
+                    ScriptedAnswer::new(whole, AnswerEnd::KeepOpen)
+                }
+            }
+        })
+        .await;
+        let answer = answer.expect("a response");
+        assert_eq!(answer.status, status, "{path}");
+        assert_eq!(answer.body == "0123456789", status == 200, "{path}: {:?}", answer.body);
+        assert_eq!(requests.len(), sends, "{path}");
+    }
+}
+
+#[compio::test]
+async fn response_without_length_of_a_worker_that_left_is_complete() {
+    for (path, body) in [("/feed/x", complete_stream(EVENTS)), ("/book/x", "0123456789".into())] {
+        let (answer, requests) = answer_from_script(path, "one", |request, _| {
+            let pieces = body_pieces(request);
+            let end = pieces.iter().map(String::len).sum();
+            exit_within(&pieces, "\r\nserver-leaving: 1\r\n", &request.id, end)
+        })
+        .await;
+        let answer = answer.expect("a response");
+        assert_eq!((answer.status, &answer.body[..]), (200, body.as_bytes()), "{path}");
+        assert_eq!(requests.len(), 1, "{path}");
+    }
+}
+
 #[compio::test]
 async fn error_after_a_broken_off_stream_is_not_written_into_it() {
     for head in ["500 Internal Server Error", "503 Service Unavailable", "200 OK"] {
--- a/crates/eelgrassdeal_gateway/tests/common/scripted_worker.rs
+++ b/crates/eelgrassdeal_gateway/tests/common/scripted_worker.rs
@@ -8,6 +8,7 @@
 use compio::net::{TcpListener, TcpStream};
 use eelgrassdeal_standins::MetadataStoreFake;
 use rustix::net::sockopt::set_socket_linger;
+use rustix::net::{Shutdown, shutdown};
 
 use super::PLAIN_SERVICE;
 
@@ -32,6 +33,8 @@
     KeepOpen,
     Close,
     Reset,
+    /// Closes the connection and refuses further ones, as at the end of a process.
+    Exit,
     /// Writes this again and again until the connection is closed.
     Repeat(&'static [u8]),
 }
@@ -66,15 +69,22 @@
     let (script, id): (Rc<AnswerScript>, _) = (Rc::new(script), id.to_owned());
     compio::runtime::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
-            let (script, id) = (script.clone(), id.clone());
-            compio::runtime::spawn(async move { answer_requests(stream, &id, &*script).await })
-                .detach();
+            let (listener, script, id) = (listener.clone(), script.clone(), id.clone());
+            compio::runtime::spawn(async move {
+                answer_requests(stream, &listener, &id, &*script).await;
+            })
+            .detach();
         }
     })
     .detach();
 }
 
-async fn answer_requests(mut stream: TcpStream, worker: &str, script: &AnswerScript) {
+async fn answer_requests(
+    mut stream: TcpStream,
+    listener: &TcpListener,
+    worker: &str,
+    script: &AnswerScript,
+) {
     let _ = stream.set_nodelay(true);
     let mut received = Vec::new();
     let mut earlier_requests = 0;
@@ -92,6 +102,10 @@
                 set_socket_linger(&stream, Some(Duration::ZERO)).expect("an open socket");
                 return;
             }
+            AnswerEnd::Exit => {
+                shutdown(listener, Shutdown::Both).expect("an open socket");
+                return;
+            }
             AnswerEnd::Repeat(piece) => while stream.write_all(piece).await.0.is_ok() {},
         }
     }
--- a/crates/eelgrassdeal_http/src/pool.rs
+++ b/crates/eelgrassdeal_http/src/pool.rs
@@ -13,9 +13,9 @@
 use event_listener::Event;
 use futures_util::future::Either;
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, TRANSFER_ENCODING};
+use hyper::header::{CONNECTION, HeaderMap, HeaderName, TRANSFER_ENCODING};
 use hyper::{Request, Response};
 
 use crate::socket::{BoundedSocket, CLIENT_BUFFER_BYTES};
@@ -147,9 +147,8 @@
     /// Whether the body has neither a length nor chunks, so that only the end of the connection tells
     /// its end.
     pub fn ends_with_connection(&self) -> bool {
-        let headers = self.inner.headers();
-        let is_chunked = has_token(headers, TRANSFER_ENCODING, "chunked");
-        !is_chunked && !headers.contains_key(CONTENT_LENGTH)
+        let is_chunked = has_token(self.inner.headers(), TRANSFER_ENCODING, "chunked");
+        !is_chunked && self.inner.body().size_hint().exact().is_none()
     }
 
     /// Sets whether the connection is kept after the response; otherwise it is closed.
@@ -262,6 +261,22 @@
         }
     }
 
+    /// Opens a connection, and keeps it for a later request. This shows whether the peer still accepts
+    /// connections.
+    ///
+    /// # Errors
+    ///
+    /// [`SendFailure`] if there is no new connection.
+    pub async fn open_idle(
+        &self,
+        address: &Arc<str>,
+        options: SendOptions,
+    ) -> Result<(), SendFailure> {
+        let sender = self.connect(address, options).await?;
+        self.put_idle(address, sender, DEFAULT_IDLE_TIMEOUT);
+        Ok(())
+    }
+
     /// Sends a request and reads the complete response, of at most `max_bytes`, within `timeout`.
     ///
     /// # Errors
