Close the connection of a request without an id after its response

Could happen: the connection on which a request without an id was sent went back into the pool. Such requests get a new connection because nothing tells their responses from late copies; a late copy of one could still arrive there and end the next request's attempt as failed. Change: close_after can only take the connection out; nothing puts it back. Test: repeated_answers connection_of_a_request_without_an_id failed before (requests 0, 1, 2 of one connection).

--- a/crates/eelgrassdeal_gateway/src/front/attempt.rs
+++ b/crates/eelgrassdeal_gateway/src/front/attempt.rs
@@ -482,7 +482,9 @@
         if status.as_u16() != 421 {
             let notice = UpstreamNotice::from_response(status.as_u16(), response.inner.headers());
             record_notice(&self.state, record, notice, &self.call.request_id);
-            response.set_reusable(!notice.is_leaving);
+            if notice.is_leaving {
+                response.close_after();
+            }
         }
         if response_info.is_not_run || status.as_u16() == 421 {
             self.arrivals += 1;
--- a/crates/eelgrassdeal_gateway/tests/common/mod.rs
+++ b/crates/eelgrassdeal_gateway/tests/common/mod.rs
@@ -317,7 +317,7 @@
         self.call(&self.gateways[gateway].front.clone(), request).await
     }
 
-    async fn call(
+    pub async fn call(
         &self,
         address: &Arc<str>,
         request: Request<Full<Bytes>>,
--- a/crates/eelgrassdeal_gateway/tests/repeated_answers.rs
+++ b/crates/eelgrassdeal_gateway/tests/repeated_answers.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 
 use common::scripted_worker::{AnswerEnd, ScriptedAnswer, ScriptedRequest, start_scripted_worker};
-use common::{API_KEY, TestPlatform};
+use common::{API_KEY, TestPlatform, caller_request};
 
 const REQUESTS: u32 = 12;
 
@@ -99,3 +99,27 @@
         }
     }
 }
+
+#[compio::test]
+async fn connection_of_a_request_without_an_id_is_not_kept() {
+    let platform = TestPlatform::new().await;
+    let earlier_requests: Rc<RefCell<Vec<u32>>> = Rc::default();
+    let seen = earlier_requests.clone();
+    let script = move |request: &ScriptedRequest| {
+        seen.borrow_mut().push(request.earlier_requests);
+        let answer = success(&request.id).replace("x-eelgrassdeal-request-id: \r\n", "");
+        ScriptedAnswer::new(answer, AnswerEnd::KeepOpen)
+    };
+    start_scripted_worker(&platform.store, "i-desk0", script).await;
+    let platform = platform.with_gateways(1).await;
+    let mut request = caller_request("/look/x", "", API_KEY);
+    request.headers_mut().remove("x-eelgrassdeal-request-id");
+    let front = platform.gateways[0].front.clone();
+    let answer = platform.call(&front, request).await.expect("a response");
+    assert_eq!(answer.status, 200);
+    for id in ["a", "b"] {
+        let answer = platform.send_request(0, "/look/x", id, API_KEY).await.expect("a response");
+        assert_eq!((answer.status, &answer.body[..]), (200, id.as_bytes()));
+    }
+    assert_eq!(*earlier_requests.borrow(), [0, 0, 1]);
+}
--- a/crates/eelgrassdeal_http/src/pool.rs
+++ b/crates/eelgrassdeal_http/src/pool.rs
@@ -151,9 +151,9 @@
         !is_chunked && self.inner.body().size_hint().exact().is_none()
     }
 
-    /// Sets whether the connection is kept after the response; otherwise it is closed.
-    pub fn set_reusable(&mut self, is_reusable: bool) {
-        self.is_reusable = is_reusable;
+    /// Closes the connection after the response.
+    pub fn close_after(&mut self) {
+        self.is_reusable = false;
     }
 
     /// Returns the connection to the pool, unless the peer closes it or it must not be reused. The body
@@ -248,7 +248,9 @@
         match limit.wait_for(sender.try_send_request(request)).await? {
             Ok(response) => {
                 let mut response = self.pooled_response(address, sender, response);
-                response.set_reusable(!options.max_idle.is_zero());
+                if options.max_idle.is_zero() {
+                    response.close_after();
+                }
                 Ok(response)
             }
             Err(mut error) => {
