Reset the connections of requests that are given up

Could happen: a request that a node gave up on, since its upstream was silent or its caller left, still reached the upstream when a partition ended. The node had closed the connection in order, and bytes under way are delivered before such an end. Orders and calls to the store that time out are reset too, and so can't be carried out late. Change: a connection with a request without a complete response is neither shut down nor closed but reset when it is dropped.

--- a/crates/eelgrassdeal_http/src/discard.rs
+++ b/crates/eelgrassdeal_http/src/discard.rs
@@ -1,4 +1,4 @@
-//! Ways to close a connection to a caller: after what it still sends, or with a reset.
+//! Ways to close a connection: after what its other side still sends, or with a reset.
 
 use std::time::Duration;
 
@@ -34,8 +34,8 @@
     let _ = compio::time::timeout(DISCARD_TIMEOUT, discard).await;
 }
 
-/// Closes a connection with a reset, which tells its other side that a response without a length or
-/// chunks is incomplete. Data that was not sent yet is lost.
+/// Closes a connection with a reset. A caller can tell by it that a response without a length or chunks
+/// is incomplete. Data that has not arrived yet is lost, so that a peer gets no request that was given up.
 pub fn reset_connection(stream: TcpStream) {
     if let Err(error) = set_socket_linger(&stream, Some(Duration::ZERO)) {
         log::debug!("a connection is closed without a reset: {error}");
--- a/crates/eelgrassdeal_http/src/lib.rs
+++ b/crates/eelgrassdeal_http/src/lib.rs
@@ -4,7 +4,7 @@
 //! - [`discard_unread`] closes a server connection so that the caller receives the last response,
 //!   and [`reset_connection`] so that it can tell that the last response is incomplete.
 //! - [`ConnectionPool`] sends requests on connections that are reused only after a response was
-//!   read completely.
+//!   read completely, and reset if it was not.
 
 mod discard;
 mod pool;
--- a/crates/eelgrassdeal_http/src/pool.rs
+++ b/crates/eelgrassdeal_http/src/pool.rs
@@ -18,6 +18,7 @@
 use hyper::header::{CONNECTION, HeaderMap, HeaderName, TRANSFER_ENCODING};
 use hyper::{Request, Response};
 
+use crate::discard::reset_connection;
 use crate::socket::{BoundedSocket, CLIENT_BUFFER_BYTES};
 
 /// Time after which a peer that accepts no byte of a request is treated as hung.
@@ -100,8 +101,15 @@
     }
 }
 
-struct PooledConnection {
+/// A connection to a peer, and whether it carries a request without a complete response. If it does
+/// when it is dropped, it is reset, so that the peer doesn't receive the request later.
+struct PeerConnection {
     sender: SendRequest<Full<Bytes>>,
+    is_busy: Rc<Cell<bool>>,
+}
+
+struct PooledConnection {
+    connection: PeerConnection,
     idle_since: Instant,
     expires: Instant,
 }
@@ -132,12 +140,12 @@
 
 /// The head of a response, and the connection on which its body arrives.
 ///
-/// Dropping it before [`Self::release_connection`] closes the connection, which cancels the request
-/// at the peer.
+/// Dropping it before [`Self::release_connection`] resets the connection, which cancels the request at
+/// the peer, or before it gets there.
 pub struct PooledResponse {
     /// Head of the response, and its body as it arrives.
     pub inner: Response<Incoming>,
-    connection: Option<SendRequest<Full<Bytes>>>,
+    connection: PeerConnection,
     is_reusable: bool,
     address: Arc<str>,
     pool: ConnectionPool,
@@ -158,12 +166,12 @@
 
     /// Returns the connection to the pool, unless the peer closes it or it must not be reused. The body
     /// must have been read completely.
-    pub fn release_connection(mut self) {
+    pub fn release_connection(self) {
         let headers = self.inner.headers();
-        let Some(sender) = self.connection.take() else { return };
+        self.connection.is_busy.set(false);
         if self.is_reusable && !is_closing(headers) {
             let idle_timeout = advertised_idle_timeout(headers).unwrap_or(DEFAULT_IDLE_TIMEOUT);
-            self.pool.put_idle(&self.address, sender, idle_timeout);
+            self.pool.put_idle(&self.address, self.connection, idle_timeout);
         }
     }
 
@@ -231,9 +239,10 @@
     ) -> Result<PooledResponse, SendFailure> {
         let mut request = request;
         let limit = InformationalLimit::new(&mut request);
-        while let Some(mut sender) = self.take_idle(address, options.max_idle) {
-            match limit.wait_for(sender.try_send_request(request)).await? {
-                Ok(response) => return Ok(self.pooled_response(address, sender, response)),
+        while let Some(mut connection) = self.take_idle(address, options.max_idle) {
+            connection.is_busy.set(true);
+            match limit.wait_for(connection.sender.try_send_request(request)).await? {
+                Ok(response) => return Ok(self.pooled_response(address, connection, response)),
                 Err(mut error) => match error.take_message() {
                     // The connection closed before the request was written.
                     Some(unsent) => request = unsent,
@@ -244,10 +253,11 @@
                 },
             }
         }
-        let mut sender = self.connect(address, options).await?;
-        match limit.wait_for(sender.try_send_request(request)).await? {
+        let mut connection = self.connect(address, options).await?;
+        connection.is_busy.set(true);
+        match limit.wait_for(connection.sender.try_send_request(request)).await? {
             Ok(response) => {
-                let mut response = self.pooled_response(address, sender, response);
+                let mut response = self.pooled_response(address, connection, response);
                 if options.max_idle.is_zero() {
                     response.close_after();
                 }
@@ -274,8 +284,8 @@
         address: &Arc<str>,
         options: SendOptions,
     ) -> Result<(), SendFailure> {
-        let sender = self.connect(address, options).await?;
-        self.put_idle(address, sender, DEFAULT_IDLE_TIMEOUT);
+        let connection = self.connect(address, options).await?;
+        self.put_idle(address, connection, DEFAULT_IDLE_TIMEOUT);
         Ok(())
     }
 
@@ -305,7 +315,8 @@
             compio::time::sleep(SWEEP_INTERVAL).await;
             let now = Instant::now();
             self.peers.borrow_mut().retain(|_, peer| {
-                peer.idle.retain(|pooled| now < pooled.expires && !pooled.sender.is_closed());
+                peer.idle
+                    .retain(|pooled| now < pooled.expires && !pooled.connection.sender.is_closed());
                 !peer.idle.is_empty() || peer.open.get() > 0
             });
         }
@@ -314,46 +325,37 @@
     fn pooled_response(
         &self,
         address: &Arc<str>,
-        sender: SendRequest<Full<Bytes>>,
+        connection: PeerConnection,
         inner: Response<Incoming>,
     ) -> PooledResponse {
         PooledResponse {
             inner,
-            connection: Some(sender),
+            connection,
             is_reusable: true,
             address: address.clone(),
             pool: self.clone(),
         }
     }
 
-    fn take_idle(
-        &self,
-        address: &Arc<str>,
-        max_idle: Duration,
-    ) -> Option<SendRequest<Full<Bytes>>> {
+    fn take_idle(&self, address: &Arc<str>, max_idle: Duration) -> Option<PeerConnection> {
         let now = Instant::now();
         let mut peers = self.peers.borrow_mut();
         let peer = peers.get_mut(address)?;
-        peer.idle.retain(|pooled| now < pooled.expires && !pooled.sender.is_closed());
+        peer.idle.retain(|pooled| now < pooled.expires && !pooled.connection.sender.is_closed());
         let is_usable = |pooled: &PooledConnection| {
-            pooled.sender.is_ready() && now.duration_since(pooled.idle_since) < max_idle
+            pooled.connection.sender.is_ready() && now.duration_since(pooled.idle_since) < max_idle
         };
         let position = peer.idle.iter().rposition(is_usable)?;
-        Some(peer.idle.remove(position).sender)
+        Some(peer.idle.remove(position).connection)
     }
 
-    fn put_idle(
-        &self,
-        address: &Arc<str>,
-        sender: SendRequest<Full<Bytes>>,
-        idle_timeout: Duration,
-    ) {
+    fn put_idle(&self, address: &Arc<str>, connection: PeerConnection, idle_timeout: Duration) {
         let now = Instant::now();
         let expires = now + idle_timeout.saturating_sub(IDLE_MARGIN);
         let mut peers = self.peers.borrow_mut();
         let peer = peers.entry(address.clone()).or_default();
         if peer.idle.len() < MAX_IDLE_PER_PEER {
-            peer.idle.push(PooledConnection { sender, idle_since: now, expires });
+            peer.idle.push(PooledConnection { connection, idle_since: now, expires });
         }
     }
 
@@ -361,7 +363,7 @@
         &self,
         address: &Arc<str>,
         options: SendOptions,
-    ) -> Result<SendRequest<Full<Bytes>>, SendFailure> {
+    ) -> Result<PeerConnection, SendFailure> {
         let open = self.peers.borrow_mut().entry(address.clone()).or_default().open.clone();
         if open.get() >= options.max_connections {
             return Err(SendFailure::TooManyConnections);
@@ -386,19 +388,26 @@
         self.opened.set(self.opened.get() + 1);
         // Requests are small, and Nagle's algorithm would delay them.
         let _ = stream.set_nodelay(true);
+        let is_busy = Rc::new(Cell::new(false));
+        let socket = BoundedSocket::new_plain(stream.clone(), WRITE_TIMEOUT)
+            .with_reset_flag(is_busy.clone());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(CLIENT_BUFFER_BYTES)
-            .handshake(BoundedSocket::new_plain(stream, WRITE_TIMEOUT))
+            .handshake(socket)
             .await
             .map_err(|_| SendFailure::NotSent)?;
+        let was_busy = is_busy.clone();
         compio::runtime::spawn(async move {
             let _open = open;
             if let Err(error) = connection.await {
                 log::debug!("connection to a peer ended: {error}");
             }
+            if was_busy.get() {
+                reset_connection(stream);
+            }
         })
         .detach();
-        Ok(sender)
+        Ok(PeerConnection { sender, is_busy })
     }
 }
 
--- a/crates/eelgrassdeal_http/src/socket.rs
+++ b/crates/eelgrassdeal_http/src/socket.rs
@@ -1,7 +1,9 @@
 //! Adapter from compio sockets to hyper's I/O traits, with small buffers.
 
+use std::cell::Cell;
 use std::io;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
@@ -28,6 +30,7 @@
     stream: MaybeTlsStream<TcpStream>,
     write_timeout: Duration,
     write_timer: Option<WriteTimer>,
+    is_reset_at_end: Rc<Cell<bool>>,
 }
 
 impl BoundedSocket {
@@ -35,7 +38,17 @@
     pub fn new_plain(stream: TcpStream, write_timeout: Duration) -> Self {
         let limits = SOCKET_BUFFER_BYTES;
         let stream = AsyncStream::with_limits(limits, limits, stream);
-        Self { stream: MaybeTlsStream::new_plain_compat(stream), write_timeout, write_timer: None }
+        Self::new(MaybeTlsStream::new_plain_compat(stream), write_timeout)
+    }
+
+    fn new(stream: MaybeTlsStream<TcpStream>, write_timeout: Duration) -> Self {
+        Self { stream, write_timeout, write_timer: None, is_reset_at_end: Rc::default() }
+    }
+
+    /// Shares a flag by which the socket is not shut down, since its owner resets the connection.
+    pub(crate) fn with_reset_flag(mut self, is_reset_at_end: Rc<Cell<bool>>) -> Self {
+        self.is_reset_at_end = is_reset_at_end;
+        self
     }
 
     /// Performs the server side of a TLS handshake and returns the encrypted connection.
@@ -47,7 +60,7 @@
         let limits = SOCKET_BUFFER_BYTES;
         let stream = AsyncStream::with_limits(limits, limits, stream);
         let stream = MaybeTlsStream::new_tls(acceptor.accept_compat(stream).await?);
-        Ok(Self { stream, write_timeout, write_timer: None })
+        Ok(Self::new(stream, write_timeout))
     }
 
     /// Returns the result of a write, flush or close, or an error if writes have been pending for
@@ -122,6 +135,9 @@
 
     fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         let this = self.get_mut();
+        if this.is_reset_at_end.get() {
+            return Poll::Ready(Ok(()));
+        }
         let result = Pin::new(&mut this.stream).poll_close(context);
         this.check_write_timeout(context, result)
     }
