Find the ends of events whose lines end with CRLF

Could happen: an upstream that ends lines with CRLF, as the format allows, had its events forwarded only at the end of the stream, which was cut if it exceeded 256 KiB, and resumed from its beginning if it was interrupted. Cause: only two line feeds counted as the end of an event. Change: an empty line ends an event whether the lines end with CRLF or a line feed. Test: dispatch event_stream pieces_of_any_size, now with both, failed before (no event was found).

--- a/crates/eelgrassdeal_dispatch/src/event_stream.rs
+++ b/crates/eelgrassdeal_dispatch/src/event_stream.rs
@@ -5,7 +5,9 @@
 /// Maximum size of an event. A response with more bytes before the next end of an event is not a
 /// valid event stream.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
-const EVENT_END: &[u8] = b"\n\n";
+/// Length of the longest end of an event: an empty line after the end of another one, of which either may
+/// end with CRLF.
+const MAX_EVENT_END_BYTES: usize = 3;
 const ID_FIELD: &[u8] = b"id:";
 const DATA_FIELD: &[u8] = b"data";
 
@@ -143,13 +145,19 @@
     /// Returns the position after the first end of an event in `pending` that lies after `from`.
     fn find_event_end(&mut self, from: usize) -> Option<usize> {
         // The end of an event may begin in the bytes that were searched before.
-        let start = self.searched.saturating_sub(EVENT_END.len() - 1).max(from);
-        let mut windows = self.pending[start..].windows(EVENT_END.len());
-        let position = windows.position(|window| window == EVENT_END);
-        if position.is_none() {
+        let start = self.searched.saturating_sub(MAX_EVENT_END_BYTES - 1).max(from);
+        let bytes = &self.pending[start..];
+        let line_ends = bytes.iter().zip(start + 1..).filter(|(byte, _)| **byte == b'\n');
+        let mut event_ends = line_ends.filter_map(|(_, next)| match &self.pending[next..] {
+            [b'\n', ..] => Some(next + 1),
+            [b'\r', b'\n', ..] => Some(next + 2),
+            _ => None,
+        });
+        let end = event_ends.next();
+        if end.is_none() {
             self.searched = self.pending.len();
         }
-        position.map(|position| start + position + EVENT_END.len())
+        end
     }
 }
 
--- a/crates/eelgrassdeal_dispatch/tests/event_stream.rs
+++ b/crates/eelgrassdeal_dispatch/tests/event_stream.rs
@@ -29,8 +29,11 @@
         count in 0_u64..8,
         sizes in prop::collection::vec(1_usize..40, 1..80),
         cut in 0_usize..200,
+        line_end in prop::sample::select(vec!["\n", "\r\n"]),
     ) {
-        let stream = events(1..=count);
+        let event = |id: u64| event(id).replace('\n', line_end);
+        let event_end = line_end.repeat(2);
+        let stream: String = (1..=count).map(event).collect();
         let sent = &stream[..cut.min(stream.len())];
         let mut assembler = EventAssembler::new(None);
         let (mut taken, mut rest) = (String::new(), sent);
@@ -45,7 +48,7 @@
                 break;
             }
         }
-        let whole = sent.rfind("\n\n").map_or("", |end| &sent[..end + 2]);
+        let whole = sent.rfind(&event_end).map_or("", |end| &sent[..end + event_end.len()]);
         prop_assert_eq!(&taken, whole);
         prop_assert_eq!(assembler.last_event(), (1..=count).rev().find(|id| taken.contains(&event(*id))));
         let is_cut = taken.len() < sent.len() || sent.is_empty();
