--- a/crates/eelgrassdeal_dispatch/src/fleet.rs
+++ b/crates/eelgrassdeal_dispatch/src/fleet.rs
@@ -31,10 +31,6 @@
     Broken,
 }
 
-/// Time after which a record that is older than the return of its data centre is believed. Upstreams renew
-/// their records more often than that, unless the store is away.
-const MAX_COLD_DOUBT: Duration = Duration::from_secs(5);
-
 /// Membership of an upstream in a group, as the upstream reports it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct GroupMembership {
@@ -82,7 +78,7 @@
 }
 
 impl UpstreamRecord {
-    /// Whether the upstream is cold at `now` as far as its record tells; see [`FleetView::is_cold`].
+    /// Whether the upstream is cold at `now`.
     pub fn is_cold(&self, now: Instant) -> bool {
         now < self.seen_at + self.cold_left
     }
@@ -157,32 +153,9 @@
     pub groups_version: u64,
     /// Data centres that operators have taken out of service.
     pub evacuated: BTreeSet<DataCentreId>,
-    /// When data centres were last taken back into service.
-    taken_back: BTreeMap<DataCentreId, Instant>,
 }
 
 impl FleetView {
-    /// Records that operators have taken a data centre out of service, or back.
-    pub fn set_evacuated(&mut self, data_centre: DataCentreId, is_evacuated: bool, now: Instant) {
-        match is_evacuated {
-            true => {
-                self.evacuated.insert(data_centre);
-            }
-            false if self.evacuated.remove(&data_centre) => {
-                self.taken_back.insert(data_centre, now);
-            }
-            false => {}
-        }
-    }
-
-    /// Whether an upstream may be cold at `now`. Those of a data centre that was out of service may have
-    /// become cold meanwhile, which their records from before don't tell.
-    pub fn is_cold(&self, record: &UpstreamRecord, now: Instant) -> bool {
-        let taken_back = self.taken_back.get(&record.data_centre);
-        let is_doubtful = |at: &Instant| record.seen_at <= *at && now < *at + MAX_COLD_DOUBT;
-        record.is_cold(now) || taken_back.is_some_and(is_doubtful)
-    }
-
     /// Whether new work may be placed on the upstream of `record`.
     pub fn may_place(&self, record: &UpstreamRecord) -> bool {
         record.state == UpstreamState::Ready && !self.evacuated.contains(&record.data_centre)
--- a/crates/eelgrassdeal_gateway/src/mirror.rs
+++ b/crates/eelgrassdeal_gateway/src/mirror.rs
@@ -155,7 +155,7 @@
             return;
         }
         match table {
-            SharedTable::Operators => self.apply_operator_rows(changes, now),
+            SharedTable::Operators => self.apply_operator_rows(changes),
             SharedTable::Upstreams => self.apply_upstream_rows(changes, now),
             SharedTable::Groups => self.apply_group_rows(changes),
             // Read from the copies of the tables when they are needed.
@@ -163,18 +163,21 @@
         }
     }
 
-    fn apply_operator_rows(&mut self, changes: &[RowChange], now: Instant) {
+    fn apply_operator_rows(&mut self, changes: &[RowChange]) {
         for row in changes {
             match (&row.value, evacuated_zone(&row.key)) {
                 (value, Some(data_centre)) => {
+                    let view = Arc::make_mut(&mut self.view);
                     let is_evacuated = value.is_some();
                     // `out` means that operators have taken the data centre out of service.
                     log::info!(
                         "event=data_centre data_centre={data_centre} out={is_evacuated} version={}",
                         row.version
                     );
-                    let view = Arc::make_mut(&mut self.view);
-                    view.set_evacuated(data_centre, is_evacuated, now);
+                    match is_evacuated {
+                        true => view.evacuated.insert(data_centre),
+                        false => view.evacuated.remove(&data_centre),
+                    };
                 }
                 (Some(value), None) if &*row.key == CONFIG_KEY => {
                     self.apply_config(value);
--- a/crates/eelgrassdeal_gateway/src/state.rs
+++ b/crates/eelgrassdeal_gateway/src/state.rs
@@ -213,7 +213,7 @@
     /// if the share is used up or this node may not send to the upstream; always true for a warm
     /// upstream and for a service without such a limit.
     pub(crate) fn try_take_cold_share(&self, record: &UpstreamRecord, now: Instant) -> bool {
-        if !self.view().is_cold(record, now) {
+        if !record.is_cold(now) {
             return true;
         }
         let config = self.config();
