--- a/crates/eelgrassdeal_gateway/tests/troubled_workers.rs
+++ b/crates/eelgrassdeal_gateway/tests/troubled_workers.rs
@@ -51,6 +51,12 @@
     }
 }
 
+/// Lines of the log of the first gateway that contain `text`.
+fn log_of(platform: &TestPlatform, text: &str) -> String {
+    let log = platform.gateways[0].log();
+    log.lines().filter(|line| line.contains(text)).collect::<Vec<_>>().join("\n")
+}
+
 /// Sends a stream to two replicas, of which the one that is used first has a fault, and checks that
 /// it is complete and that no event takes longer than callers wait.
 async fn assert_stream_moves_away(fault: WorkerFault) {
@@ -68,10 +74,15 @@
                 async move { platform.send_request(0, "/stream/x", &id, API_KEY).await }
             });
             let started = Instant::now();
-            for answer in futures_util::future::join_all(streams).await {
-                assert_eq!(answer.expect("a complete response").body, complete_stream(EVENTS));
+            for (answer, index) in
+                futures_util::future::join_all(streams).await.into_iter().zip(0..)
+            {
+                let log = || log_of(&platform, &format!("{head}-{round}-{index} "));
+                let answer = answer.unwrap_or_else(|failure| panic!("{failure:?}: {}", log()));
+                assert_eq!(answer.body, complete_stream(EVENTS), "{}", log());
             }
-            assert!(started.elapsed() < CALLER_PATIENCE * 2, "took {:?}", started.elapsed());
+            let log = || log_of(&platform, &format!("{head}-{round}-"));
+            assert!(started.elapsed() < CALLER_PATIENCE * 2, "{:?}: {}", started.elapsed(), log());
             round += 1;
             assert!(round < MAX_ROUNDS, "no stream was sent to {head}");
         }
