review: large request bodies end both processes after one loss

Cause: the bodies of requests in progress are collected without a bound on their sum, so that a gateway that takes over another one's callers exceeds its memory, and its callers then do the same to the next.

Nothing is fixed.

--- a/review/harness/src/bin/large-bodies.rs
+++ b/review/harness/src/bin/large-bodies.rs
@@ -17,7 +17,7 @@
 /// Below the 4,194,304 bytes of the configuration.
 const BODY_BYTES: usize = 4_000_000;
 /// Clients of each gateway.
-const CLIENTS: usize = 14;
+const CLIENTS: usize = 18;
 const WORK: Duration = Duration::from_millis(800);
 const PAUSE: Duration = Duration::from_millis(200);
 const DEADLINE_MS: u32 = 8_000;
@@ -48,6 +48,7 @@
     fronts: [SocketAddr; 2],
     until: Instant,
     results: Arc<Mutex<Results>>,
+    record: Record,
 ) -> JoinHandle<()> {
     std::thread::spawn(move || {
         // The clients of a gateway don't start at the same moment.
@@ -60,6 +61,12 @@
             let message = request_message("POST", "/cufi504/x", &id, DEADLINE_MS, &body);
             let timeout = Duration::from_millis(DEADLINE_MS.into());
             let answer: Answer = exchange(fronts[gateway], &message, timeout);
+            record.note(&format!(
+                "{id} sent to front-{}, answered with {} {}",
+                gateway + 1,
+                answer.status,
+                answer.error
+            ));
             let mut results = results.lock().expect("no panic");
             match (answer.status, answer.is_complete) {
                 (200, true) => results.served += 1,
@@ -95,7 +102,9 @@
         }],
     );
     let _workers = ["i-desk0", "i-desk1", "i-desk2", "i-desk3", "i-desk4", "i-desk5"].map(|id| {
+        let runs = record.clone();
         Worker::start(id, &store, 6, move |request, stream| {
+            runs.note(&format!("{id} runs {}", request.header("x-eelgrassdeal-request-id")));
             std::thread::sleep(WORK);
             respond(stream, 200, &sealed(&request), &[b'x'; 800])
         })
@@ -107,7 +116,9 @@
     let fronts = [gateways[0].front, gateways[1].front];
     let (started, results) = (Instant::now(), Arc::new(Mutex::new(Results::default())));
     let clients: Vec<_> = (0..2 * CLIENTS)
-        .map(|number| run_client(number, fronts, started + BEFORE + AFTER, results.clone()))
+        .map(|number| {
+            run_client(number, fronts, started + BEFORE + AFTER, results.clone(), record.clone())
+        })
         .collect();
     let (mut peaks, mut ends) = ([0; 2], [0; 2]);
     let mut restart_at = [None; 2];
--- a/review/harness/src/bin/log-reader-stall.rs
+++ b/review/harness/src/bin/log-reader-stall.rs
@@ -51,7 +51,9 @@
         }],
     );
     let _workers = ["i-desk0", "i-desk1"].map(|id| {
+        let runs = record.clone();
         Worker::start(id, &store, 6, move |request, stream| {
+            runs.note(&format!("{id} runs {}", request.header("x-eelgrassdeal-request-id")));
             std::thread::sleep(Duration::from_millis(30));
             respond(stream, 200, &sealed(&request), &[b'x'; 800])
         })
@@ -87,12 +89,14 @@
             signal(&collector, SIGCONT);
         }
         number += 1;
-        let seen = seen.clone();
+        let (seen, record) = (seen.clone(), record.clone());
         clients.push(std::thread::spawn(move || {
-            let message =
-                request_message("GET", "/cufi504/x", &format!("{number:016x}"), DEADLINE_MS, b"");
+            let id = format!("{number:016x}");
+            record.note(&format!("client sends {id} to front-1"));
+            let message = request_message("GET", "/cufi504/x", &id, DEADLINE_MS, b"");
             let (sent_at, sent_after) = (Instant::now(), started.elapsed());
             let answer = exchange(front, &message, Duration::from_millis(DEADLINE_MS.into()));
+            record.note(&format!("{id} answered with {} {}", answer.status, answer.error));
             let took = answer.is_complete.then(|| sent_at.elapsed());
             seen.lock().expect("no panic").push((sent_after, took, answer.status));
         }));
--- a/review/harness/src/lib.rs
+++ b/review/harness/src/lib.rs
@@ -72,9 +72,15 @@
         record
     }
 
+    /// Writes a line to the file and to standard output.
     pub fn line(&self, text: &str) {
+        println!("{:8.3} s  {text}", self.started.elapsed().as_secs_f64());
+        self.note(text);
+    }
+
+    /// Writes a line to the file.
+    pub fn note(&self, text: &str) {
         let line = format!("{:8.3} s  {text}\n", self.started.elapsed().as_secs_f64());
-        print!("{line}");
         let mut file = self.file.lock().unwrap_or_else(PoisonError::into_inner);
         let _ = file.write_all(line.as_bytes());
     }
