--- a/review/harness/src/lib.rs
+++ b/review/harness/src/lib.rs
@@ -137,11 +137,27 @@
     }
 }
 
-/// A free address on the loopback interface.
+/// Ports below the range from which the system takes those of outgoing connections.
+const FIRST_PORT: u16 = 12_000;
+const PORTS_PER_CASE: u16 = 100;
+const CASES: u32 = 180;
+
+/// Number of ports that this case has tried.
+static TRIED_PORTS: Mutex<u16> = Mutex::new(0);
+
+/// A free address on the loopback interface. Cases that run at the same time use other ports, as
+/// these depend on the id of the process.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0");
-    let address = listener.and_then(|listener| listener.local_addr());
-    address.unwrap_or_else(|error| give_up(&format!("no free port: {error}")))
+    let mut tried = TRIED_PORTS.lock().unwrap_or_else(PoisonError::into_inner);
+    let first = FIRST_PORT + (std::process::id() % CASES) as u16 * PORTS_PER_CASE;
+    while *tried < PORTS_PER_CASE {
+        let port = first + *tried;
+        *tried += 1;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr().unwrap_or_else(|error| give_up(&error.to_string()));
+        }
+    }
+    give_up("no free port")
 }
 
 /// A gateway process, started with the command of the deploy file.
@@ -346,7 +362,7 @@
     where
         F: Fn(Received, &mut TcpStream) -> bool + Send + Sync + 'static,
     {
-        let listener = TcpListener::bind("127.0.0.1:0");
+        let listener = TcpListener::bind(free_address());
         let listener = listener.unwrap_or_else(|error| give_up(&format!("a worker: {error}")));
         let address = listener.local_addr().unwrap_or_else(|error| give_up(&error.to_string()));
         let worker = Arc::new(Self {
