--- a/crates/eelgrassdeal_dispatch/src/crash_ledger.rs
+++ b/crates/eelgrassdeal_dispatch/src/crash_ledger.rs
@@ -334,6 +334,11 @@
             || self.crashes.iter().any(|crash| crash.suspects.keys().any(is_whole))
     }
 
+    /// Whether `suspect` was in flight at a crash that still counts.
+    pub fn is_suspected(&self, suspect: &CrashSuspect) -> bool {
+        self.crashes.iter().any(|crash| crash.suspects.contains_key(suspect))
+    }
+
     /// Crashes to tell other nodes of: those that this node learned of within [`REPORT_PERIOD`].
     pub fn reports(&self, now: Instant) -> Vec<CrashReport> {
         let is_recent =
--- a/crates/eelgrassdeal_gateway/src/crash.rs
+++ b/crates/eelgrassdeal_gateway/src/crash.rs
@@ -60,6 +60,13 @@
             });
             let upstream = record.upstream.clone();
             let report = CrashReport { upstream, at, suspects: suspects.collect() };
+            let suspects: Vec<_> =
+                report.suspects.iter().map(|reported| reported.suspect.to_string()).collect();
+            log::info!(
+                "event=upstream_crashed upstream={} suspects={}",
+                report.upstream,
+                suspects.join(",")
+            );
             metrics::counter!("eelgrassdeal_observed_crashes_total").increment(1);
             state.loads.borrow_mut().record_refused_connection(&report.upstream, Instant::now());
             if state.crash_ledger.borrow_mut().record_crash(report, Instant::now()) {
--- a/crates/eelgrassdeal_gateway/src/front/call.rs
+++ b/crates/eelgrassdeal_gateway/src/front/call.rs
@@ -160,7 +160,11 @@
         let now = Instant::now();
         ledger.record_response(&self.shared_parts, now);
         if ledger.suspects_whole_requests() {
-            ledger.record_response(&[self.whole_request()], now);
+            let whole = self.whole_request();
+            if ledger.is_suspected(&whole) {
+                log::info!("event=suspect_answered request_id={} suspect={whole}", self.request_id);
+            }
+            ledger.record_response(&[whole], now);
         }
     }
 
