--- a/crates/eelgrassdeal_gateway/tests/common/mod.rs
+++ b/crates/eelgrassdeal_gateway/tests/common/mod.rs
@@ -176,6 +176,22 @@
         self
     }
 
+    /// Starts a worker of the plain service for each of `restart_delays`, the times after which they are
+    /// back after a crash. They crash at a request with the part `deadly_part`.
+    pub async fn with_fragile_plain_workers(
+        self,
+        restart_delays: &[Duration],
+        deadly_part: &str,
+    ) -> Self {
+        for (index, restart_delay) in restart_delays.iter().enumerate() {
+            let options = WorkerOptions::new(&format!("i-desk{index}"), PLAIN_SERVICE, "zone-a")
+                .with_deadly_part(deadly_part)
+                .with_restart_delay(*restart_delay);
+            self.start_worker(options).await;
+        }
+        self
+    }
+
     /// Starts `count` workers of the plain service.
     pub async fn with_plain_workers(self, count: usize) -> Self {
         for index in 0..count {
@@ -309,7 +325,18 @@
         id: &str,
         parts: &[&str],
     ) -> Result<BufferedResponse, SendFailure> {
-        let mut request = caller_request("/stream/x", id, API_KEY);
+        self.send_parts(gateway, "/stream/x", id, parts).await
+    }
+
+    /// Like [`Self::send_prompt`], for a request to any path.
+    pub async fn send_parts(
+        &self,
+        gateway: usize,
+        path: &str,
+        id: &str,
+        parts: &[&str],
+    ) -> Result<BufferedResponse, SendFailure> {
+        let mut request = caller_request(path, id, API_KEY);
         *request.body_mut() = Full::new(Bytes::from(parts.join(" ")));
         let prefix: Vec<_> = parts.iter().map(|part| format!("{part}:40")).collect();
         let prefix = prefix.join(",").parse().expect("a valid header");
--- a/crates/eelgrassdeal_gateway/tests/crashing_prompts.rs
+++ b/crates/eelgrassdeal_gateway/tests/crashing_prompts.rs
@@ -9,7 +9,7 @@
 use common::{API_KEY, TestPlatform, complete_stream};
 use eelgrassdeal_schema::encode_message;
 use eelgrassdeal_schema::gateway::{CrashSuspect, QuarantineRow, crash_suspect};
-use eelgrassdeal_standins::WorkerRun;
+use eelgrassdeal_standins::{WorkerFake, WorkerFault, WorkerRun};
 
 const DEADLY_PART: &str = "dead";
 /// First part of all prompts.
@@ -112,6 +112,65 @@
     assert_eq!(answer.expect("a response").body, complete_stream(EVENTS));
 }
 
+/// Sends the same request, which crashes the plain workers, to all gateways by turns for `period`.
+async fn send_deadly_lookups(platform: &TestPlatform, period: Duration, name: &str) {
+    let gateways = platform.gateways.len();
+    let count = (period.as_millis() / REQUEST_INTERVAL.as_millis()) as usize;
+    let callers = (0..count).map(|index| async move {
+        compio::time::sleep(REQUEST_INTERVAL * index as u32).await;
+        let id = format!("{name}-{index}");
+        platform.send_parts(index % gateways, "/look/x", &id, &[DEADLY_PART]).await
+    });
+    futures_util::future::join_all(callers).await;
+}
+
+/// Asserts that few requests with the part reached workers later than `CONTACT_TIMEOUT` after the
+/// third crash.
+fn assert_few_runs_after_three_crashes(platform: &TestPlatform) {
+    let crashes = crash_times(platform);
+    let third = *crashes.get(2).expect("three crashes");
+    let runs = deadly_runs(platform);
+    let later = runs.iter().filter(|run| run.started_at > third + CONTACT_TIMEOUT).count();
+    assert!(
+        later <= MAX_LATER_RUNS,
+        "{later} runs later than {CONTACT_TIMEOUT:?} after the third of {} crashes",
+        crashes.len()
+    );
+}
+
+/// The request ends all upstreams of the service at once, then the first one that is back, and then all
+/// of them again.
+#[compio::test]
+async fn request_that_crashes_all_upstreams_of_a_small_service_stops_reaching_them() {
+    let platform = TestPlatform::new().await;
+    let restart_delays = [3_100, 6_200, 6_200].map(Duration::from_millis);
+    let platform = platform.with_fragile_plain_workers(&restart_delays, DEADLY_PART).await;
+    let platform = platform.with_gateways(3).await;
+    send_deadly_lookups(&platform, CONTACT_TIMEOUT * 3, "deadly").await;
+    assert_few_runs_after_three_crashes(&platform);
+}
+
+/// Upstreams that fail the request before they come to what crashes them have not survived it.
+#[compio::test]
+async fn error_response_does_not_acquit_a_request_that_crashes_upstreams() {
+    let platform = TestPlatform::new().await;
+    let restart_delays = [CONTACT_TIMEOUT * 10; 14];
+    let platform = platform.with_fragile_plain_workers(&restart_delays, DEADLY_PART).await;
+    let platform = platform.with_gateways(1).await;
+    for round in 0..6 {
+        send_deadly_lookups(&platform, REQUEST_INTERVAL, &format!("deadly-{round}")).await;
+        // The route allows two attempts, and all upstreams fail this request.
+        let workers: Vec<_> = platform.workers.borrow().values().cloned().collect();
+        workers.iter().for_each(|worker| worker.push_fault(WorkerFault::InternalError));
+        let id = format!("failed-{round}");
+        let answer = platform.send_parts(0, "/look/x", &id, &[DEADLY_PART]).await;
+        assert!(answer.is_ok_and(|answer| matches!(answer.status, 500 | 503)), "round {round}");
+        workers.iter().for_each(WorkerFake::clear_faults);
+        compio::time::sleep(CONTACT_TIMEOUT / 3).await;
+    }
+    assert_few_runs_after_three_crashes(&platform);
+}
+
 /// Rows of other versions, or damaged ones, must not end a node.
 #[compio::test]
 async fn unusable_rows_in_the_table_of_suspects_are_ignored() {
--- a/crates/eelgrassdeal_standins/src/gateway_platform/worker.rs
+++ b/crates/eelgrassdeal_standins/src/gateway_platform/worker.rs
@@ -31,7 +31,7 @@
 const JOIN_DURATION: Duration = Duration::from_millis(60);
 /// Time from the first event of a response to the crash that its prompt causes.
 const CRASH_DELAY: Duration = Duration::from_millis(40);
-/// Time after which a crashed worker is back under a new id.
+/// Time after which a crashed worker is back under a new id, unless its options say otherwise.
 const RESTART_DELAY: Duration = Duration::from_secs(3);
 /// Time after which the row of a crashed worker expires.
 const ROW_EXPIRY: Duration = Duration::from_millis(2_800);
@@ -54,8 +54,11 @@
     pub event_interval: Duration,
     /// Size of a comment that is added to each event of a stream, in bytes.
     pub event_padding: usize,
-    /// Id of a prompt part that crashes the worker shortly after the first event of the response.
+    /// Id of a prompt part that crashes the worker: shortly after the first event of the response, or
+    /// in a plain service in place of the response.
     pub deadly_part: Option<String>,
+    /// Time after which the worker is back after a crash. Its row expires no later than that.
+    pub restart_delay: Duration,
     /// Number of requests at which the worker turns further ones away, and the time for which it then
     /// wants none; `None` if it accepts all.
     pub turns_away: Option<(u32, Duration)>,
@@ -73,6 +76,7 @@
             event_interval: Duration::from_millis(10),
             event_padding: 0,
             deadly_part: None,
+            restart_delay: RESTART_DELAY,
             turns_away: None,
         }
     }
@@ -89,6 +93,12 @@
         self
     }
 
+    /// Sets the time after which the worker is back after a crash.
+    pub fn with_restart_delay(mut self, restart_delay: Duration) -> Self {
+        self.restart_delay = restart_delay;
+        self
+    }
+
     /// Makes the worker one of an engine service, which can join groups, in a fabric domain.
     pub fn with_domain(mut self, domain: &str) -> Self {
         self.domain = Some(domain.to_owned());
@@ -280,6 +290,11 @@
         self.0.faults.borrow_mut().push_back(fault);
     }
 
+    /// Removes the faults that no request has taken.
+    pub fn clear_faults(&self) {
+        self.0.faults.borrow_mut().clear();
+    }
+
     /// Number of requests that are running.
     pub fn running(&self) -> u32 {
         self.0.running.get()
@@ -309,10 +324,12 @@
         if let Some(server) = self.0.server.borrow_mut().as_mut() {
             server.crash();
         }
-        compio::time::sleep(ROW_EXPIRY).await;
-        self.remove_registration();
-        compio::time::sleep(RESTART_DELAY - ROW_EXPIRY).await;
         let state = &self.0;
+        let restart_delay = state.options.restart_delay;
+        let row_expiry = ROW_EXPIRY.min(restart_delay);
+        compio::time::sleep(row_expiry).await;
+        self.remove_registration();
+        compio::time::sleep(restart_delay - row_expiry).await;
         let options = WorkerOptions { id: format!("{}b", self.id()), ..state.options.clone() };
         let restarted =
             Self::start(options, &state.store, &state.fleet, &state.runs, &state.violations).await;
@@ -593,6 +610,12 @@
                 let body = http_body_util::Either::Left(Full::new(Bytes::from("later")));
                 builder.status(503).body(body).ok()
             }
+            (_, false) if is_deadly => {
+                compio::time::sleep(state.options.event_interval).await;
+                let worker = self.clone();
+                compio::runtime::spawn(async move { worker.crash().await }).detach();
+                None
+            }
             (_, false) => {
                 compio::time::sleep(state.options.event_interval).await;
                 let body = http_body_util::Either::Left(Full::new(Bytes::from("plain answer")));
