Quarantine a plain request after three crashes, also within one loss

Callers of a small service had an outage of it for each wave of a request that crashes upstreams: its three upstreams end within 0.15 s, which counted as one loss of the three that are needed. Each further wave comes later than 3 s after the third crash (BUDGET).

A request without prompt parts that was in flight at three crashed upstreams, and at half of those that crashed since, is quarantined now, whether they were lost together or not; responses to such requests are remembered from the start, so that a popular one isn't taken for the cause. Where prompts have parts, losses decide as before, as copies of one request say little of its parts.

--- a/crates/eelgrassdeal_dispatch/src/crash_ledger.rs
+++ b/crates/eelgrassdeal_dispatch/src/crash_ledger.rs
@@ -33,6 +33,13 @@
 const LOSSES_PER_SUSPECTED: usize = 3;
 /// Like [`LOSSES_PER_SUSPECTED`], for a suspect that had a complete response before the crashes.
 const LOSSES_PER_ANSWERED: usize = 2;
+/// Crashes after which a request that has no prompt parts and never had a complete response is
+/// quarantined, whether they are one loss or several. It was in flight at each of these upstreams, so that
+/// a cause outside of it would have had to meet several of its attempts at once.
+const CRASHES_OF_PLAIN_REQUEST: usize = 3;
+/// Such a request is quarantined only if it was in flight at one in this many of the crashes since its
+/// first one that it can explain.
+const CRASHES_PER_PLAIN_REQUEST: usize = 2;
 /// Time between a crash and the decision on it, in which other nodes tell what they had in flight
 /// there and which suspects they saw answered.
 const DECISION_DELAY: Duration = Duration::from_millis(200);
@@ -419,13 +426,26 @@
                 (self.suspected_crashes(suspect, now), *specificity, suspect)
             })
             .filter(|(crashes, _, suspect)| self.is_suspicious(crashes, suspect, now))
-            .max_by_key(|(crashes, specificity, _)| (count_losses(crashes), *specificity));
+            .max_by_key(|(crashes, specificity, _)| {
+                (count_losses(crashes), *specificity, crashes.len())
+            });
         likeliest.map(|(.., suspect)| (suspect.clone(), FIRST_QUARANTINE))
     }
 
     /// Whether crashes suffice to quarantine a suspect that was in flight at them.
     fn is_suspicious(&self, crashes: &[Instant], suspect: &CrashSuspect, now: Instant) -> bool {
         let (Some(first), Some(last)) = (crashes.first(), crashes.last()) else { return false };
+        let is_comparable = |other: &CrashSuspect| other.scope() == suspect.scope();
+        let comparable = self.unexplained_crashes(suspect, now, |crash| {
+            crash.at >= *first && crash.suspects.keys().any(is_comparable)
+        });
+        if crashes.len() >= CRASHES_OF_PLAIN_REQUEST
+            && crashes.len() * CRASHES_PER_PLAIN_REQUEST >= comparable.len()
+            && !self.responses.contains_key(suspect)
+            && self.is_plain_request(suspect)
+        {
+            return true;
+        }
         let (needed, ratio) = match self.responses.get(suspect) {
             None if crashes.len() >= UPSTREAMS_IN_CASCADE => {
                 (LOSSES_IN_CASCADE, LOSSES_PER_SUSPECTED)
@@ -436,14 +456,16 @@
             }
             Some(_) => return false,
         };
-        let is_comparable = |other: &CrashSuspect| other.scope() == suspect.scope();
-        let comparable = self.unexplained_crashes(suspect, now, |crash| {
-            crash.at >= *first && crash.suspects.keys().any(is_comparable)
-        });
         let losses = count_losses(crashes);
         losses >= needed && losses * ratio >= count_losses(&comparable)
     }
 
+    /// Whether a suspect is a request to a service whose requests have no prompt parts in common.
+    fn is_plain_request(&self, suspect: &CrashSuspect) -> bool {
+        let mut crashes = self.crashes.iter().filter(|crash| crash.suspects.contains_key(suspect));
+        !suspect.is_part() && crashes.all(|crash| !crash.suspects.keys().any(CrashSuspect::is_part))
+    }
+
     /// Times of the unexplained crashes with a suspect since its last complete response, in order.
     fn suspected_crashes(&self, suspect: &CrashSuspect, now: Instant) -> Vec<Instant> {
         let answered_at = self.responses.get(suspect).map(|history| history.last);
--- a/crates/eelgrassdeal_dispatch/tests/crash_ledger.rs
+++ b/crates/eelgrassdeal_dispatch/tests/crash_ledger.rs
@@ -333,3 +333,51 @@
     assert_eq!(begun.len(), 1);
     assert_eq!(begun[0].suspect, part(DEADLY));
 }
+
+/// Crashes of upstreams with these numbers, each with the same request in flight.
+fn request_crashes(digest: u64, upstreams: &[(u64, f64)], start: Instant) -> Vec<CrashReport> {
+    let crash = |(number, seconds): &(u64, f64)| {
+        let mut report = crash(*number, after(start, *seconds), &[]);
+        report.suspects[0].suspect = request(digest);
+        report
+    };
+    upstreams.iter().map(crash).collect()
+}
+
+/// A small service loses all its upstreams within one loss.
+#[test]
+fn request_that_ends_all_upstreams_of_a_small_service_at_once_is_quarantined() {
+    let (start, mut ledger) = (Instant::now(), CrashLedger::new());
+    for report in request_crashes(77, &[(1, 0.0), (2, 0.04), (3, 0.14)], start) {
+        let at = report.at;
+        ledger.record_crash(report, at);
+    }
+    let begun = ledger.decide(after(start, 0.35));
+    assert_eq!(begun.iter().map(|begun| &begun.suspect).collect::<Vec<_>>(), [&request(77)]);
+}
+
+/// Copies of a request meet a loss of power of many upstreams by chance.
+#[test]
+fn request_at_a_few_of_many_upstreams_lost_together_is_not_quarantined() {
+    let (start, mut ledger) = (Instant::now(), CrashLedger::new());
+    for number in 0..9 {
+        let digest = if number < 3 { 77 } else { 100 + number };
+        let upstream = (number, number as f64 * 0.015);
+        for report in request_crashes(digest, &[upstream], start) {
+            let at = report.at;
+            ledger.record_crash(report, at);
+        }
+    }
+    assert_eq!(ledger.decide(after(start, 0.4)), []);
+}
+
+#[test]
+fn request_that_was_answered_before_is_not_quarantined_for_one_loss() {
+    let (start, mut ledger) = (Instant::now(), CrashLedger::new());
+    ledger.record_response(&[request(77)], start);
+    for report in request_crashes(77, &[(1, 0.5), (2, 0.54), (3, 0.6)], start) {
+        let at = report.at;
+        ledger.record_crash(report, at);
+    }
+    assert_eq!(ledger.decide(after(start, 0.9)), []);
+}
--- a/crates/eelgrassdeal_gateway/src/front/call.rs
+++ b/crates/eelgrassdeal_gateway/src/front/call.rs
@@ -159,7 +159,8 @@
         let mut ledger = state.crash_ledger.borrow_mut();
         let now = Instant::now();
         ledger.record_response(&self.shared_parts, now);
-        if ledger.suspects_whole_requests() {
+        // A plain request is quarantined after few crashes, and its earlier responses speak for it.
+        if self.shared_parts.is_empty() || ledger.suspects_whole_requests() {
             let whole = self.whole_request();
             if ledger.is_suspected(&whole) {
                 log::info!("event=suspect_answered request_id={} suspect={whole}", self.request_id);
