Take only responses below 500 as a sign that an upstream survived a request

An upstream that fails part of its requests answered 500 to a request that crashes upstreams. The node took that for survival, forgot the crashes before it and ended a quarantine, so that the request went on reaching upstreams (BUDGET). A failure doesn't show that the upstream came to what crashes it.

--- a/crates/eelgrassdeal_gateway/src/front/buffered.rs
+++ b/crates/eelgrassdeal_gateway/src/front/buffered.rs
@@ -30,7 +30,10 @@
         let upstream = attempt.load.upstream.clone();
         if let Some(response) = collect(&mut runner, attempt).await? {
             state.loads.borrow_mut().record_outcome(&upstream, false, Instant::now());
-            call.record_survival(state);
+            // An upstream that fails a request may not have come to what would crash it.
+            if response.status < 500 {
+                call.record_survival(state);
+            }
             return forward(&runner, &upstream, response);
         }
     }
