Keep a request that crashes upstreams in quarantine longer, and decide on its return at once

The end of a quarantine let the request through: after 60 s a small service lost all its upstreams again, as the nodes waited 0.2 s for what others had in flight although the request was known. A crash with a suspect whose quarantine has ended is decided on without that wait now. A whole request stays in quarantine for 600 s at first: it concerns one caller, while its return can cost a service its upstreams. Parts of prompts, which sound requests may share, stay at 60 s.

--- a/crates/eelgrassdeal_dispatch/src/crash_ledger.rs
+++ b/crates/eelgrassdeal_dispatch/src/crash_ledger.rs
@@ -51,8 +51,11 @@
 /// Time after the beginning of a quarantine in which requests that were in flight then may crash
 /// their upstreams.
 const IN_FLIGHT_PERIOD: Duration = Duration::from_millis(500);
-/// Duration of the first quarantine of a suspect. Each further one lasts twice as long.
-const FIRST_QUARANTINE: Duration = Duration::from_secs(60);
+/// Duration of the first quarantine of a prompt part, which sound requests may share. Each further one
+/// lasts twice as long.
+const FIRST_PART_QUARANTINE: Duration = Duration::from_secs(60);
+/// Like [`FIRST_PART_QUARANTINE`], for a whole request. Its end can cost all upstreams of a small service.
+const FIRST_REQUEST_QUARANTINE: Duration = Duration::from_secs(600);
 /// Longest duration of a quarantine.
 pub const MAX_QUARANTINE: Duration = Duration::from_secs(3_600);
 /// Time for which a crash counts.
@@ -252,8 +255,10 @@
     pub fn decide(&mut self, now: Instant) -> Vec<Quarantine> {
         let mut begun = Vec::new();
         for index in 0..self.crashes.len() {
-            let crash = &mut self.crashes[index];
-            if !crash.is_settled(now) || !std::mem::take(&mut crash.is_undecided) {
+            let crash = &self.crashes[index];
+            // What crashed upstreams before needs no further evidence.
+            let is_due = crash.is_settled(now) || self.ended_quarantine(crash).is_some();
+            if !is_due || !std::mem::take(&mut self.crashes[index].is_undecided) {
                 continue;
             }
             if let Some((suspect, period)) = self.next_quarantine(index, now) {
@@ -414,8 +419,7 @@
     /// The suspect of a crash that is to be quarantined now, and for how long.
     fn next_quarantine(&self, index: usize, now: Instant) -> Option<(CrashSuspect, Duration)> {
         let crash = &self.crashes[index];
-        let mut known = crash.suspects.keys().filter_map(|suspect| self.quarantines.get(suspect));
-        if let Some(ended) = known.find(|quarantine| quarantine.until <= crash.at) {
+        if let Some(ended) = self.ended_quarantine(crash) {
             return Some((ended.suspect.clone(), (ended.period * 2).min(MAX_QUARANTINE)));
         }
         let likeliest = crash
@@ -429,7 +433,19 @@
             .max_by_key(|(crashes, specificity, _)| {
                 (count_losses(crashes), *specificity, crashes.len())
             });
-        likeliest.map(|(.., suspect)| (suspect.clone(), FIRST_QUARANTINE))
+        likeliest.map(|(.., suspect)| {
+            let period = match suspect.is_part() {
+                true => FIRST_PART_QUARANTINE,
+                false => FIRST_REQUEST_QUARANTINE,
+            };
+            (suspect.clone(), period)
+        })
+    }
+
+    /// A quarantine that ended before a crash at which its suspect was in flight.
+    fn ended_quarantine(&self, crash: &CrashRecord) -> Option<&Quarantine> {
+        let mut known = crash.suspects.keys().filter_map(|suspect| self.quarantines.get(suspect));
+        known.find(|quarantine| quarantine.until <= crash.at)
     }
 
     /// Whether crashes suffice to quarantine a suspect that was in flight at them.
--- a/crates/eelgrassdeal_dispatch/tests/crash_ledger.rs
+++ b/crates/eelgrassdeal_dispatch/tests/crash_ledger.rs
@@ -344,18 +344,43 @@
     upstreams.iter().map(crash).collect()
 }
 
-/// A small service loses all its upstreams within one loss.
-#[test]
-fn request_that_ends_all_upstreams_of_a_small_service_at_once_is_quarantined() {
-    let (start, mut ledger) = (Instant::now(), CrashLedger::new());
+/// Records that a request ends all three upstreams of its service within one loss. Returns what is
+/// quarantined then.
+fn lose_small_service(ledger: &mut CrashLedger, start: Instant) -> Vec<Quarantine> {
     for report in request_crashes(77, &[(1, 0.0), (2, 0.04), (3, 0.14)], start) {
         let at = report.at;
         ledger.record_crash(report, at);
     }
-    let begun = ledger.decide(after(start, 0.35));
+    ledger.decide(after(start, 0.35))
+}
+
+#[test]
+fn request_that_ends_all_upstreams_of_a_small_service_at_once_is_quarantined() {
+    let (start, mut ledger) = (Instant::now(), CrashLedger::new());
+    let begun = lose_small_service(&mut ledger, start);
     assert_eq!(begun.iter().map(|begun| &begun.suspect).collect::<Vec<_>>(), [&request(77)]);
 }
 
+/// A node that waited for what the others had in flight would send the request to further upstreams.
+#[test]
+fn request_that_crashes_upstreams_again_after_a_quarantine_is_refused_at_once() {
+    let (start, mut ledger) = (Instant::now(), CrashLedger::new());
+    let first = lose_small_service(&mut ledger, start).remove(0);
+    let over = first.until + Duration::from_millis(10);
+    let report = request_crashes(77, &[(4, 0.0)], over).remove(0);
+    ledger.record_crash(report, over);
+    assert_eq!(ledger.decide(over).len(), 1);
+    assert!(ledger.quarantine_of(&[request(77)], over).is_some());
+}
+
+/// The end of a quarantine can cost a small service all its upstreams.
+#[test]
+fn request_that_crashes_upstreams_stays_in_quarantine_for_ten_minutes() {
+    let (start, mut ledger) = (Instant::now(), CrashLedger::new());
+    lose_small_service(&mut ledger, start);
+    assert!(ledger.quarantine_of(&[request(77)], after(start, 600.0)).is_some());
+}
+
 /// Copies of a request meet a loss of power of many upstreams by chance.
 #[test]
 fn request_at_a_few_of_many_upstreams_lost_together_is_not_quarantined() {
