Answer all requests of a stopping node, and refuse those that come late in the grace

Another operator reports requests that came late in the grace of a planned stop, were passed on and were cut with no answer at its end (LOST). It can happen here: a request whose body ends after the node has ceased to accept requests was passed on, as only its head was checked; and a request in progress at the end of the grace found its connection closed.

--- a/crates/eelgrassdeal_gateway/src/front/attempt.rs
+++ b/crates/eelgrassdeal_gateway/src/front/attempt.rs
@@ -91,7 +91,7 @@
 /// Why a wait for data from an upstream was aborted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum WaitError {
-    /// The deadline of the request passed.
+    /// The deadline of the request passed, or the node is shutting down.
     Deadline,
     /// The upstream counts as silent, as decided by `AttemptRunner::counts_as_silent`.
     Silent,
@@ -371,7 +371,7 @@
         let now = Instant::now();
         let time_left = self.call.time_left(now);
         if time_left.is_zero() {
-            return Err(self.final_refusal("the deadline passed"));
+            return Err(self.final_refusal(self.call.end_reason(now)));
         }
         // The upstream may have asked for no requests while this one waited.
         if !self.state.notices.borrow().may_send(record, now) {
@@ -414,7 +414,8 @@
             }
             Err(WaitError::Deadline | WaitError::Stalled) => {
                 self.count_attempt();
-                Err(self.final_refusal("no response before the deadline"))
+                let reason = self.call.end_reason(Instant::now());
+                Err(self.final_refusal(&format!("no response: {reason}")))
             }
         }
     }
--- a/crates/eelgrassdeal_gateway/src/front/buffered.rs
+++ b/crates/eelgrassdeal_gateway/src/front/buffered.rs
@@ -76,7 +76,10 @@
                 }
             }
         }
-        Err(_) => Err(runner.final_refusal("the response was incomplete at the deadline")),
+        Err(_) => {
+            let reason = runner.call.end_reason(Instant::now());
+            Err(runner.final_refusal(&format!("the response is incomplete: {reason}")))
+        }
     }
 }
 
--- a/crates/eelgrassdeal_gateway/src/front/call.rs
+++ b/crates/eelgrassdeal_gateway/src/front/call.rs
@@ -1,5 +1,6 @@
 //! A caller's request after its route and account have been determined.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -48,6 +49,8 @@
     pub(super) spent: Duration,
     /// `received` plus the caller's timeout or the route's, whichever is shorter.
     pub(super) deadline: Instant,
+    /// When all requests end because the node does; `None` if it goes on.
+    requests_end: Rc<Cell<Option<Instant>>>,
     /// Parts of the prompt that other prompts may share.
     shared_parts: Vec<CrashSuspect>,
 }
@@ -72,10 +75,14 @@
                 refuse(ErrorKind::NotReady, "the node has not loaded a configuration yet");
             return Err(refusal.with_retry_after(CONFIG_RETRY_AFTER));
         };
-        if state.leaving_since.get().is_some_and(|since| since.elapsed() > DRAIN_ACCEPT_PERIOD) {
-            let refusal = refuse(ErrorKind::Draining, "the node is shutting down");
-            return Err(refusal.with_retry_after(Duration::ZERO));
-        }
+        let check_draining = || match state.leaving_since.get() {
+            Some(since) if since.elapsed() > DRAIN_ACCEPT_PERIOD => {
+                let refusal = refuse(ErrorKind::Draining, "the node is shutting down");
+                Err(refusal.with_retry_after(Duration::ZERO))
+            }
+            _ => Ok(()),
+        };
+        check_draining()?;
         let path = head.uri.path();
         let Some(route) = config.find_route(&caller.host, path).cloned() else {
             return Err(refuse(ErrorKind::UnknownService, "no route for this host and path"));
@@ -89,6 +96,8 @@
         let body = read_body(body, config.limits.max_body_bytes)
             .await
             .map_err(|(kind, message)| refuse(kind, message))?;
+        // The shutdown may have begun while the body arrived.
+        check_draining()?;
         let spent = caller.timeout.map(|timeout| state.time_spent(&route.name, timeout));
         let timeout = caller.timeout.unwrap_or(route.timeout).min(route.timeout);
         let path = head.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
@@ -106,6 +115,7 @@
             received,
             spent: spent.unwrap_or_default(),
             deadline: received + timeout,
+            requests_end: state.requests_end.clone(),
             shared_parts,
             caller,
         })
@@ -125,9 +135,18 @@
         }
     }
 
-    /// Time until the deadline; zero once it has passed.
+    /// Time until the deadline or the end of the node, whichever is earlier; zero once that has passed.
     pub(super) fn time_left(&self, now: Instant) -> Duration {
-        self.deadline.saturating_duration_since(now)
+        let end = self.requests_end.get().map_or(self.deadline, |end| end.min(self.deadline));
+        end.saturating_duration_since(now)
+    }
+
+    /// What ended a request that has no time left at `now`.
+    pub(super) fn end_reason(&self, now: Instant) -> &'static str {
+        match now < self.deadline {
+            true => "the node is shutting down",
+            false => "the deadline passed",
+        }
     }
 
     /// What this request has in common with others and may crash upstreams, from general to
--- a/crates/eelgrassdeal_gateway/src/front/stream.rs
+++ b/crates/eelgrassdeal_gateway/src/front/stream.rs
@@ -61,7 +61,7 @@
     End(EndSignal),
     /// The response ended early.
     Failed(StreamFailure),
-    /// The deadline of the request passed.
+    /// The deadline of the request passed, or the node is shutting down.
     Deadline,
 }
 
@@ -162,7 +162,9 @@
                         StreamEnd::BrokenOff => StreamFailure::BrokenOff,
                     },
                     ReadResult::Failed(failure) => failure,
-                    ReadResult::Deadline => return self.fail("the deadline passed"),
+                    ReadResult::Deadline => {
+                        return self.fail(self.runner.call.end_reason(Instant::now()));
+                    }
                 },
                 Err(fault) => StreamFailure::InvalidEvent(fault),
             };
--- a/crates/eelgrassdeal_gateway/src/lifecycle.rs
+++ b/crates/eelgrassdeal_gateway/src/lifecycle.rs
@@ -126,15 +126,17 @@
 }
 
 /// Shuts down gracefully. The node disappears from locator responses at once and accepts requests
-/// for `DRAIN_ACCEPT_PERIOD`. Returns when that period is over and no request is in progress, and
-/// at the latest `KILL_MARGIN` before SIGKILL.
+/// for `DRAIN_ACCEPT_PERIOD`. Returns when that period is over and no request is in progress,
+/// and at the latest `KILL_MARGIN` before SIGKILL. `FLUSH_PERIOD` earlier the requests in
+/// progress end, so that their callers learn of it.
 async fn shut_down(state: &Rc<GatewayState>) {
     let started = Instant::now();
     log::info!("event=leaving in_flight={}", state.in_flight.get());
     state.stage.set(NodeStage::Leaving);
     state.leaving_since.set(Some(started));
-    sync_with_partners(state).await;
     let drain_limit = state.settings().limits.shutdown_grace.saturating_sub(KILL_MARGIN);
+    state.requests_end.set(Some(started + drain_limit.saturating_sub(FLUSH_PERIOD)));
+    sync_with_partners(state).await;
     let mut idle_for = Duration::ZERO;
     while started.elapsed() < drain_limit {
         match state.in_flight.get() {
--- a/crates/eelgrassdeal_gateway/src/state.rs
+++ b/crates/eelgrassdeal_gateway/src/state.rs
@@ -125,6 +125,8 @@
     pub(crate) stage: Cell<NodeStage>,
     /// When shutdown began; `None` while the node runs normally.
     pub(crate) leaving_since: Cell<Option<Instant>>,
+    /// When all requests end because the node does.
+    pub(crate) requests_end: Rc<Cell<Option<Instant>>>,
     /// Whether any node has received a caller's request, as far as this node knows.
     pub(crate) has_traffic: Cell<bool>,
     /// Whether this node holds the planner's lease.
@@ -178,6 +180,7 @@
             retry_shares: RefCell::default(),
             stage: Cell::new(NodeStage::Starting),
             leaving_since: Cell::new(None),
+            requests_end: Rc::default(),
             has_traffic: Cell::new(false),
             is_planner: Cell::new(false),
             resumed_at: Cell::new(Instant::now()),
