--- a/crates/eelgrassdeal_gateway/src/lifecycle.rs
+++ b/crates/eelgrassdeal_gateway/src/lifecycle.rs
@@ -30,8 +30,8 @@
 pub(crate) const DRAIN_ACCEPT_PERIOD: Duration = Duration::from_millis(2_500);
 /// Part of the time until SIGKILL that is reserved for closing connections.
 const KILL_MARGIN: Duration = Duration::from_millis(400);
-/// Time without a request in progress after which a leaving node exits. The last bytes of a response
-/// are written after its request has ended.
+/// Time without a request in progress, and without a response that the system has not taken, after which
+/// a leaving node exits.
 const FLUSH_PERIOD: Duration = Duration::from_millis(200);
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Interval at which the settings file is checked for changes, which may come without a SIGHUP.
@@ -126,8 +126,8 @@
 }
 
 /// Shuts down gracefully. The node disappears from locator responses at once and accepts requests
-/// for `DRAIN_ACCEPT_PERIOD`. Returns when that period is over and no request is in progress,
-/// and at the latest `KILL_MARGIN` before SIGKILL. `FLUSH_PERIOD` earlier the requests in
+/// for `DRAIN_ACCEPT_PERIOD`. Returns when that period is over, no request is in progress and all responses
+/// are written, and at the latest `KILL_MARGIN` before SIGKILL. `FLUSH_PERIOD` earlier the requests in
 /// progress end, so that their callers learn of it.
 async fn shut_down(state: &Rc<GatewayState>) {
     let started = Instant::now();
@@ -139,7 +139,7 @@
     sync_with_partners(state).await;
     let mut idle_for = Duration::ZERO;
     while started.elapsed() < drain_limit {
-        match state.in_flight.get() {
+        match state.in_flight.get() + state.unflushed.get() {
             0 if started.elapsed() > DRAIN_ACCEPT_PERIOD => idle_for += DRAIN_POLL_INTERVAL,
             _ => idle_for = Duration::ZERO,
         }
@@ -149,8 +149,9 @@
         compio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
     log::info!(
-        "event=stop in_flight={} took_ms={}",
+        "event=stop in_flight={} unflushed={} took_ms={}",
         state.in_flight.get(),
+        state.unflushed.get(),
         started.elapsed().as_millis()
     );
 }
--- a/crates/eelgrassdeal_gateway/src/server.rs
+++ b/crates/eelgrassdeal_gateway/src/server.rs
@@ -75,7 +75,7 @@
                 let (state, handler) = (state.clone(), handler.clone());
                 compio::runtime::spawn(async move {
                     let _open = CountGuard::new(&state.connections);
-                    serve_connection(stream, handler).await;
+                    serve_connection(stream, handler, state.unflushed.clone()).await;
                 })
                 .detach();
             }
@@ -102,7 +102,11 @@
     })
 }
 
-async fn serve_connection<H: RequestHandler>(stream: TcpStream, handler: Rc<H>) {
+async fn serve_connection<H: RequestHandler>(
+    stream: TcpStream,
+    handler: Rc<H>,
+    unflushed: Rc<Cell<u32>>,
+) {
     // Without Nagle's algorithm an event of a stream is sent before the previous one is
     // acknowledged.
     let _ = stream.set_nodelay(true);
@@ -115,11 +119,12 @@
         version_seen.set(request.version() >= Version::HTTP_11);
         async move { Ok::<_, Infallible>(handle_or_report_panic(handler, request).await) }
     });
+    let socket = BoundedSocket::new_plain(stream, WRITE_TIMEOUT).with_unflushed_count(unflushed);
     let ended = http1::Builder::new()
         .timer(CompioTimer)
         .header_read_timeout(header_timeout)
         .max_buf_size(max_head_bytes.max(MIN_HEAD_BYTES))
-        .serve_connection(BoundedSocket::new_plain(stream, WRITE_TIMEOUT), service)
+        .serve_connection(socket, service)
         .await;
     match ended {
         // Closing the socket with unread bytes would reset the connection, and the caller could
--- a/crates/eelgrassdeal_gateway/src/state.rs
+++ b/crates/eelgrassdeal_gateway/src/state.rs
@@ -135,6 +135,8 @@
     pub(crate) resumed_at: Cell<Instant>,
     /// Callers' requests in progress at this node.
     pub(crate) in_flight: Cell<u32>,
+    /// Number of connections with output that the system has not taken yet.
+    pub(crate) unflushed: Rc<Cell<u32>>,
     /// Open connections that this node has accepted.
     pub(crate) connections: Cell<u32>,
 }
@@ -185,6 +187,7 @@
             is_planner: Cell::new(false),
             resumed_at: Cell::new(Instant::now()),
             in_flight: Cell::new(0),
+            unflushed: Rc::default(),
             connections: Cell::new(0),
             settings: RefCell::new(Arc::new(settings)),
         }
--- a/crates/eelgrassdeal_gateway/tests/planned_stop.rs
+++ b/crates/eelgrassdeal_gateway/tests/planned_stop.rs
@@ -4,11 +4,14 @@
 
 use std::time::{Duration, Instant};
 
+use common::scripted_worker::{AnswerEnd, ScriptedAnswer, ScriptedRequest, start_scripted_worker};
 use common::{API_KEY, HOST, PLAIN_SERVICE, TestPlatform};
 use compio::BufResult;
 use compio::io::{AsyncRead, AsyncWriteExt};
 use compio::net::TcpStream;
 use eelgrassdeal_standins::WorkerOptions;
+use futures_util::future::join;
+use rustix::net::sockopt::set_socket_recv_buffer_size;
 
 /// Later than a stopping node takes requests, and early enough for the rest of a body.
 const LATE_IN_GRACE: Duration = Duration::from_millis(4_500);
@@ -17,6 +20,11 @@
 /// Time from SIGTERM to SIGKILL.
 const GRACE_PERIOD: Duration = Duration::from_secs(8);
 const BODY: &str = "a body";
+/// More than the buffers of a connection hold.
+const LARGE_BODY_BYTES: usize = 8_000_000;
+const RECEIVE_BUFFER_BYTES: usize = 64 * 1024;
+/// Time in which a caller reads a large body.
+const READ_TIME: Duration = Duration::from_secs(6);
 
 /// The head of a caller's request with [`BODY`], whose connection ends after the response.
 fn request_head(path: &str, id: &str) -> String {
@@ -79,3 +87,31 @@
     assert_eq!(answer.expect("a response").status, 502);
     assert_eq!(platform.runs_for_request("long").len(), 1);
 }
+
+#[compio::test]
+async fn response_that_a_caller_reads_slowly_is_written_whole_before_the_node_ends() {
+    let platform = TestPlatform::new().await;
+    let script = |request: &ScriptedRequest| {
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nx-eelgrassdeal-request-id: {}\r\n\
+             x-eelgrassdeal-response-seal: seal\r\ncontent-length: {LARGE_BODY_BYTES}\r\n\r\n",
+            request.id
+        );
+        let bytes = [head.into_bytes(), vec![b'x'; LARGE_BODY_BYTES]].concat();
+        ScriptedAnswer::new(bytes, AnswerEnd::KeepOpen)
+    };
+    start_scripted_worker(&platform.store, "i-large", script).await;
+    let mut platform = platform.with_gateways(1).await;
+    let mut stream = TcpStream::connect(&*platform.gateways[0].front).await.expect("a connection");
+    set_socket_recv_buffer_size(&stream, RECEIVE_BUFFER_BYTES).expect("an open socket");
+    write(&mut stream, request_head("/look/x", "large") + BODY).await;
+    let stop = async {
+        compio::time::sleep(Duration::from_millis(500)).await;
+        platform.gateways[0].terminate();
+    };
+    let read = read_slowly(&mut stream, LARGE_BODY_BYTES, READ_TIME);
+    let (answer, ()) = join(read, stop).await;
+    let head_end = answer.windows(4).position(|bytes| bytes == b"\r\n\r\n").expect("a head");
+    assert_eq!(answer.len() - head_end - 4, LARGE_BODY_BYTES);
+    assert!(platform.gateways[0].exits_successfully().await);
+}
--- a/crates/eelgrassdeal_http/src/socket.rs
+++ b/crates/eelgrassdeal_http/src/socket.rs
@@ -31,6 +31,7 @@
     write_timeout: Duration,
     write_timer: Option<WriteTimer>,
     is_reset_at_end: Rc<Cell<bool>>,
+    output: OutputMark,
 }
 
 impl BoundedSocket {
@@ -42,7 +43,19 @@
     }
 
     fn new(stream: MaybeTlsStream<TcpStream>, write_timeout: Duration) -> Self {
-        Self { stream, write_timeout, write_timer: None, is_reset_at_end: Rc::default() }
+        Self {
+            stream,
+            write_timeout,
+            write_timer: None,
+            is_reset_at_end: Rc::default(),
+            output: OutputMark::default(),
+        }
+    }
+
+    /// Counts the socket in `count` while it has output that the system has not taken yet.
+    pub fn with_unflushed_count(mut self, count: Rc<Cell<u32>>) -> Self {
+        self.output = OutputMark { count, is_counted: false };
+        self
     }
 
     /// Shares a flag by which the socket is not shut down, since its owner resets the connection.
@@ -84,6 +97,30 @@
     }
 }
 
+/// Whether a socket is counted among those with output that the system has not taken yet.
+#[derive(Default)]
+struct OutputMark {
+    count: Rc<Cell<u32>>,
+    is_counted: bool,
+}
+
+impl OutputMark {
+    fn set(&mut self, is_counted: bool) {
+        match (self.is_counted, is_counted) {
+            (false, true) => self.count.set(self.count.get() + 1),
+            (true, false) => self.count.set(self.count.get().saturating_sub(1)),
+            _ => {}
+        }
+        self.is_counted = is_counted;
+    }
+}
+
+impl Drop for OutputMark {
+    fn drop(&mut self) {
+        self.set(false);
+    }
+}
+
 impl Read for BoundedSocket {
     fn poll_read(
         self: Pin<&mut Self>,
@@ -106,6 +143,7 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
+        this.output.set(true);
         let result = Pin::new(&mut this.stream).poll_write(context, bytes);
         this.check_write_timeout(context, result)
     }
@@ -116,6 +154,7 @@
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
+        this.output.set(true);
         let result = Pin::new(&mut this.stream).poll_write_vectored(context, slices);
         this.check_write_timeout(context, result)
     }
@@ -130,6 +169,9 @@
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         let this = self.get_mut();
         let result = Pin::new(&mut this.stream).poll_flush(context);
+        if result.is_ready() {
+            this.output.set(false);
+        }
         this.check_write_timeout(context, result)
     }
 
