Repeat accepted orders less and less while their effect isn't seen

An accepted order is sent again after 0.9, 1.8, 3.6 and then every 7.2 s now; orders that failed or had no answer as before.

--- a/crates/eelgrassdeal_dispatch/src/planner/state.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/state.rs
@@ -15,6 +15,10 @@
 /// view still calls for it. Longer than the delay until the view contains a new report of an
 /// upstream.
 const RESEND_INTERVAL: Duration = Duration::from_millis(900);
+/// An accepted order that the fleet view doesn't show is sent again after [`RESEND_INTERVAL`], then after
+/// twice that time, and so on, doubled this often. The node that sends more than it can goes on missing
+/// the reports of the upstreams that have carried their orders out.
+const MAX_RESEND_DOUBLINGS: u32 = 3;
 /// An order without an outcome is considered lost after this time and sent again.
 const OUTCOME_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time for which an upstream is treated as lost after a failed probe or an order with the outcome
@@ -78,6 +82,34 @@
     sent_at: Instant,
     /// `None` until the order has an outcome, and always for actions that are not orders.
     outcome: Option<OrderOutcome>,
+    /// How often in a row the order was accepted before it was last sent.
+    acceptances: u32,
+}
+
+impl SentAction {
+    fn new(sent_at: Instant) -> Self {
+        Self { sent_at, outcome: None, acceptances: 0 }
+    }
+
+    /// Time after which the order is sent again.
+    fn resend_interval(&self) -> Duration {
+        match self.outcome {
+            None => OUTCOME_TIMEOUT,
+            Some(OrderOutcome::Accepted) => {
+                RESEND_INTERVAL * (1 << self.acceptances.min(MAX_RESEND_DOUBLINGS))
+            }
+            Some(_) => RESEND_INTERVAL,
+        }
+    }
+
+    /// The same order, sent again at `now`.
+    fn resent(self, now: Instant) -> Self {
+        let acceptances = match self.outcome {
+            Some(OrderOutcome::Accepted) => self.acceptances.saturating_add(1),
+            _ => 0,
+        };
+        Self { acceptances, ..Self::new(now) }
+    }
 }
 
 /// A load of model weights from the weight store that was ordered.
@@ -161,15 +193,13 @@
     /// recently. Returns whether it is due; the caller then sends it.
     pub(super) fn record_order_if_due(&mut self, order: &UpstreamOrder, now: Instant) -> bool {
         let key = action_key(order);
-        let is_due = self.sent_actions.get(&key).is_none_or(|sent| {
-            let age = now.saturating_duration_since(sent.sent_at);
-            match sent.outcome {
-                Some(_) => age > RESEND_INTERVAL,
-                None => age > OUTCOME_TIMEOUT,
-            }
+        let sent = self.sent_actions.get(&key).copied();
+        let is_due = sent.is_none_or(|sent| {
+            now.saturating_duration_since(sent.sent_at) > sent.resend_interval()
         });
         if is_due {
-            self.sent_actions.insert(key, SentAction { sent_at: now, outcome: None });
+            let sent = sent.map_or_else(|| SentAction::new(now), |sent| sent.resent(now));
+            self.sent_actions.insert(key, sent);
         }
         is_due
     }
@@ -257,7 +287,7 @@
             .get(&key)
             .is_none_or(|sent| now.saturating_duration_since(sent.sent_at) > RESEND_INTERVAL);
         if is_due {
-            self.sent_actions.insert(key, SentAction { sent_at: now, outcome: None });
+            self.sent_actions.insert(key, SentAction::new(now));
         }
         is_due
     }
--- a/crates/eelgrassdeal_dispatch/tests/common/mod.rs
+++ b/crates/eelgrassdeal_dispatch/tests/common/mod.rs
@@ -101,6 +101,8 @@
     pub drops_close_orders: bool,
     /// Whether the view does not show any further writes of groups.
     pub is_group_view_stale: bool,
+    /// Whether the view does not show any further reports of upstreams.
+    pub is_upstream_view_stale: bool,
     /// Version of the groups table in the store.
     version: u64,
     /// Head of each group by the group's id.
@@ -138,6 +140,7 @@
             has_unresponsive_nodes: false,
             drops_close_orders: false,
             is_group_view_stale: false,
+            is_upstream_view_stale: false,
             version: 0,
             heads: BTreeMap::new(),
         }
@@ -338,6 +341,9 @@
 
     /// Updates the record of an upstream, if it has not expired.
     fn update_record(&mut self, name: &Arc<str>, update: impl FnOnce(&mut UpstreamRecord)) {
+        if self.is_upstream_view_stale {
+            return;
+        }
         if let Some(record) = self.view.upstreams.get_mut(name) {
             update(Arc::make_mut(record));
         }
--- a/crates/eelgrassdeal_dispatch/tests/planner.rs
+++ b/crates/eelgrassdeal_dispatch/tests/planner.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use std::collections::HashSet;
+use std::collections::{BTreeMap, HashSet};
 use std::time::Duration;
 
 use common::{BIG, SMALL, SimulatedFleet};
@@ -381,3 +381,23 @@
     fleet.run(REPAIR_TIME);
     assert_eq!(fleet.violations, Vec::<String>::new());
 }
+
+/// A planner whose node is too busy to follow the reports of the upstreams must not keep itself busy
+/// with orders that were accepted.
+#[test]
+fn accepted_orders_are_repeated_less_and_less_while_the_view_is_stale() {
+    let mut fleet = SimulatedFleet::new(4, 9);
+    fleet.is_upstream_view_stale = true;
+    fleet.run(Duration::from_secs(12));
+    let mut counts: BTreeMap<_, usize> = BTreeMap::new();
+    for order in &fleet.orders {
+        *counts.entry((order.upstream.clone(), order.group.clone())).or_default() += 1;
+    }
+    let most = counts.values().copied().max().unwrap_or_default();
+    assert!((2..=4).contains(&most), "an accepted order was sent {most} times in 12 s");
+    // The orders go on once the reports are seen.
+    fleet.is_upstream_view_stale = false;
+    fleet.run(Duration::from_secs(30));
+    assert!(fleet.serving(BIG) + fleet.serving(SMALL) > 0);
+    assert_eq!(fleet.violations, Vec::<String>::new());
+}
