--- a/crates/eelgrassdeal_dispatch/src/lib.rs
+++ b/crates/eelgrassdeal_dispatch/src/lib.rs
@@ -30,6 +30,7 @@
 mod planner;
 mod queue;
 mod settings;
+mod snapshot_budget;
 mod table;
 
 pub use buffer_budget::BufferBudget;
@@ -56,4 +57,5 @@
 };
 pub use queue::{QueueId, RequestQueue, UsualTimeout, WaitingKey, WaitingRequest};
 pub use settings::{GatewaySettings, ListenAddresses, OperatorLimits, StoreAddress, TableTimings};
+pub use snapshot_budget::SnapshotBudget;
 pub use table::{RowChange, SharedTable, TableChanges, TableMirror, VersionGap};
--- a/crates/eelgrassdeal_dispatch/src/settings.rs
+++ b/crates/eelgrassdeal_dispatch/src/settings.rs
@@ -134,6 +134,8 @@
     pub memory_bytes: u64,
     /// Maximum number of open files and sockets of the process.
     pub max_descriptors: u64,
+    /// Capacity of the machine's link in bytes per second.
+    pub link_bytes_per_s: u64,
     /// CPU share of the process in thousandths of a core.
     pub processor_share: u32,
 }
--- a/crates/eelgrassdeal_dispatch/src/table.rs
+++ b/crates/eelgrassdeal_dispatch/src/table.rs
@@ -139,14 +139,26 @@
         }
     }
 
+    /// Whether all changes since a version are known.
+    fn covers(&self, since: u64) -> bool {
+        since >= self.compacted_version && !has_gap(&self.gaps, since)
+    }
+
+    /// Bytes of the snapshot that [`Self::changes_since`] returns for a copy of the version `since`;
+    /// `None` if it returns changes or nothing.
+    pub fn snapshot_bytes_since(&self, since: Option<u64>) -> Option<usize> {
+        let needs_snapshot = since.is_none_or(|since| !self.covers(since));
+        let row_bytes = |(key, (_, value)): (&Arc<str>, &(u64, Bytes))| key.len() + value.len();
+        let is_known = self.version.is_some();
+        (is_known && needs_snapshot).then(|| self.rows.iter().map(row_bytes).sum())
+    }
+
     /// Changes for another copy that is complete up to `since`, or a snapshot if `since` is `None`
     /// or the changes since that version are not available. Returns `None` if the other copy is up
     /// to date, or if there is no copy yet.
     pub fn changes_since(&self, since: Option<u64>) -> Option<TableChanges> {
         let version = self.version?;
-        let is_covered =
-            |since: &u64| *since >= self.compacted_version && !has_gap(&self.gaps, *since);
-        let since = since.filter(is_covered);
+        let since = since.filter(|since| self.covers(*since));
         if since.is_some_and(|since| since >= version) {
             return None;
         }
--- a/crates/eelgrassdeal_gateway/src/peers/message.rs
+++ b/crates/eelgrassdeal_gateway/src/peers/message.rs
@@ -72,8 +72,11 @@
     });
     let changes = peer_versions.into_iter().flat_map(|versions| {
         SharedTable::ALL.iter().filter_map(|table| {
-            let changes = mirror.table(*table)?.changes_since(versions.get(table).copied())?;
-            Some(encode_changes(*table, changes))
+            let (copy, since) = (mirror.table(*table)?, versions.get(table).copied());
+            if !may_send_snapshot(state, copy.snapshot_bytes_since(since), now) {
+                return None;
+            }
+            Some(encode_changes(*table, copy.changes_since(since)?))
         })
     });
     let (tables, changes) = (tables.collect(), changes.collect());
@@ -107,6 +110,18 @@
     }
 }
 
+/// Whether the link has room for a snapshot of this size, if one is to be sent.
+fn may_send_snapshot(state: &GatewayState, snapshot_bytes: Option<usize>, now: Instant) -> bool {
+    let Some(bytes) = snapshot_bytes else { return true };
+    let is_allowed = state.snapshot_budget.borrow_mut().try_take(bytes, now);
+    let name = match is_allowed {
+        true => "eelgrassdeal_sent_snapshot_bytes_total",
+        false => "eelgrassdeal_withheld_snapshot_bytes_total",
+    };
+    metrics::counter!(name).increment(bytes as u64);
+    is_allowed
+}
+
 /// Whether a message to a node contains the heartbeats of other nodes, which is always so if there
 /// are few nodes. If it does, the time is recorded under `recipient_key`.
 fn are_heartbeats_due(
--- a/crates/eelgrassdeal_gateway/src/state.rs
+++ b/crates/eelgrassdeal_gateway/src/state.rs
@@ -9,7 +9,7 @@
 use eelgrassdeal_dispatch::{
     BufferBudget, ColdLimit, ColdShare, CrashLedger, FleetView, GatewaySettings, LoadTracker,
     NodeDirectory, NodeHeartbeat, NodeStage, NoticeTracker, RetryShare, ServiceConfig, SharedTable,
-    TableChanges, TableTimings, TrafficSummary, UpstreamRecord, UsualTimeout,
+    SnapshotBudget, TableChanges, TableTimings, TrafficSummary, UpstreamRecord, UsualTimeout,
 };
 use eelgrassdeal_http::ConnectionPool;
 use eelgrassdeal_platform::{OrderClient, PlatformStore};
@@ -115,6 +115,8 @@
     /// When the heartbeats of all known nodes were last sent to a node: by its peer address if they
     /// were sent in a request, by its id if they were sent in a reply.
     pub(crate) heartbeats_sent_at: RefCell<HashMap<Arc<str>, Instant>>,
+    /// Limit on the snapshots of tables that are sent to other nodes.
+    pub(crate) snapshot_budget: RefCell<SnapshotBudget>,
     /// Notified when a read of the store changed a table copy.
     pub(crate) store_changed: Event,
     /// This node's shares of the rate limits of cold upstreams. An upstream reports for how long it
@@ -177,6 +179,10 @@
             silent: RefCell::default(),
             peer_versions: RefCell::default(),
             heartbeats_sent_at: RefCell::default(),
+            snapshot_budget: RefCell::new(SnapshotBudget::new(
+                settings.link_bytes_per_s,
+                Instant::now(),
+            )),
             store_changed: Event::new(),
             cold_shares: RefCell::default(),
             retry_shares: RefCell::default(),
