Let other connections run while a peer sends faster than its bytes are parsed

Another operator reports a faulty worker whose bytes, no answer and without end, filled the memory of the machine that called it.

One kind stops the process for the others instead: a chunk size may begin with any number of zeros, which hyper reads in one go as long as there is data. A connection gives way after 64 KiB now.

--- a/crates/eelgrassdeal_gateway/tests/endless_bodies.rs
+++ b/crates/eelgrassdeal_gateway/tests/endless_bodies.rs
@@ -1,4 +1,4 @@
-//! Bodies without end, from several workers at the same time.
+//! Bodies and heads without end, from several workers at the same time.
 
 mod common;
 
@@ -17,19 +17,36 @@
 /// Part of a body, and of an event, that has no end.
 const PIECE: &[u8] = &[b'x'; 64 * 1024];
 
-/// Sends requests for `path` to workers whose responses to it have no end, and streams to others.
+/// A large part of a response that consists of `text`.
+fn repeated(text: &str) -> &'static [u8] {
+    text.repeat(PIECE.len() / text.len()).leak().as_bytes()
+}
+
+/// Like [`assert_memory_is_bounded_by`], for responses that begin as complete ones do, with `content`.
 async fn assert_memory_is_bounded(path: &'static str, content: &'static str) {
+    let start = move |id: &str| {
+        format!(
+            "HTTP/1.1 200 OK\r\nx-eelgrassdeal-request-id: {id}\r\n\
+             x-eelgrassdeal-response-seal: seal\r\n\r\n{content}"
+        )
+    };
+    assert_memory_is_bounded_by(path, start, PIECE).await;
+}
+
+/// Sends requests for `path` to workers whose responses to the request with an id begin with
+/// `start(id)` and go on with `piece` again and again, and streams to others.
+async fn assert_memory_is_bounded_by(
+    path: &'static str,
+    start: impl Fn(&str) -> String + Clone + 'static,
+    piece: &'static [u8],
+) {
     let platform = TestPlatform::new().await.with_engines(4, EVENTS);
     let platform = platform.await.with_gateways(1).await;
     let script = move |request: &ScriptedRequest| {
-        let head = format!(
-            "HTTP/1.1 200 OK\r\nx-eelgrassdeal-request-id: {}\r\n\
-             x-eelgrassdeal-response-seal: seal\r\n\r\n{content}",
-            request.id
-        );
-        ScriptedAnswer::new(head, AnswerEnd::Repeat(PIECE))
+        ScriptedAnswer::new(start(&request.id), AnswerEnd::Repeat(piece))
     };
     for index in 0..ENDLESS_WORKERS {
+        let script = script.clone();
         start_scripted_worker(&platform.store, &format!("i-endless{index}"), script).await;
     }
     platform.wait_serving(2).await;
@@ -68,3 +85,33 @@
 async fn endless_events_do_not_exhaust_the_memory_of_a_node() {
     assert_memory_is_bounded("/feed/x", "data: ").await;
 }
+
+/// Head of the response to the request with this id, whose body comes in chunks.
+fn chunked_head(id: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\nx-eelgrassdeal-request-id: {id}\r\n\
+         x-eelgrassdeal-response-seal: seal\r\ntransfer-encoding: chunked\r\n\r\n"
+    )
+}
+
+/// Bytes that never become the head of a response, or of a chunk, or the trailers after one.
+#[compio::test]
+async fn endless_heads_do_not_exhaust_the_memory_of_a_node() {
+    let nothing = |_: &str| String::new();
+    let status_line = |_: &str| "HTTP/1.1 200 ".to_owned();
+    let head = |_: &str| "HTTP/1.1 200 OK\r\n".to_owned();
+    let trailers = |id: &str| chunked_head(id) + "0\r\n";
+    assert_memory_is_bounded_by("/look/x", nothing, PIECE).await;
+    assert_memory_is_bounded_by("/look/x", nothing, repeated("\r\n")).await;
+    assert_memory_is_bounded_by("/book/x", status_line, PIECE).await;
+    assert_memory_is_bounded_by("/look/x", head, repeated("x-name: value\r\n")).await;
+    assert_memory_is_bounded_by("/feed/x", head, PIECE).await;
+    assert_memory_is_bounded_by("/feed/x", chunked_head, repeated("1;name=value")).await;
+    assert_memory_is_bounded_by("/look/x", trailers, repeated("x-name: value\r\n")).await;
+}
+
+/// The size of a chunk may begin with any number of zeros, which are parsed one by one.
+#[compio::test]
+async fn endless_chunk_sizes_do_not_hold_up_other_callers() {
+    assert_memory_is_bounded_by("/look/x", chunked_head, repeated("0")).await;
+}
--- a/crates/eelgrassdeal_http/src/socket.rs
+++ b/crates/eelgrassdeal_http/src/socket.rs
@@ -17,6 +17,11 @@
 /// is used in place of the adapter of `cyper-core`, which lets the buffers grow to 64 MiB.
 const SOCKET_BUFFER_BYTES: usize = 2 * 1024;
 
+/// Number of reads, of at most [`SOCKET_BUFFER_BYTES`] each, after which a connection lets others run. A
+/// peer that sends bytes faster than they are parsed would otherwise occupy the process: hyper reads the
+/// head of a chunk, which may have any number of zeros, until there is no data.
+const MAX_READS_IN_TURN: u32 = 32;
+
 /// Greatest size of hyper's buffer for a client connection, whether to an upstream or another peer.
 /// It bounds the data that is received before it is consumed. 8 KiB is the smallest size that hyper
 /// accepts.
@@ -32,6 +37,8 @@
     write_timer: Option<WriteTimer>,
     is_reset_at_end: Rc<Cell<bool>>,
     output: OutputMark,
+    /// Number of reads since the connection last waited for data or let others run.
+    reads_in_turn: u32,
 }
 
 impl BoundedSocket {
@@ -49,6 +56,7 @@
             write_timer: None,
             is_reset_at_end: Rc::default(),
             output: OutputMark::default(),
+            reads_in_turn: 0,
         }
     }
 
@@ -127,10 +135,17 @@
         context: &mut Context<'_>,
         mut cursor: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        if this.reads_in_turn >= MAX_READS_IN_TURN {
+            this.reads_in_turn = 0;
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         let mut bytes = [0; SOCKET_BUFFER_BYTES];
         let max_count = cursor.remaining().min(bytes.len());
-        let stream = Pin::new(&mut self.get_mut().stream);
-        let count = ready!(stream.poll_read(context, &mut bytes[..max_count]))?;
+        let result = Pin::new(&mut this.stream).poll_read(context, &mut bytes[..max_count]);
+        this.reads_in_turn = if result.is_ready() { this.reads_in_turn + 1 } else { 0 };
+        let count = ready!(result)?;
         cursor.put_slice(&bytes[..count]);
         Poll::Ready(Ok(()))
     }
