Quarantine a plain request whose responses are overdue like an unknown one

Since responses to plain requests are remembered from the start, a request that an older version of the upstreams had answered would have needed five losses, whole outages of a small service.

--- a/crates/eelgrassdeal_dispatch/src/crash_ledger.rs
+++ b/crates/eelgrassdeal_dispatch/src/crash_ledger.rs
@@ -33,8 +33,8 @@
 const LOSSES_PER_SUSPECTED: usize = 3;
 /// Like [`LOSSES_PER_SUSPECTED`], for a suspect that had a complete response before the crashes.
 const LOSSES_PER_ANSWERED: usize = 2;
-/// Crashes after which a request that has no prompt parts and never had a complete response is
-/// quarantined, whether they are one loss or several. It was in flight at each of these upstreams, so that
+/// Crashes after which a request that has no prompt parts, and whose responses are overdue if it had any,
+/// is quarantined, whether they are one loss or several. It was in flight at each of these upstreams, so that
 /// a cause outside of it would have had to meet several of its attempts at once.
 const CRASHES_OF_PLAIN_REQUEST: usize = 3;
 /// Such a request is quarantined only if it was in flight at one in this many of the crashes since its
@@ -457,7 +457,7 @@
         });
         if crashes.len() >= CRASHES_OF_PLAIN_REQUEST
             && crashes.len() * CRASHES_PER_PLAIN_REQUEST >= comparable.len()
-            && !self.responses.contains_key(suspect)
+            && self.responses.get(suspect).is_none_or(|history| history.is_overdue(*last))
             && self.is_plain_request(suspect)
         {
             return true;
--- a/crates/eelgrassdeal_dispatch/tests/crash_ledger.rs
+++ b/crates/eelgrassdeal_dispatch/tests/crash_ledger.rs
@@ -396,13 +396,27 @@
     assert_eq!(ledger.decide(after(start, 0.4)), []);
 }
 
+/// A popular request is in flight at several upstreams when these lose power.
 #[test]
-fn request_that_was_answered_before_is_not_quarantined_for_one_loss() {
+fn request_that_is_answered_often_is_not_quarantined_for_one_loss() {
     let (start, mut ledger) = (Instant::now(), CrashLedger::new());
-    ledger.record_response(&[request(77)], start);
+    for index in 0..10 {
+        ledger.record_response(&[request(77)], after(start, f64::from(index) * 0.05));
+    }
     for report in request_crashes(77, &[(1, 0.5), (2, 0.54), (3, 0.6)], start) {
         let at = report.at;
         ledger.record_crash(report, at);
     }
     assert_eq!(ledger.decide(after(start, 0.9)), []);
 }
+
+/// A new version of the upstreams can crash at a request that older ones answered.
+#[test]
+fn request_that_was_answered_long_ago_is_quarantined_like_an_unknown_one() {
+    let (start, mut ledger) = (Instant::now(), CrashLedger::new());
+    for index in 0..10 {
+        ledger.record_response(&[request(77)], after(start, f64::from(index)));
+    }
+    let begun = lose_small_service(&mut ledger, after(start, 60.0));
+    assert_eq!(begun.iter().map(|begun| &begun.suspect).collect::<Vec<_>>(), [&request(77)]);
+}
