Ask every upstream whether a response that ended with its connection is whole

One function asks all of them now, at the address that responded, and takes the response for broken off unless the connection is accepted. This turns the rule of response_without_length_of_a_worker_that_left_is_complete round, on purpose: an upstream that ends right after its last byte can't be told from one that crashed before it, and a whole response that is given up is the lesser harm. The test is replaced by two with leaving workers that crash, at every kind of position, which failed before, and one with a leaving worker that goes on.

--- a/crates/eelgrassdeal_gateway/src/front/attempt.rs
+++ b/crates/eelgrassdeal_gateway/src/front/attempt.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use eelgrassdeal_dispatch::{UpstreamRecord, UpstreamState};
+use eelgrassdeal_dispatch::UpstreamRecord;
 use eelgrassdeal_http::{PooledResponse, SendFailure, SendOptions};
 use eelgrassdeal_platform::{UpstreamNotice, UpstreamResponse, upstream_headers};
 use eelgrassdeal_types::{ErrorKind, UpstreamId};
@@ -59,7 +59,7 @@
 /// Time for which a silent upstream is avoided. By its end the group of a silent head VM is closed
 /// or works again.
 const SILENT_BACKOFF: Duration = Duration::from_secs(2);
-/// Timeout of the check whether the upstream of a response that ended with its connection has crashed.
+/// Timeout of the check whether a response that ended with its connection may be broken off.
 const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 /// Assumed maximum number of prompt tokens that an engine processes in one step. The configuration
 /// of an engine does not state it.
@@ -161,18 +161,16 @@
         }
     }
 
-    /// Whether the process of an upstream has ended without having said that it leaves: its host refuses
-    /// connections. One that does not answer proves nothing.
-    pub(super) async fn has_crashed(&self, upstream: &UpstreamId) -> bool {
-        let record = self.state.view().upstreams.get(upstream).cloned();
-        let is_asked = |record: &Arc<UpstreamRecord>| {
-            record.state == UpstreamState::Ready
-                && self.state.notices.borrow().may_send(record, Instant::now())
-        };
-        let Some(record) = record.filter(is_asked) else { return false };
-        let options = self.send_options().with_connect_timeout(CRASH_CHECK_TIMEOUT);
-        let opened = self.state.upstream_pool.open_idle(&record.address, options).await;
-        opened == Err(SendFailure::Refused)
+    /// Whether a response of which only the end of its connection tells the end may be incomplete: the
+    /// upstream at `address` accepts no further connection, so that its process may have crashed. What
+    /// its record says does not matter, as upstreams that leave or pause can crash too.
+    ///
+    /// It can't tell a part from the whole if the upstream goes on after it has closed the connection
+    /// early, or if another process has taken the address. It takes the whole for a part if the
+    /// upstream ended right after it, or can't be reached.
+    pub(super) async fn may_be_broken_off(&self, address: &Arc<str>) -> bool {
+        let options = SendOptions::default().with_connect_timeout(CRASH_CHECK_TIMEOUT);
+        self.state.upstream_pool.open_idle(address, options).await.is_err()
     }
 
     /// Excludes the upstream from further attempts of this request. Other requests avoid it for a
--- a/crates/eelgrassdeal_gateway/src/front/buffered.rs
+++ b/crates/eelgrassdeal_gateway/src/front/buffered.rs
@@ -50,9 +50,10 @@
     let mut hold = ResponseHold::new(&runner.state);
     let may_hold = |bytes| bytes <= MAX_RESPONSE_BYTES && hold.try_resize(bytes);
     let ends_with_connection = response.ends_with_connection();
+    let address = response.address().clone();
     let response = response.collect_while(may_hold);
     let collected = match runner.wait_for_bytes(&upstream, None, None, response).await {
-        Ok(Ok(_)) if ends_with_connection && runner.has_crashed(&upstream).await => {
+        Ok(Ok(_)) if ends_with_connection && runner.may_be_broken_off(&address).await => {
             Ok(Err(SendFailure::MaybeSent))
         }
         collected => collected,
--- a/crates/eelgrassdeal_gateway/src/front/stream.rs
+++ b/crates/eelgrassdeal_gateway/src/front/stream.rs
@@ -216,7 +216,7 @@
             Ok(None) if !attempt.response.ends_with_connection() => {
                 ReadResult::End(EndSignal::Framing)
             }
-            Ok(None) => match self.runner.has_crashed(&upstream).await {
+            Ok(None) => match self.runner.may_be_broken_off(attempt.response.address()).await {
                 true => ReadResult::End(EndSignal::Crash),
                 false => ReadResult::End(EndSignal::Disconnection),
             },
--- a/crates/eelgrassdeal_gateway/tests/broken_off_responses.rs
+++ b/crates/eelgrassdeal_gateway/tests/broken_off_responses.rs
@@ -17,6 +17,8 @@
 const EVENTS: u64 = 3;
 /// Of the positions within a head, one in this number is tried.
 const HEAD_STEP: usize = 9;
+/// Line of a response's head by which its worker says that it leaves.
+const LEAVING_FIELD: &str = "\r\nserver-leaving: 1\r\n";
 
 /// How a response says where its body ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -279,13 +281,45 @@
     }
 }
 
+/// A worker that has said that it leaves can crash as well.
 #[compio::test]
-async fn response_without_length_of_a_worker_that_left_is_complete() {
+async fn response_without_length_of_a_leaving_worker_that_crashes_is_not_taken_for_whole() {
+    for at in [0, 4, 10] {
+        let (answer, requests) = answer_from_script("/book/x", "one", move |request, _| {
+            exit_within(&body_pieces(request), LEAVING_FIELD, &request.id, at)
+        })
+        .await;
+        assert_eq!(answer.expect("a response").status, 502, "ends after {at} bytes");
+        assert_eq!(requests.len(), 1, "ends after {at} bytes");
+    }
+}
+
+#[compio::test]
+async fn stream_without_length_of_a_leaving_worker_that_crashes_is_not_taken_for_whole() {
+    let (body, requests) = stream_from_script(|request, earlier| match earlier {
+        0 => {
+            let end = complete_stream(1).len();
+            exit_within(&events_after(0), LEAVING_FIELD, &request.id, end)
+        }
+        _ => {
+            let rest = events_after(request.last_event.unwrap_or(0));
+            let rest = response(&request.id, BodyFraming::Length, &rest);
+            ScriptedAnswer::new(rest, AnswerEnd::KeepOpen)
+        }
+    })
+    .await;
+    assert_eq!(body, Some(complete_stream(EVENTS)));
+    assert_eq!(requests.last().and_then(|request| request.last_event), Some(1));
+}
+
+#[compio::test]
+async fn response_without_length_of_a_leaving_worker_that_goes_on_is_complete() {
     for (path, body) in [("/feed/x", complete_stream(EVENTS)), ("/book/x", "0123456789".into())] {
         let (answer, requests) = answer_from_script(path, "one", |request, _| {
             let pieces = body_pieces(request);
             let end = pieces.iter().map(String::len).sum();
-            exit_within(&pieces, "\r\nserver-leaving: 1\r\n", &request.id, end)
+            let answer = exit_within(&pieces, LEAVING_FIELD, &request.id, end);
+            ScriptedAnswer { end: AnswerEnd::Close, ..answer }
         })
         .await;
         let answer = answer.expect("a response");
