--- a/crates/eelgrassdeal_gateway/src/plan.rs
+++ b/crates/eelgrassdeal_gateway/src/plan.rs
@@ -224,7 +224,7 @@
     }
 
     async fn write_term(&self, fencing: FencingNumber) {
-        let version = match self.try_write_term(fencing).await {
+        let version = match self.try_begin_term(fencing).await {
             Ok(version) => version,
             Err(report) => {
                 log::warn!("event=term_unwritten fencing={fencing} reason=\"{report}\"");
@@ -237,6 +237,21 @@
         }
     }
 
+    /// Writes the term's row, then reads the groups. From the new version of the row on, no earlier
+    /// term can write groups, so that the copy lacks none of them. Returns the version of the row;
+    /// `None` if a later term has begun.
+    async fn try_begin_term(
+        &self,
+        fencing: FencingNumber,
+    ) -> eelgrassdeal_store::StoreResult<Option<u64>> {
+        let version = self.try_write_term(fencing).await?;
+        if version.is_some() {
+            let groups = self.state.store.read(SharedTable::Groups).await?;
+            self.state.update_table(SharedTable::Groups, Some(groups), Some(Instant::now()));
+        }
+        Ok(version)
+    }
+
     /// Returns the version of the written row; `None` if a later term has begun.
     async fn try_write_term(
         &self,
