--- a/crates/eelgrassdeal_dispatch/src/event_stream.rs
+++ b/crates/eelgrassdeal_dispatch/src/event_stream.rs
@@ -91,6 +91,11 @@
         self.pending.extend_from_slice(piece);
     }
 
+    /// Whether [`Self::take_events`] has a result: an event is complete, or has a fault.
+    pub fn has_event(&mut self) -> bool {
+        self.find_event_end(0).is_some() || self.pending.len() > MAX_EVENT_BYTES
+    }
+
     /// Takes the complete events that have arrived, up to the first one with a fault; `None` if the
     /// next event is incomplete.
     ///
--- a/crates/eelgrassdeal_gateway/src/front/attempt.rs
+++ b/crates/eelgrassdeal_gateway/src/front/attempt.rs
@@ -1,13 +1,17 @@
 //! Attempts to run a request on an upstream: sending, retries and the detection of silent upstreams.
 
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
 use eelgrassdeal_dispatch::UpstreamRecord;
 use eelgrassdeal_http::{PooledResponse, SendFailure, SendOptions};
 use eelgrassdeal_platform::{UpstreamNotice, UpstreamResponse, upstream_headers};
 use eelgrassdeal_types::{ErrorKind, UpstreamId};
+use futures_util::FutureExt;
+use futures_util::future::{Either, LocalBoxFuture, pending, select};
 use http_body_util::Full;
 use hyper::Request;
 
@@ -59,6 +63,8 @@
 /// Time for which a silent upstream is avoided. By its end the group of a silent head VM is closed
 /// or works again.
 const SILENT_BACKOFF: Duration = Duration::from_secs(2);
+/// Interval at which a request that waits for a silent upstream looks for another one again.
+const RELOCATION_INTERVAL: Duration = Duration::from_millis(500);
 /// Timeout of the check whether a response that ended with its connection may be broken off.
 const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 /// Assumed maximum number of prompt tokens that an engine processes in one step. The configuration
@@ -78,6 +84,50 @@
     pub(super) silence_timeout: Duration,
 }
 
+impl RunningAttempt {
+    /// Whether the response is a success with the upstream's signature.
+    pub(super) fn is_signed_success(&self) -> bool {
+        self.response.inner.status().is_success() && self.response_info.is_signed
+    }
+}
+
+/// Result of a send: the response, of which only the headers have arrived.
+type SendResult = Result<PooledResponse, SendFailure>;
+
+/// A request that was sent to an upstream and has no response headers yet. Dropping it cancels the
+/// request on the upstream.
+struct PendingSend {
+    record: Arc<UpstreamRecord>,
+    load: LoadGuard,
+    /// Minimum time without data after which the upstream counts as silent; `None` if its silence
+    /// does not matter.
+    silence_timeout: Option<Duration>,
+    sent_at: Instant,
+    response: LocalBoxFuture<'static, SendResult>,
+}
+
+impl Future for PendingSend {
+    type Output = SendResult;
+
+    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<SendResult> {
+        self.response.poll_unpin(context)
+    }
+}
+
+/// What a request that waits for the headers of a response learns first.
+enum SendEvent {
+    /// The send that was made last has a result.
+    Pending(SendResult),
+    /// The silent upstream has answered after all, or failed.
+    Kept(SendResult),
+    /// The upstream of the last send counts as silent.
+    Silent,
+    /// It is time to look for another upstream again.
+    Retry,
+    /// The deadline of the request passed, or the node is shutting down.
+    Deadline,
+}
+
 /// An attempt after which the request has no complete response from its upstream.
 pub(super) struct FailedAttempt<'a> {
     pub(super) upstream: &'a UpstreamId,
@@ -102,6 +152,9 @@
 /// Starts the attempts of one request and counts them. An attempt is a send of the request after
 /// which the upstream may have run it. A send that the upstream rejects, or of which no byte leaves
 /// this node, does not count as one.
+///
+/// The silence of an upstream does not end its attempt, as a sound one may pause. The next attempt
+/// starts beside it, and the first one that goes on is used.
 pub(super) struct AttemptRunner {
     pub(super) state: Rc<GatewayState>,
     pub(super) call: Rc<GatewayCall>,
@@ -161,18 +214,6 @@
         }
     }
 
-    /// Whether a response of which only the end of its connection tells the end may be incomplete: the
-    /// upstream at `address` accepts no further connection, so that its process may have crashed. What
-    /// its record says does not matter, as upstreams that leave or pause can crash too.
-    ///
-    /// It can't tell a part from the whole if the upstream goes on after it has closed the connection
-    /// early, or if another process has taken the address. It takes the whole for a part if the
-    /// upstream ended right after it, or can't be reached.
-    pub(super) async fn may_be_broken_off(&self, address: &Arc<str>) -> bool {
-        let options = SendOptions::default().with_connect_timeout(CRASH_CHECK_TIMEOUT);
-        self.state.upstream_pool.open_idle(address, options).await.is_err()
-    }
-
     /// Excludes the upstream from further attempts of this request. Other requests avoid it for a
     /// while if there is an alternative.
     fn exclude(&mut self, upstream: &UpstreamId) {
@@ -180,16 +221,36 @@
         self.need.excluded.push(upstream.clone());
     }
 
-    /// Counts a send as an attempt.
+    /// Counts a send as an attempt, until its result shows that the upstream has not run it.
     fn count_attempt(&mut self) {
         self.arrivals += 1;
         self.attempts += 1;
         self.need.is_rerun = true;
     }
 
+    /// Takes back that a send counts as an attempt.
+    fn discount_attempt(&mut self) {
+        self.attempts -= 1;
+        self.need.is_rerun = self.attempts > 0;
+    }
+
+    /// Prepares an attempt beside the one that goes on at `upstream`.
+    pub(super) fn begin_relocation(&mut self, upstream: &UpstreamId) {
+        self.exclude(upstream);
+        self.need.occupied.push(upstream.clone());
+    }
+
+    /// Ends [`Self::begin_relocation`].
+    pub(super) fn end_relocation(&mut self) {
+        self.need.occupied.clear();
+    }
+
     /// Tries upstreams until one sends a response that is neither a rejection nor a failure after
     /// which another attempt may be made. Failed attempts count against the attempt limit.
     ///
+    /// An attempt whose upstream falls silent goes on until another one has brought a response; it
+    /// is all that is left if no further send can be made. At most two attempts run at once.
+    ///
     /// `last_event` is the id of the last event that the caller received, when a stream is resumed.
     ///
     /// # Errors
@@ -201,8 +262,131 @@
     ) -> Result<RunningAttempt, CallRefusal> {
         let placement_deadline = self.placement_deadline();
         let mut sends = 0;
+        let mut last: Option<PendingSend> = None;
+        // The attempt before the last one, whose upstream is silent.
+        let mut kept: Option<PendingSend> = None;
+        loop {
+            if last.is_none() {
+                match self.begin_next(placement_deadline, &mut sends, last_event, &mut kept).await {
+                    Either::Left(Ok(send)) => last = Some(send),
+                    Either::Left(Err(refusal)) if kept.is_none() => return Err(refusal),
+                    Either::Left(Err(refusal)) => log::debug!(
+                        "event=waiting_on request_id={} reason=\"{}\"",
+                        self.call.request_id,
+                        refusal.kind()
+                    ),
+                    Either::Right(result) => {
+                        if let Some(attempt) = self.conclude_kept(&mut kept, result, false) {
+                            return Ok(attempt);
+                        }
+                        continue;
+                    }
+                }
+            }
+            match self.next_event(last.as_mut(), kept.as_mut()).await {
+                SendEvent::Pending(result) => {
+                    let has_other = kept.is_some();
+                    let Some(send) = last.take() else { continue };
+                    if let Some(attempt) = self.conclude_send(send, result, has_other) {
+                        self.need.occupied.clear();
+                        return Ok(attempt);
+                    }
+                }
+                SendEvent::Kept(result) => {
+                    let has_other = last.is_some();
+                    if let Some(attempt) = self.conclude_kept(&mut kept, result, has_other) {
+                        return Ok(attempt);
+                    }
+                }
+                SendEvent::Silent => self.keep_silent(&mut last, &mut kept),
+                SendEvent::Retry => {}
+                SendEvent::Deadline => {
+                    let reason = self.call.end_reason(Instant::now());
+                    return Err(self.final_refusal(&format!("no response: {reason}")));
+                }
+            }
+        }
+    }
+
+    /// Makes the next send, unless the one that was kept has a result before.
+    async fn begin_next(
+        &mut self,
+        placement_deadline: Instant,
+        sends: &mut u32,
+        last_event: Option<u64>,
+        kept: &mut Option<PendingSend>,
+    ) -> Either<Result<PendingSend, CallRefusal>, SendResult> {
+        let next = pin!(self.begin_send(placement_deadline, sends, last_event));
+        let kept = pin!(wait_for(kept.as_mut()));
+        match select(next, kept).await {
+            Either::Left((next, _)) => Either::Left(next),
+            Either::Right((result, _)) => Either::Right(result),
+        }
+    }
+
+    /// Waits for what happens first to the last send and to the one that was kept. Without a last
+    /// send, waits for at most [`RELOCATION_INTERVAL`].
+    async fn next_event(
+        &self,
+        last: Option<&mut PendingSend>,
+        kept: Option<&mut PendingSend>,
+    ) -> SendEvent {
+        let retry_at = last.is_none().then(|| Instant::now() + RELOCATION_INTERVAL);
+        let silence_timeout = last.as_ref().and_then(|send| send.silence_timeout);
+        let waited_for = last.as_ref().or(kept.as_ref());
+        let Some(upstream) = waited_for.map(|send| send.record.upstream.clone()) else {
+            return SendEvent::Retry;
+        };
+        let first = select(Box::pin(wait_for(last)), Box::pin(wait_for(kept)));
+        match self.wait_for_bytes(&upstream, silence_timeout, retry_at, first).await {
+            Ok(Either::Left((result, _))) => SendEvent::Pending(result),
+            Ok(Either::Right((result, _))) => SendEvent::Kept(result),
+            Err(WaitError::Silent) => SendEvent::Silent,
+            Err(WaitError::Stalled) => SendEvent::Retry,
+            Err(WaitError::Deadline) => SendEvent::Deadline,
+        }
+    }
+
+    /// Records the silence of the last send's upstream, and keeps the attempt. An older one that was
+    /// kept ends, unless no further send can replace it.
+    fn keep_silent(&mut self, last: &mut Option<PendingSend>, kept: &mut Option<PendingSend>) {
+        let Some(send) = last else { return };
+        let upstream = send.record.upstream.clone();
+        self.unstarted_attempts += 1;
+        self.record_failed_attempt(FailedAttempt {
+            upstream: &upstream,
+            response_began: None,
+            is_disconnected: false,
+            reason: "silent",
+        });
+        self.report_silent(&upstream);
+        match (kept.is_some(), self.may_run_again(), self.need.occupied.is_empty()) {
+            (true, false, _) => send.silence_timeout = None,
+            (true, true, _) | (false, _, true) => {
+                *kept = last.take();
+                self.need.occupied = vec![upstream];
+            }
+            // The caller of `start` has an attempt that goes on.
+            (false, _, false) => *last = None,
+        }
+    }
+
+    /// Places the request on an upstream and sends it there.
+    ///
+    /// # Errors
+    ///
+    /// The refusal to send to the caller if the request cannot be sent now.
+    async fn begin_send(
+        &mut self,
+        placement_deadline: Instant,
+        sends: &mut u32,
+        last_event: Option<u64>,
+    ) -> Result<PendingSend, CallRefusal> {
         loop {
-            let placement = self.place(placement_deadline).await?;
+            if self.attempts > 0 && !self.may_run_again() {
+                return Err(self.final_refusal("the upstream sent no valid response"));
+            }
+            let Placement { target, load } = self.place(placement_deadline).await?;
             // The quarantine may have begun after the last attempt or during the wait.
             if let Some(refusal) = self.call.check_quarantine(&self.state) {
                 return Err(match self.attempts {
@@ -210,18 +394,84 @@
                     _ => self.final_refusal("what the request shares with others is in quarantine"),
                 });
             }
-            if sends >= MAX_SENDS {
+            if *sends >= MAX_SENDS {
                 return Err(
                     self.final_refusal("too many sends to upstreams failed or were rejected")
                 );
             }
-            if self.arrivals > 0 && !self.state.try_take_retry(&self.call.service, Instant::now()) {
+            *sends += 1;
+            let record = target.record.clone();
+            let now = Instant::now();
+            let time_left = self.call.time_left(now);
+            if time_left.is_zero() {
+                return Err(self.final_refusal(self.call.end_reason(now)));
+            }
+            // The upstream may have asked for no requests while this one waited.
+            if !self.state.notices.borrow().may_send(&record, now) {
+                self.need.excluded.push(record.upstream.clone());
+                continue;
+            }
+            if self.arrivals > 0 && !self.state.try_take_retry(&self.call.service, now) {
                 return Err(self
                     .final_refusal("this node's share of the service's retry budget is used up"));
             }
-            sends += 1;
-            if let Some(attempt) = self.send(placement, last_event).await? {
-                return Ok(attempt);
+            let Some(request) = self.build_request(&record, time_left, last_event) else {
+                return Err(self
+                    .call
+                    .refuse(ErrorKind::BadRequest, "the path or query of the request is invalid"));
+            };
+            let is_stream = self.call.route.kind.is_stream();
+            let silence_timeout = is_stream.then(|| self.silence_timeout(target.slowdown()));
+            let (state, options) = (self.state.clone(), self.send_options());
+            let address = record.address.clone();
+            let response =
+                async move { state.upstream_pool.send(&address, request, options).await };
+            let response = response.boxed_local();
+            self.count_attempt();
+            return Ok(PendingSend { record, load, silence_timeout, sent_at: now, response });
+        }
+    }
+
+    /// Concludes the attempt that was kept. See [`Self::conclude_send`].
+    fn conclude_kept(
+        &mut self,
+        kept: &mut Option<PendingSend>,
+        result: SendResult,
+        has_other: bool,
+    ) -> Option<RunningAttempt> {
+        let send = kept.take()?;
+        self.need.occupied.clear();
+        self.conclude_send(send, result, has_other)
+    }
+
+    /// Decides about the result of a send. Returns `None` if the request may be sent to another
+    /// upstream, or if `has_other`: another attempt goes on.
+    fn conclude_send(
+        &mut self,
+        send: PendingSend,
+        result: SendResult,
+        has_other: bool,
+    ) -> Option<RunningAttempt> {
+        // Possibly no byte was sent.
+        log::debug!(
+            "event=sent request_id={} upstream={} arrivals={} took_ms={}",
+            self.call.request_id,
+            send.record.upstream,
+            self.arrivals,
+            send.sent_at.elapsed().as_millis()
+        );
+        match result {
+            Ok(response) => self.evaluate_response(send, response, has_other),
+            Err(failure) if failure.is_unsent() => {
+                self.arrivals -= 1;
+                self.discount_attempt();
+                self.handle_unsent(&send.record, failure);
+                None
+            }
+            Err(failure) => {
+                let is_disconnected = failure == SendFailure::MaybeSent;
+                self.handle_failed_attempt(&send.record, is_disconnected, &format!("{failure:?}"));
+                None
             }
         }
     }
@@ -254,7 +504,7 @@
         stalled_at: Option<Instant>,
         future: impl Future<Output = T>,
     ) -> Result<T, WaitError> {
-        let mut future = std::pin::pin!(future);
+        let mut future = pin!(future);
         let started = Instant::now();
         loop {
             let now = Instant::now();
@@ -358,66 +608,6 @@
         limit.unwrap_or(MAX_SILENCE_TIMEOUT)
     }
 
-    /// Sends the request to one upstream. Returns `None` if the request may be sent to another one.
-    async fn send(
-        &mut self,
-        placement: Placement,
-        last_event: Option<u64>,
-    ) -> Result<Option<RunningAttempt>, CallRefusal> {
-        let Placement { target, load } = placement;
-        let record = &target.record;
-        let now = Instant::now();
-        let time_left = self.call.time_left(now);
-        if time_left.is_zero() {
-            return Err(self.final_refusal(self.call.end_reason(now)));
-        }
-        // The upstream may have asked for no requests while this one waited.
-        if !self.state.notices.borrow().may_send(record, now) {
-            self.need.excluded.push(record.upstream.clone());
-            return Ok(None);
-        }
-        let Some(request) = self.build_request(record, time_left, last_event) else {
-            return Err(self
-                .call
-                .refuse(ErrorKind::BadRequest, "the path or query of the request is invalid"));
-        };
-        let is_stream = self.call.route.kind.is_stream();
-        let silence_timeout = is_stream.then(|| self.silence_timeout(target.slowdown()));
-        let sending = self.state.upstream_pool.send(&record.address, request, self.send_options());
-        let result = self.wait_for_bytes(&record.upstream, silence_timeout, None, sending).await;
-        // Logged when the wait for the response headers has ended, with any result: possibly no
-        // byte was sent. `arrivals` does not include this send.
-        log::debug!(
-            "event=sent request_id={} upstream={} arrivals={} took_ms={}",
-            self.call.request_id,
-            record.upstream,
-            self.arrivals,
-            now.elapsed().as_millis()
-        );
-        match result {
-            Ok(Ok(response)) => self.evaluate_response(record, load, response, silence_timeout),
-            Ok(Err(failure)) if failure.is_unsent() => {
-                self.handle_unsent(record, failure);
-                Ok(None)
-            }
-            Ok(Err(failure)) => {
-                let is_disconnected = failure == SendFailure::MaybeSent;
-                self.handle_failed_attempt(record, is_disconnected, &format!("{failure:?}"))
-            }
-            Err(WaitError::Silent) => {
-                self.unstarted_attempts += 1;
-                let next_step = self.handle_failed_attempt(record, false, "silent");
-                self.report_silent(&record.upstream);
-                next_step
-            }
-            Err(WaitError::Deadline | WaitError::Stalled) => {
-                self.count_attempt();
-                let reason = self.call.end_reason(Instant::now());
-                Err(self.final_refusal(&format!("no response: {reason}")))
-            }
-        }
-    }
-
     /// Logs a send of which no byte left this node, and excludes the upstream.
     fn handle_unsent(&mut self, record: &UpstreamRecord, failure: SendFailure) {
         log::info!(
@@ -441,52 +631,48 @@
         }
     }
 
-    /// Counts and records a failed attempt. Returns `None` if another attempt may be made.
+    /// Records a failed attempt of which no response headers arrived.
     fn handle_failed_attempt(
         &mut self,
         record: &UpstreamRecord,
         is_disconnected: bool,
         reason: &str,
-    ) -> Result<Option<RunningAttempt>, CallRefusal> {
-        self.count_attempt();
+    ) {
         self.record_failed_attempt(FailedAttempt {
             upstream: &record.upstream,
             response_began: None,
             is_disconnected,
             reason,
         });
-        match self.may_run_again() {
-            true => Ok(None),
-            false => Err(self.final_refusal("the upstream sent no valid response")),
-        }
     }
 
     /// Decides whether the attempt goes on with a response. Returns `None` if the request may be
-    /// sent to another upstream instead.
+    /// sent to another upstream instead, or if `has_other`: another attempt goes on.
     fn evaluate_response(
         &mut self,
-        record: &UpstreamRecord,
-        load: LoadGuard,
+        send: PendingSend,
         response: PooledResponse,
-        silence_timeout: Option<Duration>,
-    ) -> Result<Option<RunningAttempt>, CallRefusal> {
+        has_other: bool,
+    ) -> Option<RunningAttempt> {
+        let PendingSend { record, load, silence_timeout, .. } = send;
         let mut response = response;
         let response_info = UpstreamResponse::from_headers(response.inner.headers());
         let status = response.inner.status();
         // Upstreams echo the id, and a late copy of another response may lack it.
         if response_info.request_id != self.call.caller.request_id {
-            return self.handle_failed_attempt(record, false, "response to another request");
+            self.handle_failed_attempt(&record, false, "response to another request");
+            return None;
         }
         // Status 421: another upstream now responds at the address.
         if status.as_u16() != 421 {
             let notice = UpstreamNotice::from_response(status.as_u16(), response.inner.headers());
-            record_notice(&self.state, record, notice, &self.call.request_id);
+            record_notice(&self.state, &record, notice, &self.call.request_id);
             if notice.is_leaving {
                 response.close_after();
             }
         }
         if response_info.is_not_run || status.as_u16() == 421 {
-            self.arrivals += 1;
+            self.discount_attempt();
             // `at_fault` is the upstream that caused the failure, if it is not the responding one.
             log::info!(
                 "event=rejected request_id={} upstream={} status={} at_fault={:?}",
@@ -496,24 +682,23 @@
                 response_info.at_fault
             );
             self.exclude(&record.upstream);
-            return Ok(None);
+            return None;
         }
-        self.count_attempt();
         // A success without the upstream's signature header counts as a failure.
         let is_failure =
             status.is_server_error() || (status.is_success() && !response_info.is_signed);
-        if is_failure && self.may_run_again() {
+        if is_failure && (has_other || self.may_run_again()) {
             self.record_failed_attempt(FailedAttempt {
                 upstream: &record.upstream,
                 response_began: Some(Instant::now()),
                 is_disconnected: false,
                 reason: status.as_str(),
             });
-            return Ok(None);
+            return None;
         }
         let silence_timeout = silence_timeout.unwrap_or(MAX_SILENCE_TIMEOUT);
         let response_began = Instant::now();
-        Ok(Some(RunningAttempt { response, response_info, load, response_began, silence_timeout }))
+        Some(RunningAttempt { response, response_info, load, response_began, silence_timeout })
     }
 
     /// Connection limits for a send: this node's share of the connections that the upstream accepts
@@ -560,3 +745,23 @@
         Some(request)
     }
 }
+
+/// Whether a response of which only the end of its connection tells the end may be incomplete: the
+/// upstream at `address` accepts no further connection, so that its process may have crashed. What
+/// its record says does not matter, as upstreams that leave or pause can crash too.
+///
+/// It can't tell a part from the whole if the upstream goes on after it has closed the connection
+/// early, or if another process has taken the address. It takes the whole for a part if the
+/// upstream ended right after it, or can't be reached.
+pub(super) async fn may_be_broken_off(state: &GatewayState, address: &Arc<str>) -> bool {
+    let options = SendOptions::default().with_connect_timeout(CRASH_CHECK_TIMEOUT);
+    state.upstream_pool.open_idle(address, options).await.is_err()
+}
+
+/// Waits for the result of a send; forever without one.
+async fn wait_for(send: Option<&mut PendingSend>) -> SendResult {
+    match send {
+        Some(send) => send.await,
+        None => pending().await,
+    }
+}
--- a/crates/eelgrassdeal_gateway/src/front/buffered.rs
+++ b/crates/eelgrassdeal_gateway/src/front/buffered.rs
@@ -9,7 +9,7 @@
 use http_body_util::{Either, Full};
 use hyper::{Response, StatusCode};
 
-use super::attempt::{AttemptRunner, FailedAttempt, RunningAttempt};
+use super::attempt::{AttemptRunner, FailedAttempt, RunningAttempt, may_be_broken_off};
 use super::call::GatewayCall;
 use super::hold::ResponseHold;
 use super::refusal::CallRefusal;
@@ -53,7 +53,7 @@
     let address = response.address().clone();
     let response = response.collect_while(may_hold);
     let collected = match runner.wait_for_bytes(&upstream, None, None, response).await {
-        Ok(Ok(_)) if ends_with_connection && runner.may_be_broken_off(&address).await => {
+        Ok(Ok(_)) if ends_with_connection && may_be_broken_off(&runner.state, &address).await => {
             Ok(Err(SendFailure::MaybeSent))
         }
         collected => collected,
--- a/crates/eelgrassdeal_gateway/src/front/call.rs
+++ b/crates/eelgrassdeal_gateway/src/front/call.rs
@@ -132,6 +132,7 @@
             target_at: self.received + self.route.target_latency.saturating_sub(self.spent),
             is_rerun: false,
             excluded: Vec::new(),
+            occupied: Vec::new(),
         }
     }
 
--- a/crates/eelgrassdeal_gateway/src/front/stream.rs
+++ b/crates/eelgrassdeal_gateway/src/front/stream.rs
@@ -2,6 +2,7 @@
 //! interrupted.
 
 use std::io;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -9,10 +10,11 @@
 use eelgrassdeal_dispatch::{EndSignal, EventAssembler, EventFault, RouteRule, StreamEnd};
 use eelgrassdeal_platform::UpstreamResponse;
 use futures_util::StreamExt;
+use futures_util::future::{Either, select};
 use futures_util::stream::unfold;
 use http_body_util::BodyExt;
 
-use super::attempt::{AttemptRunner, FailedAttempt, RunningAttempt, WaitError};
+use super::attempt::{AttemptRunner, FailedAttempt, RunningAttempt, WaitError, may_be_broken_off};
 use super::buffered;
 use super::call::GatewayCall;
 use super::hold::ResponseHold;
@@ -38,9 +40,7 @@
     let mut runner = AttemptRunner::new(state, call);
     loop {
         let attempt = runner.start(call.caller.last_event).await?;
-        let is_signed_success =
-            attempt.response.inner.status().is_success() && attempt.response_info.is_signed;
-        if is_signed_success {
+        if attempt.is_signed_success() {
             let headers = UpstreamResponse::forwarded_headers(attempt.response.inner.headers());
             let relay = StreamRelay::new(runner, attempt);
             let mut reply = stream_reply(relay.into_stream());
@@ -95,12 +95,31 @@
         }
     }
 
+    /// Whether the attempt may still go on.
+    fn is_pause(self) -> bool {
+        matches!(self, Self::Silent | Self::Stalled)
+    }
+
     /// Whether the upstream closed the connection before the stream was complete.
     fn is_disconnected(self) -> bool {
         matches!(self, Self::Disconnected | Self::BrokenOff)
     }
 }
 
+/// How the wait for another attempt beside the running one ends.
+enum Relocation {
+    /// The other attempt has a response; the running one may have failed meanwhile.
+    Started(Box<RunningAttempt>, Option<StreamFailure>),
+    /// No other attempt can be made; the running one goes on.
+    Refused,
+    /// The running attempt has brought an event.
+    Continued,
+    /// The running attempt has completed the stream with these bytes.
+    Completed(Bytes),
+    /// The running attempt has failed for this reason, and no other attempt can be made.
+    Lost(StreamFailure, CallRefusal),
+}
+
 /// Forwards one event stream to a caller. Dropping it cancels the request on the upstream.
 struct StreamRelay {
     runner: AttemptRunner,
@@ -168,8 +187,14 @@
                 },
                 Err(fault) => StreamFailure::InvalidEvent(fault),
             };
-            if let Err(reason) = self.resume(failure).await {
-                return self.fail(&reason);
+            let result = match failure.is_pause() {
+                true => self.relocate(failure).await,
+                false => self.resume(failure).await.map(|()| None),
+            };
+            match result {
+                Ok(None) => {}
+                Ok(Some(rest)) => return self.finish(rest),
+                Err(reason) => return self.fail(&reason),
             }
         }
         None
@@ -213,13 +238,7 @@
                 ReadResult::Bytes(frame.into_data().unwrap_or_default())
             }
             Ok(Some(Err(_))) => ReadResult::Failed(StreamFailure::Disconnected),
-            Ok(None) if !attempt.response.ends_with_connection() => {
-                ReadResult::End(EndSignal::Framing)
-            }
-            Ok(None) => match self.runner.may_be_broken_off(attempt.response.address()).await {
-                true => ReadResult::End(EndSignal::Crash),
-                false => ReadResult::End(EndSignal::Disconnection),
-            },
+            Ok(None) => ReadResult::End(end_signal(&self.runner.state, attempt).await),
             Err(WaitError::Silent) => {
                 self.runner.report_silent(&upstream);
                 match may_move {
@@ -232,6 +251,124 @@
         }
     }
 
+    /// Starts another attempt beside the running one, whose upstream is silent or sends no complete
+    /// event, and uses the one that goes on first. Without another one, the running attempt goes on.
+    /// Returns the rest of the stream if it is complete.
+    ///
+    /// # Errors
+    ///
+    /// The reason why the stream cannot go on.
+    async fn relocate(&mut self, failure: StreamFailure) -> Result<Option<Bytes>, String> {
+        let Some(mut running) = self.attempt.take() else { return Ok(None) };
+        let upstream = running.load.upstream.clone();
+        self.runner.begin_relocation(&upstream);
+        let relocation = self.await_relocation(&mut running).await;
+        self.runner.end_relocation();
+        self.waiting_since = Instant::now();
+        match relocation {
+            Relocation::Started(attempt, None) if !attempt.is_signed_success() => {
+                self.runner.record_failed_attempt(FailedAttempt {
+                    upstream: &attempt.load.upstream,
+                    response_began: Some(attempt.response_began),
+                    is_disconnected: false,
+                    reason: attempt.response.inner.status().as_str(),
+                });
+                self.attempt = Some(running);
+            }
+            Relocation::Started(attempt, loss) => {
+                let failure = loss.unwrap_or(failure);
+                self.runner.record_failed_attempt(FailedAttempt {
+                    upstream: &upstream,
+                    response_began: Some(running.response_began),
+                    is_disconnected: failure.is_disconnected(),
+                    reason: failure.reason(),
+                });
+                if !attempt.is_signed_success() {
+                    let status = attempt.response.inner.status();
+                    return Err(format!("{}; resume failed: status {status}", failure.reason()));
+                }
+                self.events.begin_attempt();
+                self.adopt(*attempt, failure);
+            }
+            Relocation::Continued => {
+                log::info!(
+                    "event=kept request_id={} upstream={upstream} last_event={:?} reason=\"{}\"",
+                    self.runner.call.request_id,
+                    self.events.last_event(),
+                    failure.reason()
+                );
+                self.attempt = Some(running);
+            }
+            Relocation::Refused => self.attempt = Some(running),
+            Relocation::Completed(rest) => {
+                self.attempt = Some(running);
+                return Ok(Some(rest));
+            }
+            Relocation::Lost(loss, refusal) => {
+                self.runner.record_failed_attempt(FailedAttempt {
+                    upstream: &upstream,
+                    response_began: Some(running.response_began),
+                    is_disconnected: loss.is_disconnected(),
+                    reason: loss.reason(),
+                });
+                return Err(format!("{}; resume failed: {}", loss.reason(), refusal.kind()));
+            }
+        }
+        Ok(None)
+    }
+
+    async fn await_relocation(&mut self, running: &mut RunningAttempt) -> Relocation {
+        let Self { runner, events, hold, .. } = self;
+        let state = runner.state.clone();
+        let mut start = pin!(runner.start(events.last_event()));
+        let loss = loop {
+            let frame = pin!(running.response.inner.body_mut().frame());
+            let frame = match select(start.as_mut(), frame).await {
+                Either::Left((Ok(attempt), _)) => {
+                    return Relocation::Started(Box::new(attempt), None);
+                }
+                Either::Left((Err(_), _)) => return Relocation::Refused,
+                Either::Right((frame, _)) => frame,
+            };
+            match frame {
+                Some(Ok(frame)) => {
+                    running.load.record_progress();
+                    let bytes = frame.into_data().unwrap_or_default();
+                    if !hold.try_resize(events.pending_bytes() + bytes.len()) {
+                        break StreamFailure::NoRoom;
+                    }
+                    events.push(&bytes);
+                    if events.has_event() {
+                        return Relocation::Continued;
+                    }
+                }
+                Some(Err(_)) => break StreamFailure::Disconnected,
+                None => match events.end(end_signal(&state, running).await) {
+                    StreamEnd::Complete(rest) => return Relocation::Completed(rest),
+                    StreamEnd::BrokenOff => break StreamFailure::BrokenOff,
+                },
+            }
+        };
+        match start.await {
+            Ok(attempt) => Relocation::Started(Box::new(attempt), Some(loss)),
+            Err(refusal) => Relocation::Lost(loss, refusal),
+        }
+    }
+
+    /// Goes on with another attempt.
+    fn adopt(&mut self, attempt: RunningAttempt, failure: StreamFailure) {
+        log::info!(
+            "event=resumed request_id={} upstream={} last_event={:?} reason=\"{}\"",
+            self.runner.call.request_id,
+            attempt.load.upstream,
+            self.events.last_event(),
+            failure.reason()
+        );
+        self.attempt = Some(attempt);
+        self.is_acquitted = false;
+        self.waiting_since = Instant::now();
+    }
+
     /// Resumes the stream on another upstream after its last forwarded event.
     ///
     /// # Errors
@@ -261,15 +398,8 @@
             };
             let upstream = attempt.load.upstream.clone();
             let status = attempt.response.inner.status();
-            if status.is_success() && attempt.response_info.is_signed {
-                log::info!(
-                    "event=resumed request_id={} upstream={upstream} last_event={:?} reason=\"{reason}\"",
-                    self.runner.call.request_id,
-                    self.events.last_event()
-                );
-                self.attempt = Some(attempt);
-                self.is_acquitted = false;
-                self.waiting_since = Instant::now();
+            if attempt.is_signed_success() {
+                self.adopt(attempt, failure);
                 return Ok(());
             }
             self.runner.record_failed_attempt(FailedAttempt {
@@ -332,3 +462,14 @@
         .max(route.target_event_gap * CALLER_PATIENCE_GAPS);
     patience.mul_f64(STALL_FRACTION)
 }
+
+/// What the end of a response without an error shows.
+async fn end_signal(state: &GatewayState, attempt: &RunningAttempt) -> EndSignal {
+    match attempt.response.ends_with_connection() {
+        false => EndSignal::Framing,
+        true => match may_be_broken_off(state, attempt.response.address()).await {
+            true => EndSignal::Crash,
+            false => EndSignal::Disconnection,
+        },
+    }
+}
--- a/crates/eelgrassdeal_gateway/src/placing.rs
+++ b/crates/eelgrassdeal_gateway/src/placing.rs
@@ -89,6 +89,8 @@
     pub(crate) is_rerun: bool,
     /// Upstreams that are not used again until all others were tried.
     pub(crate) excluded: Vec<UpstreamId>,
+    /// Upstreams at which an attempt of the request goes on. They are not used for another one.
+    pub(crate) occupied: Vec<UpstreamId>,
 }
 
 /// Why a request was given no upstream.
@@ -345,6 +347,7 @@
 ) -> Result<PlacementTarget, PlacementRefusal> {
     let has_engine = need.with_model(state, |_, _| ()).is_some();
     let mut candidates = candidates.to_vec();
+    candidates.retain(|target| !need.occupied.contains(&target.record.upstream));
     loop {
         let constraints = PlacementConstraints {
             excluded: &need.excluded,
--- a/crates/eelgrassdeal_gateway/tests/common/mod.rs
+++ b/crates/eelgrassdeal_gateway/tests/common/mod.rs
@@ -52,9 +52,12 @@
 }
 
 impl GatewayProcess {
-    /// Log since the last start of the process.
+    /// Log since the last start of the process; empty if it doesn't go to a file.
     pub fn log(&self) -> String {
-        std::fs::read_to_string(&self.log).unwrap_or_default()
+        match self.log.is_file() {
+            true => std::fs::read_to_string(&self.log).unwrap_or_default(),
+            false => String::new(),
+        }
     }
 
     /// Kills the process without a graceful shutdown.
@@ -129,6 +132,10 @@
     pub violations: Rc<RefCell<Vec<String>>>,
     pub gateways: Vec<GatewayProcess>,
     pub pool: ConnectionPool,
+    /// `retry_slack` in the settings of the gateways.
+    retry_slack: u32,
+    /// Where the gateways write their logs; `None` for a file each.
+    log: Option<PathBuf>,
     _server: ServerHandle,
 }
 
@@ -145,6 +152,8 @@
             violations: Rc::default(),
             gateways: Vec::new(),
             pool: ConnectionPool::new(),
+            retry_slack: 132,
+            log: None,
             _server: server,
         };
         platform.write_config(1, &[API_KEY]);
@@ -205,13 +214,31 @@
         self
     }
 
+    /// Sets the retries that the gateways may make in a window beyond a share of their requests.
+    pub fn with_retry_slack(self, retry_slack: u32) -> Self {
+        Self { retry_slack, ..self }
+    }
+
+    /// Has the gateways write their logs to `path`.
+    pub fn with_log(self, path: PathBuf) -> Self {
+        Self { log: Some(path), ..self }
+    }
+
     /// Starts `count` gateways that know each other, and waits until they are ready.
     pub async fn with_gateways(mut self, count: usize) -> Self {
         let addresses: Vec<_> = (0..count).map(|_| free_addresses()).collect();
         let seeds: Vec<_> = addresses.iter().map(|[.., peer]| peer.clone()).collect();
         for (index, addresses) in addresses.into_iter().enumerate() {
             let store = self.store_address.clone();
-            self.gateways.push(start_gateway(index, addresses, &seeds, &store));
+            let slack = self.retry_slack;
+            self.gateways.push(start_gateway(
+                index,
+                addresses,
+                &seeds,
+                &store,
+                slack,
+                self.log.as_deref(),
+            ));
         }
         for index in 0..count {
             self.wait_ready(index).await;
@@ -224,7 +251,15 @@
         let seeds: Vec<String> =
             self.gateways.iter().map(|gateway| gateway.peer.to_string()).collect();
         let index = self.gateways.len();
-        self.gateways.push(start_gateway(index, free_addresses(), &seeds, store));
+        let slack = self.retry_slack;
+        self.gateways.push(start_gateway(
+            index,
+            free_addresses(),
+            &seeds,
+            store,
+            slack,
+            self.log.as_deref(),
+        ));
     }
 
     pub async fn start_worker(&self, options: WorkerOptions) -> WorkerFake {
@@ -400,18 +435,20 @@
     addresses: [String; 3],
     seeds: &[String],
     store: &str,
+    retry_slack: u32,
+    log: Option<&Path>,
 ) -> GatewayProcess {
     let [front, locator, peer] = addresses;
     let settings = format!(
         "node_name = \"node-{index}\"\nzone = \"zone-a\"\nregion = \"region\"\nip = \"127.0.0.1\"\n\
          port_range = [1, 2]\nseeds = {seeds:?}\n[listen]\nfront = \"{front}\"\nready = \"{locator}\"\n\
-         control = \"{peer}\"\n[bounds]\ngrace_s = 8\nstall_ms = 4000\nretry_slack = 132\n\
+         control = \"{peer}\"\n[bounds]\ngrace_s = 8\nstall_ms = 4000\nretry_slack = {retry_slack}\n\
          [platform]\naddress = \"{store}\"\n"
     );
     let folder = std::env::temp_dir();
     let name = format!("eelgrassdeal-gateway-{}", front.replace(':', "-"));
     let settings_path = folder.join(format!("{name}.toml"));
-    let log_path = folder.join(format!("{name}.log"));
+    let log_path = log.map_or_else(|| folder.join(format!("{name}.log")), Path::to_owned);
     std::fs::write(&settings_path, settings).expect("the settings file can be written");
     GatewayProcess {
         child: Some(spawn(&settings_path, &log_path)),
--- a/crates/eelgrassdeal_standins/src/gateway_platform/worker.rs
+++ b/crates/eelgrassdeal_standins/src/gateway_platform/worker.rs
@@ -138,6 +138,10 @@
     NoRequestId,
     /// After this many events, the stream goes on with comment lines and without events.
     CommentsAfter(u64),
+    /// The stream pauses once for this time after this many events, and is complete.
+    PauseAfter(u64, Duration),
+    /// The response begins after this time, and is complete.
+    LateStart(Duration),
     /// The stream starts with an event that never ends, in small pieces.
     EndlessEvent,
     /// The request runs and gets status 500.
@@ -146,6 +150,13 @@
     AmbiguousRefusal,
 }
 
+impl WorkerFault {
+    /// Whether the stream pauses once `count` events are sent.
+    fn pauses_before(&self, count: u64) -> bool {
+        matches!(self, Self::PauseAfter(events, _) if *events == count)
+    }
+}
+
 /// A request that a worker started to run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WorkerRun {
@@ -597,6 +608,9 @@
         }
         let builder = builder.header("x-eelgrassdeal-response-seal", format!("seal-{}", self.id()));
         let running = RunGuard::new(self);
+        if let Some(WorkerFault::LateStart(delay)) = fault {
+            compio::time::sleep(delay).await;
+        }
         match (fault, state.options.domain.is_some()) {
             (Some(WorkerFault::LostResponse), _) => {
                 compio::time::sleep(state.options.event_interval).await;
@@ -688,6 +702,11 @@
                 let _ = sender.send(Err(io::Error::other("stalled"))).await;
                 return;
             }
+            if let Some(WorkerFault::PauseAfter(_, pause)) =
+                fault.filter(|fault| fault.pauses_before(id - first_id))
+            {
+                compio::time::sleep(pause).await;
+            }
             if comments_after.is_some_and(|count| id - first_id >= count) {
                 write_slowly(sender, Bytes::from_static(b": waiting\n")).await;
                 return;
