--- a/crates/eelgrassdeal_gateway/src/lifecycle.rs
+++ b/crates/eelgrassdeal_gateway/src/lifecycle.rs
@@ -8,6 +8,7 @@
 
 use compio::net::TcpListener;
 use eelgrassdeal_dispatch::{GatewaySettings, NodeStage, SharedTable};
+use eelgrassdeal_logging::dropped_lines;
 use eelgrassdeal_platform::load_settings;
 use error_stack::{Report, ResultExt};
 
@@ -55,6 +56,15 @@
 
 impl std::error::Error for GatewayError {}
 
+/// Log lines that were dropped, as far as housekeeping has dealt with them.
+#[derive(Default)]
+struct DroppedLines {
+    /// Number in the last round.
+    seen: usize,
+    /// Number that the log tells of.
+    reported: usize,
+}
+
 /// Runs a gateway until SIGTERM or SIGINT, and then shuts it down gracefully. The settings file
 /// `path` is reloaded on SIGHUP and when its content changes.
 ///
@@ -162,7 +172,9 @@
 /// their data.
 async fn run_housekeeping(state: Rc<GatewayState>) {
     let mut rounds = 0;
+    let mut logged_drops = DroppedLines::default();
     loop {
+        log_dropped_lines(&mut logged_drops);
         state.mirror.borrow_mut().remove_missing(Instant::now());
         decide_quarantines(&state);
         take_back_upstreams(&state);
@@ -192,6 +204,19 @@
     }
 }
 
+/// Logs how many log lines were dropped, once no more are.
+fn log_dropped_lines(logged: &mut DroppedLines) {
+    let dropped = dropped_lines();
+    if dropped > logged.reported && dropped == logged.seen {
+        log::warn!("event=log_lines_dropped lines={}", dropped - logged.reported);
+        // Logged again if the line itself was dropped.
+        if dropped_lines() == dropped {
+            logged.reported = dropped;
+        }
+    }
+    logged.seen = dropped;
+}
+
 async fn reload_on_signal(state: Rc<GatewayState>, path: PathBuf, mut signals: SignalListener) {
     loop {
         signals.wait().await;
--- a/crates/eelgrassdeal_gateway/src/main.rs
+++ b/crates/eelgrassdeal_gateway/src/main.rs
@@ -4,10 +4,10 @@
 use std::process::ExitCode;
 
 use eelgrassdeal_gateway::{ProcessSignals, log_panics, run_gateway};
+use eelgrassdeal_logging::init_logging;
 use eelgrassdeal_platform::{SETTINGS_VARIABLE, load_settings};
 use gumdrop::Options;
 use log::LevelFilter;
-use simplelog::{ConfigBuilder, SimpleLogger};
 
 /// Exit code when the settings file is missing or invalid.
 const EXIT_INVALID_SETTINGS: u8 = 2;
@@ -57,8 +57,8 @@
         println!("{}: ok", path.display());
         return ExitCode::SUCCESS;
     }
-    let config = ConfigBuilder::new().set_time_format_rfc3339().build();
-    if let Err(error) = SimpleLogger::init(options.log_level.unwrap_or(LevelFilter::Info), config) {
+    let logging = init_logging(options.log_level.unwrap_or(LevelFilter::Info));
+    if let Err(error) = &logging {
         eprintln!("cannot initialize logging: {error}");
     }
     log_panics();
--- a/crates/eelgrassdeal_gateway/src/metrics_export.rs
+++ b/crates/eelgrassdeal_gateway/src/metrics_export.rs
@@ -3,6 +3,7 @@
 use std::sync::OnceLock;
 
 use eelgrassdeal_dispatch::NoticeCause;
+use eelgrassdeal_logging::dropped_lines;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 
 use crate::state::GatewayState;
@@ -30,6 +31,7 @@
         .set(state.upstream_pool.opened_count() as f64);
     let response_bytes = state.response_budget.lock().map_or(0, |budget| budget.held());
     metrics::gauge!("eelgrassdeal_response_bytes_held").set(response_bytes as f64);
+    metrics::gauge!("eelgrassdeal_log_lines_dropped").set(dropped_lines() as f64);
     let now = std::time::Instant::now();
     for cause in NoticeCause::ALL {
         metrics::gauge!("eelgrassdeal_upstreams_set_aside", "cause" => cause.name())
--- a/crates/eelgrassdeal_node/src/main.rs
+++ b/crates/eelgrassdeal_node/src/main.rs
@@ -3,10 +3,10 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+use eelgrassdeal_logging::init_logging;
 use eelgrassdeal_node::{load_settings, run_node};
 use gumdrop::Options;
 use log::LevelFilter;
-use simplelog::{ConfigBuilder, SimpleLogger};
 
 /// Exit code if the settings file is missing or invalid.
 const EXIT_SETTINGS: u8 = 2;
@@ -47,8 +47,10 @@
         return ExitCode::SUCCESS;
     }
     let level = settings.log.as_ref().map_or("info", |log| log.level.as_str());
-    let config = ConfigBuilder::new().set_time_format_rfc3339().build();
-    let _ = SimpleLogger::init(level.parse().unwrap_or(LevelFilter::Info), config);
+    let logging = init_logging(level.parse().unwrap_or(LevelFilter::Info));
+    if let Err(error) = &logging {
+        eprintln!("cannot initialize logging: {error}");
+    }
     match run_node(settings).await {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
