--- a/crates/eelgrassdeal_dispatch/src/planner/teardown.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/teardown.rs
@@ -158,10 +158,13 @@
         service: &ServiceId,
         now: Instant,
     ) {
-        let is_reachable = |record: &&Arc<UpstreamRecord>| {
-            record.service == *service && record.state == UpstreamState::Ready
-        };
-        for record in view.upstreams.values().filter(is_reachable) {
+        for record in view.upstreams.values() {
+            let is_usable = record.service == *service
+                && record.state == UpstreamState::Ready
+                && !self.state.is_lost(&record.upstream, now);
+            if !is_usable {
+                continue;
+            }
             let Some(membership) = self.state.unstored_membership(view, record, now) else {
                 continue;
             };
--- a/crates/eelgrassdeal_gateway/src/front/attempt.rs
+++ b/crates/eelgrassdeal_gateway/src/front/attempt.rs
@@ -117,7 +117,7 @@
 /// What a request that waits for the headers of a response learns first.
 enum SendEvent {
     /// The send that was made last has a result.
-    Pending(SendResult),
+    Last(SendResult),
     /// The silent upstream has answered after all, or failed.
     Kept(SendResult),
     /// The upstream of the last send counts as silent.
@@ -284,7 +284,7 @@
                 }
             }
             match self.next_event(last.as_mut(), kept.as_mut()).await {
-                SendEvent::Pending(result) => {
+                SendEvent::Last(result) => {
                     let has_other = kept.is_some();
                     let Some(send) = last.take() else { continue };
                     if let Some(attempt) = self.conclude_send(send, result, has_other) {
@@ -339,7 +339,7 @@
         };
         let first = select(Box::pin(wait_for(last)), Box::pin(wait_for(kept)));
         match self.wait_for_bytes(&upstream, silence_timeout, retry_at, first).await {
-            Ok(Either::Left((result, _))) => SendEvent::Pending(result),
+            Ok(Either::Left((result, _))) => SendEvent::Last(result),
             Ok(Either::Right((result, _))) => SendEvent::Kept(result),
             Err(WaitError::Silent) => SendEvent::Silent,
             Err(WaitError::Stalled) => SendEvent::Retry,
--- a/crates/eelgrassdeal_gateway/src/front/stream.rs
+++ b/crates/eelgrassdeal_gateway/src/front/stream.rs
@@ -107,7 +107,7 @@
 }
 
 /// How the wait for another attempt beside the running one ends.
-enum Relocation {
+enum RelocationResult {
     /// The other attempt has a response; the running one may have failed meanwhile.
     Started(Box<RunningAttempt>, Option<StreamFailure>),
     /// No other attempt can be made; the running one goes on.
@@ -266,7 +266,7 @@
         self.runner.end_relocation();
         self.waiting_since = Instant::now();
         match relocation {
-            Relocation::Started(attempt, None) if !attempt.is_signed_success() => {
+            RelocationResult::Started(attempt, None) if !attempt.is_signed_success() => {
                 self.runner.record_failed_attempt(FailedAttempt {
                     upstream: &attempt.load.upstream,
                     response_began: Some(attempt.response_began),
@@ -275,7 +275,7 @@
                 });
                 self.attempt = Some(running);
             }
-            Relocation::Started(attempt, loss) => {
+            RelocationResult::Started(attempt, loss) => {
                 let failure = loss.unwrap_or(failure);
                 self.runner.record_failed_attempt(FailedAttempt {
                     upstream: &upstream,
@@ -290,7 +290,7 @@
                 self.events.begin_attempt();
                 self.adopt(*attempt, failure);
             }
-            Relocation::Continued => {
+            RelocationResult::Continued => {
                 log::info!(
                     "event=kept request_id={} upstream={upstream} last_event={:?} reason=\"{}\"",
                     self.runner.call.request_id,
@@ -299,12 +299,12 @@
                 );
                 self.attempt = Some(running);
             }
-            Relocation::Refused => self.attempt = Some(running),
-            Relocation::Completed(rest) => {
+            RelocationResult::Refused => self.attempt = Some(running),
+            RelocationResult::Completed(rest) => {
                 self.attempt = Some(running);
                 return Ok(Some(rest));
             }
-            Relocation::Lost(loss, refusal) => {
+            RelocationResult::Lost(loss, refusal) => {
                 self.runner.record_failed_attempt(FailedAttempt {
                     upstream: &upstream,
                     response_began: Some(running.response_began),
@@ -317,7 +317,7 @@
         Ok(None)
     }
 
-    async fn await_relocation(&mut self, running: &mut RunningAttempt) -> Relocation {
+    async fn await_relocation(&mut self, running: &mut RunningAttempt) -> RelocationResult {
         let Self { runner, events, hold, .. } = self;
         let state = runner.state.clone();
         let mut start = pin!(runner.start(events.last_event()));
@@ -325,9 +325,9 @@
             let frame = pin!(running.response.inner.body_mut().frame());
             let frame = match select(start.as_mut(), frame).await {
                 Either::Left((Ok(attempt), _)) => {
-                    return Relocation::Started(Box::new(attempt), None);
+                    return RelocationResult::Started(Box::new(attempt), None);
                 }
-                Either::Left((Err(_), _)) => return Relocation::Refused,
+                Either::Left((Err(_), _)) => return RelocationResult::Refused,
                 Either::Right((frame, _)) => frame,
             };
             match frame {
@@ -339,19 +339,19 @@
                     }
                     events.push(&bytes);
                     if events.has_event() {
-                        return Relocation::Continued;
+                        return RelocationResult::Continued;
                     }
                 }
                 Some(Err(_)) => break StreamFailure::Disconnected,
                 None => match events.end(end_signal(&state, running).await) {
-                    StreamEnd::Complete(rest) => return Relocation::Completed(rest),
+                    StreamEnd::Complete(rest) => return RelocationResult::Completed(rest),
                     StreamEnd::BrokenOff => break StreamFailure::BrokenOff,
                 },
             }
         };
         match start.await {
-            Ok(attempt) => Relocation::Started(Box::new(attempt), Some(loss)),
-            Err(refusal) => Relocation::Lost(loss, refusal),
+            Ok(attempt) => RelocationResult::Started(Box::new(attempt), Some(loss)),
+            Err(refusal) => RelocationResult::Lost(loss, refusal),
         }
     }
 
