--- a/crates/eelgrassdeal_dispatch/src/planner/teardown.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/teardown.rs
@@ -1,6 +1,5 @@
 //! Tears groups down, starting with the head.
 
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use eelgrassdeal_types::ServiceId;
@@ -159,10 +158,7 @@
         now: Instant,
     ) {
         for record in view.upstreams.values() {
-            let is_usable = record.service == *service
-                && record.state == UpstreamState::Ready
-                && !self.state.is_lost(&record.upstream, now);
-            if !is_usable {
+            if record.service != *service || record.state != UpstreamState::Ready {
                 continue;
             }
             let Some(membership) = self.state.unstored_membership(view, record, now) else {
