--- a/crates/eelgrassdeal_dispatch/src/fleet.rs
+++ b/crates/eelgrassdeal_dispatch/src/fleet.rs
@@ -92,6 +92,40 @@
     }
 }
 
+/// One process of an upstream, which a later one can replace under the same id or address.
+#[derive(Clone, Debug)]
+pub(crate) struct UpstreamProcess {
+    address: Arc<str>,
+    /// [`UpstreamRecord::start_time_ms`].
+    pub(crate) start_time_ms: u64,
+}
+
+impl UpstreamProcess {
+    /// The process that wrote `record`.
+    pub(crate) fn of_record(record: &UpstreamRecord) -> Self {
+        Self { address: record.address.clone(), start_time_ms: record.start_time_ms }
+    }
+
+    /// Whether the process wrote `record`.
+    pub(crate) fn has_written(&self, record: &UpstreamRecord) -> bool {
+        self.start_time_ms == record.start_time_ms && self.address == record.address
+    }
+
+    /// Whether an earlier process wrote `record`.
+    pub(crate) fn is_later_than(&self, record: &UpstreamRecord) -> bool {
+        record.start_time_ms != 0 && self.start_time_ms > record.start_time_ms
+    }
+
+    /// Whether the process is over, where `record` is the current one of the upstream. Without a start
+    /// time, a process that comes back can't be told from a new one.
+    pub(crate) fn is_replaced(&self, record: Option<&UpstreamRecord>) -> bool {
+        match record {
+            Some(record) => !self.has_written(record) && !self.is_later_than(record),
+            None => self.start_time_ms == 0,
+        }
+    }
+}
+
 /// Record of a group, as the planner stored it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct GroupRecord {
--- a/crates/eelgrassdeal_dispatch/src/notice.rs
+++ b/crates/eelgrassdeal_dispatch/src/notice.rs
@@ -6,12 +6,11 @@
 //! the node then returns to the upstream over a ramp, so that the nodes don't all come back at once.
 
 use std::collections::HashMap;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use eelgrassdeal_types::UpstreamId;
 
-use crate::fleet::UpstreamRecord;
+use crate::fleet::{UpstreamProcess, UpstreamRecord};
 use crate::limit::TokenBucket;
 
 /// Longest pause that an upstream can ask for. A longer one is cut to it, so that a wrong value does not
@@ -112,8 +111,7 @@
 
 #[derive(Clone, Debug)]
 struct ProcessNotice {
-    address: Arc<str>,
-    start_time_ms: u64,
+    process: UpstreamProcess,
     leaving: Option<(Instant, LeavingSource)>,
     pause: Option<RequestPause>,
     changed_at: Instant,
@@ -122,22 +120,12 @@
 impl ProcessNotice {
     fn new(record: &UpstreamRecord, now: Instant) -> Self {
         Self {
-            address: record.address.clone(),
-            start_time_ms: record.start_time_ms,
+            process: UpstreamProcess::of_record(record),
             leaving: None,
             pause: None,
             changed_at: now,
         }
     }
-
-    fn is_about(&self, record: &UpstreamRecord) -> bool {
-        self.start_time_ms == record.start_time_ms && self.address == record.address
-    }
-
-    /// Whether `record` is of an earlier process than this notice.
-    fn is_newer_than(&self, record: &UpstreamRecord) -> bool {
-        record.start_time_ms != 0 && self.start_time_ms > record.start_time_ms
-    }
 }
 
 /// Tracks what upstreams said of themselves, and decides whether they may be sent requests.
@@ -189,7 +177,7 @@
     /// another node.
     pub fn record_staying(&mut self, record: &UpstreamRecord, now: Instant) -> bool {
         let Some(notice) = self.notices.get_mut(&record.upstream) else { return false };
-        let is_refuted = notice.is_about(record)
+        let is_refuted = notice.process.has_written(record)
             && matches!(notice.leaving, Some((since, LeavingSource::OtherNode))
                 if now > since + HINT_MARGIN);
         if is_refuted {
@@ -224,8 +212,8 @@
         let hint = |(upstream, notice): (&UpstreamId, &ProcessNotice)| {
             let (since, _) = notice.leaving?;
             let age = now.saturating_duration_since(since);
-            let is_told = notice.start_time_ms != 0 && age < HINT_LIFETIME;
-            let start_time_ms = notice.start_time_ms;
+            let is_told = notice.process.start_time_ms != 0 && age < HINT_LIFETIME;
+            let start_time_ms = notice.process.start_time_ms;
             is_told.then(|| LeavingHint { upstream: upstream.clone(), start_time_ms, age })
         };
         let mut hints: Vec<_> = self.notices.iter().filter_map(hint).collect();
@@ -261,7 +249,7 @@
     /// Returns false if the share is used up; always true for an upstream that is not returning.
     pub fn try_take_return(&mut self, record: &UpstreamRecord, nodes: usize, now: Instant) -> bool {
         let notice = self.notices.get_mut(&record.upstream);
-        let pause = notice.filter(|notice| notice.is_about(record));
+        let pause = notice.filter(|notice| notice.process.has_written(record));
         let Some(pause) = pause.and_then(|notice| notice.pause.as_mut()) else { return true };
         let elapsed = now.saturating_duration_since(pause.returns_at);
         if elapsed >= pause.ramp {
@@ -316,11 +304,7 @@
                 let after = now.saturating_duration_since(since);
                 taken_back.push(TakenBack { upstream: upstream.clone(), cause, after, reason });
             };
-            let is_replaced = match find(upstream) {
-                Some(record) => !notice.is_about(record) && !notice.is_newer_than(record),
-                // Without a start time, a process that comes back can't be told from a new one.
-                None => notice.start_time_ms == 0,
-            };
+            let is_replaced = notice.process.is_replaced(find(upstream));
             let is_forgotten = find(upstream).is_none()
                 && now.saturating_duration_since(notice.changed_at) >= FORGET_AFTER;
             let pause_end = notice.pause.as_ref().map(|pause| (pause.asked_at, pause.returns_at));
@@ -348,13 +332,15 @@
     }
 
     fn notice(&self, record: &UpstreamRecord) -> Option<&ProcessNotice> {
-        self.notices.get(&record.upstream).filter(|notice| notice.is_about(record))
+        self.notices.get(&record.upstream).filter(|notice| notice.process.has_written(record))
     }
 
     /// The notice of the process of `record`; `None` if a later process of the upstream is known.
     fn entry(&mut self, record: &UpstreamRecord, now: Instant) -> Option<&mut ProcessNotice> {
         let known = self.notices.get(&record.upstream);
-        if known.is_some_and(|notice| !notice.is_about(record) && notice.is_newer_than(record)) {
+        if known.is_some_and(|notice| {
+            !notice.process.has_written(record) && notice.process.is_later_than(record)
+        }) {
             return None;
         }
         if known.is_none() && self.notices.len() >= MAX_PROCESSES {
@@ -366,7 +352,7 @@
             .notices
             .entry(record.upstream.clone())
             .or_insert_with(|| ProcessNotice::new(record, now));
-        if !notice.is_about(record) {
+        if !notice.process.has_written(record) {
             *notice = ProcessNotice::new(record, now);
         }
         notice.changed_at = now;
--- a/crates/eelgrassdeal_gateway/src/front/attempt.rs
+++ b/crates/eelgrassdeal_gateway/src/front/attempt.rs
@@ -8,7 +8,7 @@
 
 use eelgrassdeal_dispatch::UpstreamRecord;
 use eelgrassdeal_http::{PooledResponse, SendFailure, SendOptions};
-use eelgrassdeal_platform::{UpstreamNotice, UpstreamResponse, upstream_headers};
+use eelgrassdeal_platform::{LimitNotice, UpstreamNotice, UpstreamResponse, upstream_headers};
 use eelgrassdeal_types::{ErrorKind, UpstreamId};
 use futures_util::FutureExt;
 use futures_util::future::{Either, LocalBoxFuture, pending, select};
@@ -20,6 +20,7 @@
 use crate::crash::{check_for_crash, is_crash_onset};
 use crate::notice::record_notice;
 use crate::placing::{LoadGuard, Placement, PlacementNeed, RoomForecast, place};
+use crate::rate_limit::record_limit;
 use crate::state::GatewayState;
 
 /// Maximum number of sends in one call of [`AttemptRunner::start`], including those that upstreams
@@ -427,6 +428,7 @@
             let response =
                 async move { state.upstream_pool.send(&address, request, options).await };
             let response = response.boxed_local();
+            self.state.rate_limits.borrow_mut().record_send(&record, self.arrivals > 0);
             self.count_attempt();
             return Ok(PendingSend { record, load, silence_timeout, sent_at: now, response });
         }
@@ -667,6 +669,9 @@
         if status.as_u16() != 421 {
             let notice = UpstreamNotice::from_response(status.as_u16(), response.inner.headers());
             record_notice(&self.state, &record, notice, &self.call.request_id);
+            let limit = LimitNotice::from_headers(response.inner.headers());
+            let has_succeeded = status.is_success() && response_info.is_signed;
+            record_limit(&self.state, &record, limit, has_succeeded, &self.call.request_id);
             if notice.is_leaving {
                 response.close_after();
             }
--- a/crates/eelgrassdeal_gateway/src/lib.rs
+++ b/crates/eelgrassdeal_gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod peers;
 mod placing;
 mod plan;
+mod rate_limit;
 mod server;
 mod signals;
 mod state;
--- a/crates/eelgrassdeal_gateway/src/lifecycle.rs
+++ b/crates/eelgrassdeal_gateway/src/lifecycle.rs
@@ -21,6 +21,7 @@
 use crate::peers::{PeerHandler, exchange_messages, sync_with_partners};
 use crate::placing::run_waiting_room;
 use crate::plan::run_planner;
+use crate::rate_limit::expire_limits;
 use crate::server::{RequestHandler, accept_connections};
 use crate::signals::{ProcessSignals, SignalListener};
 use crate::state::GatewayState;
@@ -178,6 +179,7 @@
         state.mirror.borrow_mut().remove_missing(Instant::now());
         decide_quarantines(&state);
         take_back_upstreams(&state);
+        expire_limits(&state);
         if state.stage.get() == NodeStage::Starting && state.mirror.borrow().is_loaded() {
             state.stage.set(NodeStage::Serving);
             log::info!("event=ready");
--- a/crates/eelgrassdeal_gateway/src/metrics_export.rs
+++ b/crates/eelgrassdeal_gateway/src/metrics_export.rs
@@ -37,5 +37,7 @@
         metrics::gauge!("eelgrassdeal_upstreams_set_aside", "cause" => cause.name())
             .set(state.notices.borrow().count(cause, now) as f64);
     }
+    metrics::gauge!("eelgrassdeal_limited_upstreams")
+        .set(state.rate_limits.borrow().count() as f64);
     METRICS.get().map(PrometheusHandle::render).unwrap_or_default()
 }
--- a/crates/eelgrassdeal_gateway/src/state.rs
+++ b/crates/eelgrassdeal_gateway/src/state.rs
@@ -7,9 +7,10 @@
 use std::time::{Duration, Instant};
 
 use eelgrassdeal_dispatch::{
-    BufferBudget, ColdLimit, ColdShare, CrashLedger, FleetView, GatewaySettings, LoadTracker,
-    NodeDirectory, NodeHeartbeat, NodeStage, NoticeTracker, RetryShare, ServiceConfig, SharedTable,
-    SnapshotBudget, TableChanges, TableTimings, TrafficSummary, UpstreamRecord, UsualTimeout,
+    BufferBudget, ColdLimit, ColdShare, CrashLedger, FleetView, GatewaySettings, LimitTracker,
+    LoadTracker, NodeDirectory, NodeHeartbeat, NodeStage, NoticeTracker, RetryShare, ServiceConfig,
+    SharedTable, SnapshotBudget, TableChanges, TableTimings, TrafficSummary, UpstreamRecord,
+    UsualTimeout,
 };
 use eelgrassdeal_http::ConnectionPool;
 use eelgrassdeal_platform::{OrderClient, PlatformStore};
@@ -101,6 +102,10 @@
     pub(crate) notices: RefCell<NoticeTracker>,
     /// When it was last logged that the pause of an upstream cannot be read.
     pub(crate) invalid_pause_logged_at: Cell<Option<Instant>>,
+    /// Rate limits that upstreams name.
+    pub(crate) rate_limits: RefCell<LimitTracker>,
+    /// When it was last logged that the limit of an upstream cannot be read.
+    pub(crate) unreadable_limit_logged_at: Cell<Option<Instant>>,
     /// Notified when this node has observed a crash that it tells the other nodes of at once.
     pub(crate) crash_observed: Event,
     /// Requests that wait for an upstream with free capacity.
@@ -173,6 +178,8 @@
             crash_ledger: RefCell::default(),
             notices: RefCell::default(),
             invalid_pause_logged_at: Cell::new(None),
+            rate_limits: RefCell::default(),
+            unreadable_limit_logged_at: Cell::new(None),
             crash_observed: Event::new(),
             waiting: WaitingRoom::default(),
             usual_timeouts: RefCell::default(),
