--- a/crates/eelgrassdeal_standins/src/gateway_platform/worker.rs
+++ b/crates/eelgrassdeal_standins/src/gateway_platform/worker.rs
@@ -195,6 +195,8 @@
     pub pause: Option<Duration>,
     /// Whether the worker had said in an earlier answer that it leaves.
     pub is_after_notice: bool,
+    /// Rate limit that the answer names, as it stands in the header.
+    pub limit: Option<String>,
 }
 
 #[derive(Clone, Debug)]
@@ -220,6 +222,8 @@
     is_leaving: Cell<bool>,
     /// Whether an answer has said so.
     has_given_notice: Cell<bool>,
+    /// Rate limit that all answers to requests name.
+    limit: RefCell<Option<String>>,
     arrivals: RefCell<Vec<WorkerArrival>>,
     /// Model whose weights are on the host, after an order to stage or join.
     staged: RefCell<Option<String>>,
@@ -267,6 +271,7 @@
             started_ms: Cell::new(1),
             is_leaving: Cell::default(),
             has_given_notice: Cell::default(),
+            limit: RefCell::default(),
             arrivals: RefCell::default(),
             staged: RefCell::default(),
             loaded: RefCell::default(),
@@ -367,12 +372,18 @@
         self.0.is_leaving.set(true);
     }
 
+    /// Names a rate limit in all further answers to requests, in requests per second; `None` ends it.
+    pub fn name_limit(&self, limit: Option<&str>) {
+        *self.0.limit.borrow_mut() = limit.map(str::to_owned);
+    }
+
     /// Starts a new process under the same id and address, which knows nothing of before.
     pub fn restart(&self) {
         let state = &self.0;
         state.started_ms.set(state.started_ms.get() + 1);
         state.is_leaving.set(false);
         state.has_given_notice.set(false);
+        *state.limit.borrow_mut() = None;
         *state.membership.borrow_mut() = None;
         *state.loaded.borrow_mut() = None;
         self.register();
@@ -446,7 +457,14 @@
                 let order = serde_json::from_slice(&body).ok()?;
                 empty_reply(self.execute_order(&order))
             }
-            _ => self.run(request, headers).await,
+            _ => {
+                let mut reply = self.run(request, headers).await?;
+                if let Some(limit) = self.0.limit.borrow().as_deref() {
+                    let limit = HeaderValue::from_str(limit).ok()?;
+                    reply.headers_mut().insert("server-limit", limit);
+                }
+                Some(reply)
+            }
         }
     }
 
@@ -566,6 +584,7 @@
             at: Instant::now(),
             pause,
             is_after_notice: state.has_given_notice.get(),
+            limit: state.limit.borrow().clone(),
         });
         if fault == Some(WorkerFault::NotExecuted) || pause.is_some() {
             let mut rejection = Response::builder()
