Rate limits that upstreams name hold for all nodes together

Callers saw nothing of it, upstreams in need did: they got 35 to 94 requests in 4 s where their limits allowed 19 to 46, and went on getting what they got before (timeline in docs/incidents/named-limit-ignored.md). Cause: nothing read the header, and there was no way to hold a limit that is named at any moment over all nodes: the shares that exist (cold upstreams, return after a pause) take their value from the configuration or hold at one node.

Each limit is divided equally among a few nodes that all select by the same hash, as many as the tolerated excess allows with one saved request each. Nodes tell each other the newest word with age and process. Every send takes from the node's share before it leaves, of whatever kind it is, so that no path goes around it; what isn't sent is given back. A request that the shares leave no room for in time is refused at once.

--- a/crates/eelgrassdeal_dispatch/src/directory.rs
+++ b/crates/eelgrassdeal_dispatch/src/directory.rs
@@ -281,9 +281,14 @@
     /// rendezvous hashing. Nodes that know the same set of nodes agree on the selection without
     /// exchanging messages.
     pub fn is_selected_for(&self, name: &str, count: usize, now: Instant) -> bool {
-        let rank = |node: &str| stable_hash(&format!("{name}/{node}"));
-        let own = rank(&self.own.node);
-        self.other_sharing_nodes(now).filter(|node| rank(node) < own).count() < count
+        self.selection_rank(name, now) < count
+    }
+
+    /// Number of nodes that are selected for the resource `name` before this one.
+    pub fn selection_rank(&self, name: &str, now: Instant) -> usize {
+        let hash = |node: &str| stable_hash_of(&[name, "/", node]);
+        let own = hash(&self.own.node);
+        self.other_sharing_nodes(now).filter(|node| hash(node) < own).count()
     }
 
     /// Front addresses of the live nodes that accept requests of callers.
@@ -416,13 +421,18 @@
     }
 }
 
-/// Hash of a name that is the same on every node (FNV-1a with a final mix).
+/// Hash of a name that is the same on every node.
 fn stable_hash(name: &str) -> usize {
+    stable_hash_of(&[name])
+}
+
+/// Hash of several texts after one another that is the same on every node (FNV-1a with a final mix).
+fn stable_hash_of(texts: &[&str]) -> usize {
     const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
     const PRIME: u64 = 0x0100_0000_01b3;
     const MIXER: u64 = 0x9e37_79b9_7f4a_7c15;
     let step = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(PRIME);
-    let hash = name.bytes().fold(OFFSET, step);
+    let hash = texts.iter().flat_map(|text| text.bytes()).fold(OFFSET, step);
     // Without the mix, the hashes of names that differ only in their last letters differ in few
     // bits.
     let mixed = (hash ^ (hash >> 32)).wrapping_mul(MIXER);
--- a/crates/eelgrassdeal_dispatch/src/lib.rs
+++ b/crates/eelgrassdeal_dispatch/src/lib.rs
@@ -9,7 +9,7 @@
 //! - Replicas: [`GroupPlanner`] forms, monitors and repairs groups of upstreams.
 //! - Placement: [`LoadTracker`] selects the upstream that runs a request.
 //! - Notices: [`NoticeTracker`] heeds upstreams that leave or want no requests for a while.
-//! - Rate limits: [`LimitTracker`] heeds the limits that upstreams name.
+//! - Rate limits: [`LimitTracker`] divides the limits that upstreams name among the nodes.
 //! - Waiting: [`RequestQueue`] orders and bounds the requests that wait for free capacity.
 //! - Crashes: [`CrashLedger`] finds what the requests that crash upstreams have in common.
 //! - Streams: [`EventAssembler`] tells whole events and a complete stream from what was broken off.
@@ -58,7 +58,7 @@
     ProbeTarget, TrafficSummary, UpstreamOrder, WriteOutcome,
 };
 pub use queue::{QueueId, RequestQueue, UsualTimeout, WaitingKey, WaitingRequest};
-pub use rate_limit::{EndedLimit, LimitChange, LimitTracker, SendCount};
+pub use rate_limit::{EndedLimit, LimitChange, LimitForecast, LimitHint, LimitTracker, SendCount};
 pub use settings::{GatewaySettings, ListenAddresses, OperatorLimits, StoreAddress, TableTimings};
 pub use snapshot_budget::SnapshotBudget;
 pub use table::{RowChange, SharedTable, TableChanges, TableMirror, VersionGap};
--- a/crates/eelgrassdeal_dispatch/src/limit.rs
+++ b/crates/eelgrassdeal_dispatch/src/limit.rs
@@ -20,15 +20,35 @@
     /// Refills the bucket at `per_s` tokens per second up to `capacity`, then takes one token.
     /// Returns false if there is none.
     pub(crate) fn try_take(&mut self, now: Instant, per_s: f64, capacity: f64) -> bool {
-        let elapsed = now.saturating_duration_since(self.refilled_at).as_secs_f64();
-        self.refilled_at = now;
-        self.tokens = (self.tokens + elapsed * per_s).min(capacity);
-        let is_allowed = self.tokens >= 1.0;
+        let is_allowed = self.refill(now, per_s, capacity) >= 1.0;
         if is_allowed {
-            self.tokens -= 1.0;
+            self.take();
         }
         is_allowed
     }
+
+    /// Refills the bucket at `per_s` tokens per second up to `capacity`, and returns the tokens in it.
+    pub(crate) fn refill(&mut self, now: Instant, per_s: f64, capacity: f64) -> f64 {
+        let elapsed = now.saturating_duration_since(self.refilled_at).as_secs_f64();
+        self.refilled_at = now;
+        self.tokens = (self.tokens + elapsed * per_s).min(capacity);
+        self.tokens
+    }
+
+    /// Adds no tokens for the time until `now`, whose rate no longer holds.
+    pub(crate) fn restart(&mut self, now: Instant) {
+        self.refilled_at = now;
+    }
+
+    /// Takes one token.
+    pub(crate) fn take(&mut self) {
+        self.tokens -= 1.0;
+    }
+
+    /// Puts a token back that was not used.
+    pub(crate) fn give_back(&mut self) {
+        self.tokens += 1.0;
+    }
 }
 
 /// Rate limit of a cold upstream for the requests of all nodes together.
--- a/crates/eelgrassdeal_dispatch/src/queue.rs
+++ b/crates/eelgrassdeal_dispatch/src/queue.rs
@@ -199,11 +199,16 @@
 
     /// Whether a request that waits would be placed before `request`.
     pub fn precedes(&self, request: &WaitingRequest, now: Instant) -> bool {
+        self.count_before(request, now) > 0
+    }
+
+    /// Number of waiting requests that would be placed before `request`.
+    pub fn count_before(&self, request: &WaitingRequest, now: Instant) -> usize {
         let current = self.current_turns.get(&request.queue).copied().unwrap_or(0);
         let entry =
             WaitingEntry { request: request.clone(), turn: current + 1, arrival: self.arrivals };
         let rank = entry.rank(now);
-        self.of_queue(&request.queue).any(|(_, other)| other.rank(now) < rank)
+        self.of_queue(&request.queue).filter(|(_, other)| other.rank(now) < rank).count()
     }
 
     /// Removes a request that no longer waits.
--- a/crates/eelgrassdeal_gateway/src/front/attempt.rs
+++ b/crates/eelgrassdeal_gateway/src/front/attempt.rs
@@ -387,7 +387,7 @@
             if self.attempts > 0 && !self.may_run_again() {
                 return Err(self.final_refusal("the upstream sent no valid response"));
             }
-            let Placement { target, load } = self.place(placement_deadline).await?;
+            let Placement { target, load, limit_share } = self.place(placement_deadline).await?;
             // The quarantine may have begun after the last attempt or during the wait.
             if let Some(refusal) = self.call.check_quarantine(&self.state) {
                 return Err(match self.attempts {
@@ -428,7 +428,7 @@
             let response =
                 async move { state.upstream_pool.send(&address, request, options).await };
             let response = response.boxed_local();
-            self.state.rate_limits.borrow_mut().record_send(&record, self.arrivals > 0);
+            limit_share.use_up(self.arrivals > 0);
             self.count_attempt();
             return Ok(PendingSend { record, load, silence_timeout, sent_at: now, response });
         }
--- a/crates/eelgrassdeal_gateway/src/peers/message.rs
+++ b/crates/eelgrassdeal_gateway/src/peers/message.rs
@@ -1,5 +1,6 @@
 //! Messages between nodes: their contents, and their conversion to and from the wire format.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -19,6 +20,7 @@
     encode_quarantines,
 };
 use crate::notice::{adopt_hints, encode_hints};
+use crate::rate_limit::{adopt_limits, encode_limits};
 use crate::state::{GatewayState, PeerVersions};
 
 /// Interval at which the heartbeats of other nodes are sent to a peer if there are many nodes
@@ -26,6 +28,9 @@
 /// are sent in the next message, without waiting for the interval.
 const HEARTBEAT_RELAY_INTERVAL: Duration = Duration::from_millis(1_800);
 
+/// Interval at which all rate limits of upstreams are sent to a peer. Changes are sent at once.
+const LIMIT_RELAY_INTERVAL: Duration = Duration::from_millis(1_000);
+
 /// Largest sequence number of a heartbeat. Its node adopts it and continues above it, so that there
 /// must be room.
 const MAX_SEQUENCE: u64 = u64::MAX / 2;
@@ -94,6 +99,10 @@
         true => directory.heartbeats_for(recipient_role, now),
         false => vec![directory.own_heartbeat().clone()],
     };
+    let limits_sent_at = &mut state.limits_sent_at.borrow_mut();
+    let changed_at = directory.changed_at();
+    let are_limits_due =
+        is_due(limits_sent_at, recipient_key, LIMIT_RELAY_INTERVAL, changed_at, now);
     SyncMessage {
         node: state.settings().node.to_string(),
         beats: heartbeats.iter().map(encode_heartbeat).collect(),
@@ -107,6 +116,7 @@
         quarantines: encode_quarantines(state, now),
         answered: encode_answered_parts(state, now),
         leaving: encode_hints(state, now),
+        limits: encode_limits(state, are_limits_due, now),
     }
 }
 
@@ -123,19 +133,32 @@
 }
 
 /// Whether a message to a node contains the heartbeats of other nodes, which is always so if there
-/// are few nodes. If it does, the time is recorded under `recipient_key`.
+/// are few nodes.
 fn are_heartbeats_due(
     state: &GatewayState,
     recipient_key: &Arc<str>,
     changed_at: Option<Instant>,
     now: Instant,
 ) -> bool {
-    let mut sent_at = state.heartbeats_sent_at.borrow_mut();
-    let is_due = !state.directory.borrow().is_large()
-        || sent_at.get(recipient_key).is_none_or(|at| {
-            now.saturating_duration_since(*at) >= HEARTBEAT_RELAY_INTERVAL
-                || changed_at.is_some_and(|changed_at| changed_at >= *at)
-        });
+    let sent_at = &mut state.heartbeats_sent_at.borrow_mut();
+    let is_large = state.directory.borrow().is_large();
+    let interval = if is_large { HEARTBEAT_RELAY_INTERVAL } else { Duration::ZERO };
+    is_due(sent_at, recipient_key, interval, changed_at, now)
+}
+
+/// Whether something was last sent to a node `interval` ago or earlier, or before `changed_at`. If so,
+/// `now` is recorded under `recipient_key`.
+fn is_due(
+    sent_at: &mut HashMap<Arc<str>, Instant>,
+    recipient_key: &Arc<str>,
+    interval: Duration,
+    changed_at: Option<Instant>,
+    now: Instant,
+) -> bool {
+    let is_due = sent_at.get(recipient_key).is_none_or(|at| {
+        now.saturating_duration_since(*at) >= interval
+            || changed_at.is_some_and(|changed_at| changed_at >= *at)
+    });
     if is_due {
         sent_at.insert(recipient_key.clone(), now);
     }
@@ -175,6 +198,7 @@
         state.mark_silent(&Arc::from(silent.upstream), at, now);
     }
     adopt_hints(state, message.leaving, now);
+    adopt_limits(state, message.limits, now);
     apply_answered_parts(state, message.answered, now);
     adopt_quarantines(state, message.quarantines, now);
     apply_crashes(state, message.crashes, now);
--- a/crates/eelgrassdeal_gateway/src/placing.rs
+++ b/crates/eelgrassdeal_gateway/src/placing.rs
@@ -10,12 +10,13 @@
 use std::time::{Duration, Instant};
 
 use eelgrassdeal_dispatch::{
-    EngineSpec, FleetView, ModelSpec, NoticeCause, PlacementConstraints, PlacementRefusal,
-    PlacementTarget, QueueId, Replica, RequestQueue, WaitingKey, WaitingRequest,
+    EngineSpec, FleetView, LimitForecast, ModelSpec, NoticeCause, PlacementConstraints,
+    PlacementRefusal, PlacementTarget, QueueId, Replica, RequestQueue, WaitingKey, WaitingRequest,
 };
 use eelgrassdeal_types::{ClientAccountId, ModelId, ServiceId, UpstreamId};
 use event_listener::Event;
 
+use crate::rate_limit::LimitShare;
 use crate::state::GatewayState;
 
 /// Maximum delay until waiting requests are placed, if no event shows that capacity became free. The
@@ -71,6 +72,15 @@
 pub(crate) struct Placement {
     pub(crate) target: PlacementTarget,
     pub(crate) load: LoadGuard,
+    pub(crate) limit_share: LimitShare,
+}
+
+impl Placement {
+    fn new(state: &Rc<GatewayState>, target: PlacementTarget) -> Self {
+        let load = LoadGuard::new(state, &target.record.upstream);
+        let limit_share = LimitShare::take(state, &target.record);
+        Self { target, load, limit_share }
+    }
 }
 
 /// What a request needs of the upstream that runs it.
@@ -234,8 +244,7 @@
         false => match choose_upstream(state, need, &candidates(state, &queue), now) {
             Ok(target) => {
                 room.queue.borrow_mut().record_placement(queue, now);
-                let load = LoadGuard::new(state, &target.record.upstream);
-                return Ok(Placement { target, load });
+                return Ok(Placement::new(state, target));
             }
             Err(refusal) => refusal,
         },
@@ -244,6 +253,11 @@
         let reason = "no upstream is available for the request, and none is being prepared";
         return Err(PlacementFailure { reason, room: RoomForecast::Unknown });
     }
+    let forecast = limit_forecast(state, &candidates(state, &queue), now);
+    let before = room.queue.borrow().count_before(&request, now);
+    if let Some(failure) = limited_failure(forecast, need, before, until, now) {
+        return Err(failure);
+    }
     let pushed = room.queue.borrow_mut().push(request, now);
     let key = pushed.map_err(|room_in| PlacementFailure {
         reason: "every upstream is at capacity, and the queue is too long",
@@ -299,15 +313,18 @@
     let order = state.waiting.queue.borrow().in_order(now);
     for (queue, keys) in order {
         let candidates = candidates(state, &queue);
+        let forecast = limit_forecast(state, &candidates, now);
         // The highest number of requests per slot for which all upstreams were full.
         let mut full_limit = 0.0_f64;
-        for key in keys {
+        for (before, key) in keys.into_iter().enumerate() {
             let seats = state.waiting.seats.borrow();
             let Some(seat) = seats.get(&key) else { continue };
             let (mut need, granted) = (seat.need.clone(), seat.granted.clone());
             let start_by = seat.start_by;
             drop(seats);
-            if let Some(failure) = paused_failure(state, &need, &queue, start_by, now) {
+            let failure = paused_failure(state, &need, &queue, start_by, now)
+                .or_else(|| limited_failure(forecast, &need, before, start_by, now));
+            if let Some(failure) = failure {
                 if let Some(seat) = state.waiting.seats.borrow_mut().get_mut(&key) {
                     seat.failure = Some(failure);
                 }
@@ -328,10 +345,10 @@
                 }
                 continue;
             };
-            let load = LoadGuard::new(state, &target.record.upstream);
+            let placement = Placement::new(state, target);
             state.waiting.queue.borrow_mut().take(key, now);
             if let Some(seat) = state.waiting.seats.borrow_mut().get_mut(&key) {
-                seat.placement = Some(Placement { target, load });
+                seat.placement = Some(placement);
             }
             granted.notify(1);
         }
@@ -348,6 +365,11 @@
     let has_engine = need.with_model(state, |_, _| ()).is_some();
     let mut candidates = candidates.to_vec();
     candidates.retain(|target| !need.occupied.contains(&target.record.upstream));
+    let is_limited = |target: &PlacementTarget| !state.has_limit_share(&target.record, now);
+    if !candidates.is_empty() && candidates.iter().all(is_limited) {
+        return Err(PlacementRefusal::AllFull);
+    }
+    candidates.retain(|target| !is_limited(target));
     loop {
         let constraints = PlacementConstraints {
             excluded: &need.excluded,
@@ -399,6 +421,40 @@
     (!may_wait).then_some(PlacementFailure { reason, room: RoomForecast::After(wait) })
 }
 
+/// When this node may send the next requests to upstreams; `None` unless all have named a rate limit.
+fn limit_forecast(
+    state: &GatewayState,
+    targets: &[PlacementTarget],
+    now: Instant,
+) -> Option<LimitForecast> {
+    let mut limits = state.rate_limits.borrow_mut();
+    if limits.is_empty() {
+        return None;
+    }
+    let records = targets.iter().map(|target| &*target.record);
+    limits.forecast(records, &state.directory.borrow(), now)
+}
+
+/// Returns a failure if the rate limits of all upstreams leave no room by `start_by` for a request that
+/// `before` others precede. A request that may have run waits instead, since a refusal would end it for
+/// good.
+fn limited_failure(
+    forecast: Option<LimitForecast>,
+    need: &PlacementNeed,
+    before: usize,
+    start_by: Instant,
+    now: Instant,
+) -> Option<PlacementFailure> {
+    let forecast = forecast.filter(|_| !need.is_rerun)?;
+    let room_in = match forecast.wait(before) {
+        Some(wait) => wait.checked_sub(start_by.saturating_duration_since(now))?,
+        None => forecast.interval(),
+    };
+    metrics::counter!("eelgrassdeal_limit_refusals_total").increment(1);
+    let reason = "every upstream has named a rate limit, and this node's share is used up";
+    Some(PlacementFailure { reason, room: RoomForecast::AtLeast(room_in) })
+}
+
 /// Returns the upstreams that serve a queue and have not asked for no requests.
 fn candidates(state: &GatewayState, queue: &QueueId) -> Vec<PlacementTarget> {
     let (notices, now) = (state.notices.borrow(), Instant::now());
--- a/crates/eelgrassdeal_gateway/src/state.rs
+++ b/crates/eelgrassdeal_gateway/src/state.rs
@@ -120,6 +120,8 @@
     /// When the heartbeats of all known nodes were last sent to a node: by its peer address if they
     /// were sent in a request, by its id if they were sent in a reply.
     pub(crate) heartbeats_sent_at: RefCell<HashMap<Arc<str>, Instant>>,
+    /// When the rate limits of all upstreams were last sent to a node, by the same keys.
+    pub(crate) limits_sent_at: RefCell<HashMap<Arc<str>, Instant>>,
     /// Limit on the snapshots of tables that are sent to other nodes.
     pub(crate) snapshot_budget: RefCell<SnapshotBudget>,
     /// Notified when a read of the store changed a table copy.
@@ -186,6 +188,7 @@
             silent: RefCell::default(),
             peer_versions: RefCell::default(),
             heartbeats_sent_at: RefCell::default(),
+            limits_sent_at: RefCell::default(),
             snapshot_budget: RefCell::new(SnapshotBudget::new(
                 settings.link_bytes_per_s,
                 Instant::now(),
@@ -326,6 +329,12 @@
         self.notices.borrow_mut().try_take_return(record, nodes, now)
     }
 
+    /// Whether the rate limit that an upstream named leaves room for a request of this node.
+    pub(crate) fn has_limit_share(&self, record: &UpstreamRecord, now: Instant) -> bool {
+        let mut limits = self.rate_limits.borrow_mut();
+        limits.is_empty() || limits.may_send(record, &self.directory.borrow(), now)
+    }
+
     /// Summary of the request traffic of all nodes, as far as this node knows, for the planner.
     pub(crate) fn traffic_summary(&self, config: &ServiceConfig, now: Instant) -> TrafficSummary {
         let (view, loads) = (self.view(), self.loads.borrow());
--- a/crates/eelgrassdeal_gateway/tests/hostile_messages.rs
+++ b/crates/eelgrassdeal_gateway/tests/hostile_messages.rs
@@ -15,7 +15,8 @@
 use eelgrassdeal_schema::gateway::{
     AnsweredParts, CrashSuspect, InFlightSuspect, LeavingUpstream, NodeHeartbeat, QuarantineRow,
     RelayedClose, RelayedLeave, RelayedOrder, RowCopy, SharedPart, SilentUpstream, SyncMessage,
-    TableCopy, TableState, UpstreamCount, UpstreamCrash, VersionGap, crash_suspect, relayed_order,
+    TableCopy, TableState, UpstreamCount, UpstreamCrash, UpstreamLimit, VersionGap, crash_suspect,
+    relayed_order,
 };
 use http_body_util::Full;
 use hyper::Request;
@@ -76,6 +77,12 @@
         (0..length).map(|_| self.0.random::<u8>()).collect::<Vec<_>>().into()
     }
 
+    fn rate(&mut self) -> f64 {
+        const RATES: [f64; 8] =
+            [f64::NAN, f64::INFINITY, -1.0, -0.0, 0.0, f64::MIN_POSITIVE, 3.0, f64::MAX];
+        RATES[self.0.random_range(0..RATES.len())]
+    }
+
     fn list<T>(&mut self, mut item: impl FnMut(&mut Self) -> T) -> Vec<T> {
         let length = [0, 0, 0, 1, 1, 2, 5][self.0.random_range(0..7)];
         (0..length).map(|_| item(self)).collect()
@@ -172,6 +179,12 @@
                 start_time_ms: source.large(),
                 age_ms: source.small(),
             }),
+            limits: self.list(|source| UpstreamLimit {
+                upstream: source.text(),
+                start_time_ms: source.large(),
+                per_s: source.flag().then(|| source.rate()),
+                age_ms: source.small(),
+            }),
         }
     }
 
