The group of a lost head is dissolved without waiting for the stall timeout

Cause: a planner ordered the members of an unreachable head to leave 4.2 s after the head's last progress; a planner that took over waited as long anew. The wait stems from the time when it alone decided that the head had ended. Since members are free only once they have left, and a head can't serve without them, it guards nothing.

Now the members are ordered to leave as soon as the head's record is gone and no node reaches it; 8 s where some nodes don't reply, as before. planner::members_of_a_lost_head_are_used_again_soon_after_the_planner_was_replaced failed before.

--- a/crates/eelgrassdeal_dispatch/src/planner/mod.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/mod.rs
@@ -57,8 +57,6 @@
 /// Timing parameters of the planner, taken from the operators' settings.
 #[derive(Clone, Copy, Debug)]
 pub struct PlannerSettings {
-    /// Time after which an engine aborts work that is waiting for a lost member.
-    pub stall_timeout: Duration,
     /// Sliding window over which the rate of loads from the weight store is limited.
     pub load_window: Duration,
 }
--- a/crates/eelgrassdeal_dispatch/src/planner/state.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/state.rs
@@ -155,12 +155,11 @@
     first_seen: HashMap<GroupId, Instant>,
     /// When this planner started to tear a group down.
     pub(super) teardown_since: HashMap<GroupId, Instant>,
-    /// Groups whose last order to close or leave had the outcome `Unreachable`. The value is the
-    /// time since which the head is assumed to have made no progress ([`Self::stalled_since`]); it
-    /// may be earlier than the first failed connection.
-    pub(super) unreachable_stall_starts: HashMap<GroupId, Instant>,
-    /// Like `unreachable_stall_starts`, but also contains groups whose last order to close or leave
-    /// had the outcome `PartlyUnreachable`.
+    /// Groups whose last order to close or leave had the outcome `Unreachable`.
+    pub(super) unreachable_heads: HashSet<GroupId>,
+    /// Groups whose last order to close or leave had the outcome `Unreachable` or
+    /// `PartlyUnreachable`. The value is the time since which the head is assumed to have made no progress
+    /// ([`Self::stalled_since`]); it may be earlier than the first failed connection.
     pub(super) partly_unreachable_stall_starts: HashMap<GroupId, Instant>,
     /// Heads of the groups that this planner tears down.
     teardown_heads: HashMap<GroupId, UpstreamId>,
@@ -464,21 +463,21 @@
             (OrderKind::Leave, OrderOutcome::Conflict) if self.is_close_refused(order) => {
                 self.released_groups.insert(group.clone());
             }
-            // Only failed connections count towards considering a head terminated. After an order
+            // Only failed connections count towards dissolving a group. After an order
             // without an answer, it may still be serving, so the last of these arms clears both
             // times.
             (OrderKind::Close { .. } | OrderKind::Leave, OrderOutcome::Unreachable) => {
                 let since = self.stalled_since(&order.upstream, now);
-                self.unreachable_stall_starts.entry(group.clone()).or_insert(since);
+                self.unreachable_heads.insert(group.clone());
                 self.partly_unreachable_stall_starts.entry(group.clone()).or_insert(since);
             }
             (OrderKind::Close { .. } | OrderKind::Leave, OrderOutcome::PartlyUnreachable) => {
                 let since = self.stalled_since(&order.upstream, now);
-                self.unreachable_stall_starts.remove(group);
+                self.unreachable_heads.remove(group);
                 self.partly_unreachable_stall_starts.entry(group.clone()).or_insert(since);
             }
             (OrderKind::Close { .. } | OrderKind::Leave, _) => {
-                self.unreachable_stall_starts.remove(group);
+                self.unreachable_heads.remove(group);
                 self.partly_unreachable_stall_starts.remove(group);
             }
             _ => {}
@@ -562,7 +561,7 @@
         self.first_seen.remove(group);
         self.teardown_since.remove(group);
         self.teardown_heads.remove(group);
-        self.unreachable_stall_starts.remove(group);
+        self.unreachable_heads.remove(group);
         self.partly_unreachable_stall_starts.remove(group);
         self.released_groups.remove(group);
         self.formed_groups.remove(group);
--- a/crates/eelgrassdeal_dispatch/src/planner/teardown.rs
+++ b/crates/eelgrassdeal_dispatch/src/planner/teardown.rs
@@ -12,8 +12,6 @@
 use super::state::PlannerState;
 use super::{GroupPlanner, GroupWrite, OrderKind, UpstreamOrder};
 
-/// Added to the engines' stall timeout before a group with an unreachable head is dissolved.
-const STALL_MARGIN: Duration = Duration::from_millis(200);
 /// Time after which a group with an unreachable head is dissolved although nodes that did not reply
 /// may still reach the head. Most network partitions have healed by then.
 const PARTITION_TIMEOUT: Duration = Duration::from_secs(8);
@@ -105,19 +103,15 @@
         }
     }
 
-    /// Whether the head has been unreachable for so long that the group is dissolved. It may still
-    /// serve: in a partition that separates it from all nodes but not from its members, it is sound.
+    /// Whether the group of a head without a record is dissolved: no node reaches the head, or for
+    /// some time none that replied. It may still serve: in a partition that separates it from all nodes
+    /// but not from its members, it is sound. Members are free only once they have left, so that there is
+    /// no need to wait for its end.
     fn is_head_overdue(&self, group: &GroupRecord, now: Instant) -> bool {
-        // A head that is partitioned from its members too aborts its work after the stall timeout.
-        let timeout = self.settings.stall_timeout + STALL_MARGIN;
-        let has_elapsed = |since: Option<&Instant>, timeout: Duration| {
-            since.is_some_and(|since| now.saturating_duration_since(*since) >= timeout)
-        };
-        has_elapsed(self.state.unreachable_stall_starts.get(&group.group), timeout)
-            || has_elapsed(
-                self.state.partly_unreachable_stall_starts.get(&group.group),
-                PARTITION_TIMEOUT,
-            )
+        let since = self.state.partly_unreachable_stall_starts.get(&group.group);
+        let has_elapsed =
+            since.is_some_and(|since| now.saturating_duration_since(*since) >= PARTITION_TIMEOUT);
+        has_elapsed || self.state.unreachable_heads.contains(&group.group)
     }
 
     /// Orders the members other than the head to leave the group. A head cannot serve without them,
--- a/crates/eelgrassdeal_emulator/src/fleet.rs
+++ b/crates/eelgrassdeal_emulator/src/fleet.rs
@@ -47,8 +47,6 @@
 const PRE_TRAFFIC_PERIOD: Duration = Duration::from_secs(10);
 /// Before the start of traffic, a load takes this fraction of its configured time.
 const PRE_TRAFFIC_LOAD_TIME_FRACTION: f64 = 0.1;
-/// Time after which an engine aborts work that is waiting for a lost member.
-const STALL_TIMEOUT: Duration = Duration::from_secs(4);
 /// Sliding window over which the planner limits the rate of loads from the weight store.
 const LOAD_WINDOW: Duration = Duration::from_secs(5);
 
@@ -214,7 +212,7 @@
 
     fn replace_planner(&mut self) {
         self.fencing += 1;
-        let settings = PlannerSettings { stall_timeout: STALL_TIMEOUT, load_window: LOAD_WINDOW };
+        let settings = PlannerSettings { load_window: LOAD_WINDOW };
         self.planner = Some(GroupPlanner::new(settings, self.fencing));
     }
 
--- a/crates/eelgrassdeal_gateway/src/plan.rs
+++ b/crates/eelgrassdeal_gateway/src/plan.rs
@@ -204,7 +204,6 @@
         if term.as_ref().is_none_or(|known| known.fencing != fencing) {
             let limits = &self.state.settings().limits;
             let settings = PlannerSettings {
-                stall_timeout: limits.stall_timeout,
                 // The window in which loads of model weights are counted.
                 load_window: limits.load_window,
             };
