--- a/crates/eelgrassdeal_gateway/src/peers/message.rs
+++ b/crates/eelgrassdeal_gateway/src/peers/message.rs
@@ -198,7 +198,6 @@
         state.mark_silent(&Arc::from(silent.upstream), at, now);
     }
     adopt_hints(state, message.leaving, now);
-    adopt_limits(state, message.limits, now);
     apply_answered_parts(state, message.answered, now);
     adopt_quarantines(state, message.quarantines, now);
     apply_crashes(state, message.crashes, now);
@@ -212,6 +211,8 @@
             state.update_table(table, Some(changes), None);
         }
     }
+    // After the tables, as a node that starts knows the upstreams only from them.
+    adopt_limits(state, message.limits, now);
     for table_state in message.tables {
         let Some(table) = table_from_number(table_state.table) else { continue };
         versions.insert(table, table_state.version);
--- a/crates/eelgrassdeal_gateway/src/placing.rs
+++ b/crates/eelgrassdeal_gateway/src/placing.rs
@@ -253,7 +253,7 @@
         let reason = "no upstream is available for the request, and none is being prepared";
         return Err(PlacementFailure { reason, room: RoomForecast::Unknown });
     }
-    let forecast = limit_forecast(state, &candidates(state, &queue), now);
+    let forecast = limit_forecast(state, &queue, now);
     let before = room.queue.borrow().count_before(&request, now);
     if let Some(failure) = limited_failure(forecast, need, before, until, now) {
         return Err(failure);
@@ -313,7 +313,7 @@
     let order = state.waiting.queue.borrow().in_order(now);
     for (queue, keys) in order {
         let candidates = candidates(state, &queue);
-        let forecast = limit_forecast(state, &candidates, now);
+        let forecast = limit_forecast(state, &queue, now);
         // The highest number of requests per slot for which all upstreams were full.
         let mut full_limit = 0.0_f64;
         for (before, key) in keys.into_iter().enumerate() {
@@ -365,11 +365,11 @@
     let has_engine = need.with_model(state, |_, _| ()).is_some();
     let mut candidates = candidates.to_vec();
     candidates.retain(|target| !need.occupied.contains(&target.record.upstream));
-    let is_limited = |target: &PlacementTarget| !state.has_limit_share(&target.record, now);
-    if !candidates.is_empty() && candidates.iter().all(is_limited) {
+    let has_candidates = !candidates.is_empty();
+    candidates.retain(|target| state.has_limit_share(&target.record, now));
+    if has_candidates && candidates.is_empty() {
         return Err(PlacementRefusal::AllFull);
     }
-    candidates.retain(|target| !is_limited(target));
     loop {
         let constraints = PlacementConstraints {
             excluded: &need.excluded,
@@ -421,16 +421,14 @@
     (!may_wait).then_some(PlacementFailure { reason, room: RoomForecast::After(wait) })
 }
 
-/// When this node may send the next requests to upstreams; `None` unless all have named a rate limit.
-fn limit_forecast(
-    state: &GatewayState,
-    targets: &[PlacementTarget],
-    now: Instant,
-) -> Option<LimitForecast> {
+/// When this node may send the next requests of a queue; `None` unless all its upstreams have named a
+/// rate limit.
+fn limit_forecast(state: &GatewayState, queue: &QueueId, now: Instant) -> Option<LimitForecast> {
     let mut limits = state.rate_limits.borrow_mut();
     if limits.is_empty() {
         return None;
     }
+    let targets = candidates(state, queue);
     let records = targets.iter().map(|target| &*target.record);
     limits.forecast(records, &state.directory.borrow(), now)
 }
