Bodies of requests in progress share a part of the memory limit

Callers saw connections without an answer: each body was collected without regard to the others, in pieces and again in one buffer, and 36 bodies of 4 MB exceeded 260 MB when one of two machines was lost.

Bodies take their memory from a budget of two fifths of the limit before they are read, and give it back when the last attempt is over. One without room is refused as not run, with a Retry-After. A refused caller that was still sending lost the refusal, as only 2 MB were dropped before the connection was reset; 8 MB are now.

--- a/crates/eelgrassdeal_gateway/src/front/buffered.rs
+++ b/crates/eelgrassdeal_gateway/src/front/buffered.rs
@@ -11,7 +11,7 @@
 
 use super::attempt::{AttemptRunner, FailedAttempt, RunningAttempt, may_be_broken_off};
 use super::call::GatewayCall;
-use super::hold::ResponseHold;
+use super::hold::BufferHold;
 use super::refusal::CallRefusal;
 use crate::server::Reply;
 use crate::state::GatewayState;
@@ -47,7 +47,7 @@
 ) -> Result<Option<BufferedResponse>, CallRefusal> {
     let RunningAttempt { response, load, response_began, .. } = attempt;
     let upstream = load.upstream.clone();
-    let mut hold = ResponseHold::new(&runner.state);
+    let mut hold = BufferHold::new(&runner.state.response_budget);
     let may_hold = |bytes| bytes <= MAX_RESPONSE_BYTES && hold.try_resize(bytes);
     let ends_with_connection = response.ends_with_connection();
     let address = response.address().clone();
--- a/crates/eelgrassdeal_gateway/src/front/call.rs
+++ b/crates/eelgrassdeal_gateway/src/front/call.rs
@@ -1,20 +1,22 @@
 //! A caller's request after its route and account have been determined.
 
 use std::cell::Cell;
+use std::ops::Range;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use eelgrassdeal_dispatch::{CrashSuspect, RouteRule, ServiceConfig};
 use eelgrassdeal_platform::{CallerRequest, PromptPart};
 use eelgrassdeal_types::{ClientAccountId, ErrorKind, ServiceId};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
 use hyper::header::HeaderMap;
 use hyper::{Method, Request};
 use sha2::{Digest, Sha256};
 
+use super::hold::BufferHold;
 use super::refusal::CallRefusal;
 use crate::lifecycle::DRAIN_ACCEPT_PERIOD;
 use crate::placing::PlacementNeed;
@@ -22,6 +24,9 @@
 
 /// Timeout for receiving the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+/// Bounds of the `retry-after` of a request whose body finds no memory. Most requests have ended by then.
+const MEMORY_RETRY_AFTER: Range<Duration> =
+    Duration::from_millis(400)..Duration::from_millis(1_200);
 /// `retry-after` of a node without a configuration. A node loads one within about this time after
 /// its start.
 const CONFIG_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -93,9 +98,17 @@
         let Some(service) = route.pick_service(rand::random()).cloned() else {
             return Err(refuse(ErrorKind::NoCapacity, "the route has no service"));
         };
-        let body = read_body(body, config.limits.max_body_bytes)
-            .await
-            .map_err(|(kind, message)| refuse(kind, message))?;
+        let hold = BufferHold::new(&state.request_budget);
+        let body = read_body(body, config.limits.max_body_bytes, hold).await.map_err(|error| {
+            let refusal = refuse(error.kind(), error.message());
+            match error {
+                BodyError::NoMemory => {
+                    metrics::counter!("eelgrassdeal_request_memory_refusals_total").increment(1);
+                    refusal.with_retry_after(rand::random_range(MEMORY_RETRY_AFTER))
+                }
+                _ => refusal,
+            }
+        })?;
         // The shutdown may have begun while the body arrived.
         check_draining()?;
         let spent = caller.timeout.map(|timeout| state.time_spent(&route.name, timeout));
@@ -236,13 +249,72 @@
     Some((Some(entry.account.clone()), entry.priority.unwrap_or(route.priority)))
 }
 
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, (ErrorKind, &'static str)> {
-    match compio::time::timeout(BODY_TIMEOUT, Limited::new(body, limit).collect()).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            Err((ErrorKind::BodyTooLarge, "the request body exceeds the size limit"))
+/// Why the body of a request was not read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum BodyError {
+    TooLarge,
+    Incomplete,
+    Late,
+    /// The bodies of other requests hold the memory of the node.
+    NoMemory,
+}
+
+impl BodyError {
+    fn kind(self) -> ErrorKind {
+        match self {
+            Self::TooLarge => ErrorKind::BodyTooLarge,
+            Self::Incomplete => ErrorKind::BadRequest,
+            Self::Late => ErrorKind::RequestTimeout,
+            Self::NoMemory => ErrorKind::NoCapacity,
+        }
+    }
+
+    fn message(self) -> &'static str {
+        match self {
+            Self::TooLarge => "the request body exceeds the size limit",
+            Self::Incomplete => "the request body is incomplete",
+            Self::Late => "the request body was not received in time",
+            Self::NoMemory => "the node has no memory for the request body",
+        }
+    }
+}
+
+/// Reads a body of at most `limit` bytes into one buffer. Its memory is taken from the budget of `hold`
+/// before its bytes are read, and given back when the last copy of the body is dropped.
+async fn read_body(body: Incoming, limit: usize, hold: BufferHold) -> Result<Bytes, BodyError> {
+    let read = compio::time::timeout(BODY_TIMEOUT, collect_body(body, limit, hold)).await;
+    read.unwrap_or(Err(BodyError::Late))
+}
+
+async fn collect_body(
+    mut body: Incoming,
+    limit: usize,
+    mut hold: BufferHold,
+) -> Result<Bytes, BodyError> {
+    let declared = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if declared > limit {
+        return Err(BodyError::TooLarge);
+    }
+    if !hold.try_resize(declared) {
+        return Err(BodyError::NoMemory);
+    }
+    let mut buffer = BytesMut::with_capacity(declared);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| BodyError::Incomplete)?;
+        let Some(data) = frame.data_ref() else { continue };
+        let needed = buffer.len() + data.len();
+        if needed > limit {
+            return Err(BodyError::TooLarge);
+        }
+        if needed > buffer.capacity() {
+            // A body of unknown length.
+            let capacity = (needed * 2).min(limit);
+            if !hold.try_resize(capacity) {
+                return Err(BodyError::NoMemory);
+            }
+            buffer.reserve(capacity - buffer.len());
         }
-        Ok(Err(_)) => Err((ErrorKind::BadRequest, "the request body is incomplete")),
-        Err(_) => Err((ErrorKind::RequestTimeout, "the request body was not received in time")),
+        buffer.extend_from_slice(data);
     }
+    Ok(hold.attach_to(buffer.freeze()))
 }
--- a/crates/eelgrassdeal_gateway/src/front/hold.rs
+++ b/crates/eelgrassdeal_gateway/src/front/hold.rs
@@ -1,25 +1,24 @@
-//! Memory that responses of upstreams hold at this node until they are forwarded.
+//! Memory that the bodies of requests hold at this node until no attempt needs them, and responses of
+//! upstreams until they are forwarded.
 
 use std::sync::{Arc, Mutex, PoisonError};
 
 use bytes::Bytes;
 use eelgrassdeal_dispatch::BufferBudget;
 
-use crate::state::GatewayState;
-
-/// Bytes that one response holds of the node's [`BufferBudget`]. Dropping it gives them back.
-pub(super) struct ResponseHold {
+/// Bytes that one body holds of a [`BufferBudget`] of the node. Dropping it gives them back.
+pub(super) struct BufferHold {
     // Shared with bodies, which hyper requires to be `Send`.
     budget: Arc<Mutex<BufferBudget>>,
     bytes: usize,
 }
 
-impl ResponseHold {
-    pub(super) fn new(state: &GatewayState) -> Self {
-        Self { budget: state.response_budget.clone(), bytes: 0 }
+impl BufferHold {
+    pub(super) fn new(budget: &Arc<Mutex<BufferBudget>>) -> Self {
+        Self { budget: budget.clone(), bytes: 0 }
     }
 
-    /// Changes the number of bytes that the response holds. Returns false, and changes nothing, if
+    /// Changes the number of bytes that the body holds. Returns false, and changes nothing, if
     /// there is no room for them.
     pub(super) fn try_resize(&mut self, bytes: usize) -> bool {
         let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
@@ -36,7 +35,7 @@
     }
 }
 
-impl Drop for ResponseHold {
+impl Drop for BufferHold {
     fn drop(&mut self) {
         self.try_resize(0);
     }
@@ -44,7 +43,7 @@
 
 struct HeldBody {
     body: Bytes,
-    _hold: ResponseHold,
+    _hold: BufferHold,
 }
 
 impl AsRef<[u8]> for HeldBody {
--- a/crates/eelgrassdeal_gateway/src/front/stream.rs
+++ b/crates/eelgrassdeal_gateway/src/front/stream.rs
@@ -17,7 +17,7 @@
 use super::attempt::{AttemptRunner, FailedAttempt, RunningAttempt, WaitError, may_be_broken_off};
 use super::buffered;
 use super::call::GatewayCall;
-use super::hold::ResponseHold;
+use super::hold::BufferHold;
 use super::refusal::CallRefusal;
 use crate::crash::is_crash_onset;
 use crate::server::{Reply, stream_reply};
@@ -127,7 +127,7 @@
     attempt: Option<RunningAttempt>,
     events: EventAssembler,
     /// Memory for the bytes of an event that is not complete.
-    hold: ResponseHold,
+    hold: BufferHold,
     /// When the wait for the next complete event began. Other bytes, such as comments, are no
     /// progress. The time in which the caller reads does not count.
     waiting_since: Instant,
@@ -139,7 +139,7 @@
 impl StreamRelay {
     fn new(runner: AttemptRunner, attempt: RunningAttempt) -> Self {
         let events = EventAssembler::new(runner.call.caller.last_event);
-        let hold = ResponseHold::new(&runner.state);
+        let hold = BufferHold::new(&runner.state.response_budget);
         Self {
             runner,
             attempt: Some(attempt),
--- a/crates/eelgrassdeal_gateway/src/metrics_export.rs
+++ b/crates/eelgrassdeal_gateway/src/metrics_export.rs
@@ -30,6 +30,8 @@
     metrics::gauge!("eelgrassdeal_upstream_connections_opened")
         .set(state.upstream_pool.opened_count() as f64);
     let response_bytes = state.response_budget.lock().map_or(0, |budget| budget.held());
+    let request_bytes = state.request_budget.lock().map_or(0, |budget| budget.held());
+    metrics::gauge!("eelgrassdeal_request_bytes_held").set(request_bytes as f64);
     metrics::gauge!("eelgrassdeal_response_bytes_held").set(response_bytes as f64);
     metrics::gauge!("eelgrassdeal_log_lines_dropped").set(dropped_lines() as f64);
     let now = std::time::Instant::now();
--- a/crates/eelgrassdeal_gateway/src/state.rs
+++ b/crates/eelgrassdeal_gateway/src/state.rs
@@ -74,8 +74,10 @@
 /// by the planner.
 const SILENCE_LIFETIME: Duration = Duration::from_millis(800);
 
-/// Divisor of the memory limit of the process for the bytes that responses may hold.
-const RESPONSE_MEMORY_DIVISOR: u64 = 5;
+/// Fraction of the memory limit of the process that the bodies of requests may hold.
+const REQUEST_MEMORY_FRACTION: f64 = 0.4;
+/// Fraction of the memory limit of the process that responses may hold.
+const RESPONSE_MEMORY_FRACTION: f64 = 0.2;
 
 /// Version of each table copy that a peer last reported.
 pub(crate) type PeerVersions = HashMap<SharedTable, u64>;
@@ -96,6 +98,8 @@
     pub(crate) loads: RefCell<LoadTracker>,
     /// Crashes of upstreams, and what is refused because of them.
     pub(crate) crash_ledger: RefCell<CrashLedger>,
+    /// Memory for the bodies of requests.
+    pub(crate) request_budget: Arc<Mutex<BufferBudget>>,
     /// Memory for responses that are not forwarded yet.
     pub(crate) response_budget: Arc<Mutex<BufferBudget>>,
     /// What upstreams said of themselves.
@@ -165,10 +169,13 @@
             processor_share: settings.processor_share,
             age: Duration::ZERO,
         };
-        let response_bytes = settings.memory_bytes / RESPONSE_MEMORY_DIVISOR;
-        let response_budget = BufferBudget::new(response_bytes.try_into().unwrap_or(usize::MAX));
+        let budget = |fraction: f64| {
+            let bytes = settings.memory_bytes as f64 * fraction;
+            Arc::new(Mutex::new(BufferBudget::new(bytes as usize)))
+        };
         Self {
-            response_budget: Arc::new(Mutex::new(response_budget)),
+            request_budget: budget(REQUEST_MEMORY_FRACTION),
+            response_budget: budget(RESPONSE_MEMORY_FRACTION),
             store: PlatformStore::new(control_pool.clone(), settings.store.address.clone()),
             order_client: OrderClient::new(control_pool.clone()),
             upstream_pool,
--- a/crates/eelgrassdeal_gateway/tests/common/mod.rs
+++ b/crates/eelgrassdeal_gateway/tests/common/mod.rs
@@ -274,6 +274,11 @@
 
     /// Writes a configuration of this version in which only `keys` are valid API keys.
     pub fn write_config(&self, version: u64, keys: &[&str]) {
+        self.write_config_with_bodies(version, keys, 65_536);
+    }
+
+    /// Like [`Self::write_config`], with request bodies of up to `max_body_bytes`.
+    pub fn write_config_with_bodies(&self, version: u64, keys: &[&str], max_body_bytes: usize) {
         let route = |name: &str, prefix: &str, kind: &str, service: &str, attempts: u32| {
             json!({ "name": name, "host": HOST, "path_prefix": prefix, "kind": kind,
                 "timeout_ms": 8000, "target_latency_ms": 300, "gap_target_ms": 300, "priority": 1,
@@ -294,7 +299,7 @@
                     "models": [{ "name": MODEL, "size": 2, "share": 1.0, "load_s": 0.1, "warm_s": 0.1 }] } },
                 { "name": PLAIN_SERVICE, "health_path": "/health", "max_conns": 50 },
             ],
-            "limits": { "max_header_bytes": 16384, "max_body_bytes": 65536,
+            "limits": { "max_header_bytes": 16384, "max_body_bytes": max_body_bytes,
                 "header_timeout_ms": 3000, "idle_timeout_ms": 15000 },
             "tenants": [{ "name": "account-1", "api_keys": keys, "priority": 1 }],
         });
--- a/crates/eelgrassdeal_http/src/discard.rs
+++ b/crates/eelgrassdeal_http/src/discard.rs
@@ -9,9 +9,10 @@
 /// Longest time for which data is read from a caller after the last response to it.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
 /// Size of the buffer of one read.
-const READ_BUFFER_BYTES: usize = 2 * 1024;
-/// Maximum number of reads after the last response, of at most [`READ_BUFFER_BYTES`] each.
-const MAX_READS: u32 = 1024;
+const READ_BUFFER_BYTES: usize = 16 * 1024;
+/// Maximum number of reads after the last response, of at most [`READ_BUFFER_BYTES`] each. Enough for the
+/// body of a request that was refused before it was read.
+const MAX_READS: u32 = 512;
 
 /// Reads and drops what a caller still sends after the last response to it, until the caller closes
 /// its side or a limit of time or reads is reached. Then closes the connection by dropping
