--- a/crates/eelgrassdeal_gateway/tests/common/mod.rs
+++ b/crates/eelgrassdeal_gateway/tests/common/mod.rs
@@ -134,6 +134,8 @@
     pub pool: ConnectionPool,
     /// `retry_slack` in the settings of the gateways.
     retry_slack: u32,
+    /// `memory_mb` in the settings of the gateways.
+    memory_mb: u32,
     /// Where the gateways write their logs; `None` for a file each.
     log: Option<PathBuf>,
     _server: ServerHandle,
@@ -153,6 +155,7 @@
             gateways: Vec::new(),
             pool: ConnectionPool::new(),
             retry_slack: 132,
+            memory_mb: 256,
             log: None,
             _server: server,
         };
@@ -219,6 +222,11 @@
         Self { retry_slack, ..self }
     }
 
+    /// Sets the memory limit of the gateways, which nothing but they themselves keep.
+    pub fn with_memory_mb(self, memory_mb: u32) -> Self {
+        Self { memory_mb, ..self }
+    }
+
     /// Has the gateways write their logs to `path`.
     pub fn with_log(self, path: PathBuf) -> Self {
         Self { log: Some(path), ..self }
@@ -230,13 +238,13 @@
         let seeds: Vec<_> = addresses.iter().map(|[.., peer]| peer.clone()).collect();
         for (index, addresses) in addresses.into_iter().enumerate() {
             let store = self.store_address.clone();
-            let slack = self.retry_slack;
+            let bounds = (self.retry_slack, self.memory_mb);
             self.gateways.push(start_gateway(
                 index,
                 addresses,
                 &seeds,
                 &store,
-                slack,
+                bounds,
                 self.log.as_deref(),
             ));
         }
@@ -251,13 +259,13 @@
         let seeds: Vec<String> =
             self.gateways.iter().map(|gateway| gateway.peer.to_string()).collect();
         let index = self.gateways.len();
-        let slack = self.retry_slack;
+        let bounds = (self.retry_slack, self.memory_mb);
         self.gateways.push(start_gateway(
             index,
             free_addresses(),
             &seeds,
             store,
-            slack,
+            bounds,
             self.log.as_deref(),
         ));
     }
@@ -440,7 +448,7 @@
     addresses: [String; 3],
     seeds: &[String],
     store: &str,
-    retry_slack: u32,
+    (retry_slack, memory_mb): (u32, u32),
     log: Option<&Path>,
 ) -> GatewayProcess {
     let [front, locator, peer] = addresses;
@@ -448,7 +456,7 @@
         "node_name = \"node-{index}\"\nzone = \"zone-a\"\nregion = \"region\"\nip = \"127.0.0.1\"\n\
          port_range = [1, 2]\nseeds = {seeds:?}\n[listen]\nfront = \"{front}\"\nready = \"{locator}\"\n\
          control = \"{peer}\"\n[bounds]\ngrace_s = 8\nstall_ms = 4000\nretry_slack = {retry_slack}\n\
-         [platform]\naddress = \"{store}\"\n"
+         [limits]\nmemory_mb = {memory_mb}\n[platform]\naddress = \"{store}\"\n"
     );
     let folder = std::env::temp_dir();
     let name = format!("eelgrassdeal-gateway-{}", front.replace(':', "-"));
--- a/crates/eelgrassdeal_gateway/tests/request_bodies.rs
+++ b/crates/eelgrassdeal_gateway/tests/request_bodies.rs
@@ -12,14 +12,14 @@
 use futures_util::future::join_all;
 use http_body_util::Full;
 
-/// Default memory limit of a gateway, in bytes.
-const MEMORY_LIMIT: u64 = 256_000_000;
-const MAX_BODY_BYTES: usize = 4_194_304;
+/// Memory limit of the gateways.
+const MEMORY_MB: u32 = 32;
+const MAX_BODY_BYTES: usize = 262_144;
 const CALL_TIMEOUT: Duration = Duration::from_secs(9);
 
 /// A gateway in front of three workers that take `work` for a request.
 async fn start_platform(work: Duration) -> TestPlatform {
-    let platform = TestPlatform::new().await;
+    let platform = TestPlatform::new().await.with_memory_mb(MEMORY_MB);
     platform.write_config_with_bodies(2, &[API_KEY], MAX_BODY_BYTES);
     for index in 0..3 {
         let id = format!("i-desk{index}");
@@ -56,7 +56,7 @@
     });
     let answers = join_all(calls).await;
     let peak = platform.gateways[0].peak_memory();
-    assert!(peak < MEMORY_LIMIT / 10 * 9, "peak of {peak} bytes, the limit is {MEMORY_LIMIT}");
+    assert!(peak < u64::from(MEMORY_MB) * 900_000, "peak of {peak} bytes, {MEMORY_MB} MB allowed");
     let answers: Vec<_> = answers.into_iter().map(|answer| answer.expect("a response")).collect();
     let served = answers.iter().filter(|answer| answer.status == 200).count();
     assert!(served > 0, "{served} of {CALLERS} served");
