One limiter for rate-limited log lines; count the queue only where limits bind

`precedes` counted all waiting requests where it could stop at the first; it stops again. `place` counts the requests before a new one only where all upstreams have named a limit. No change of behaviour is meant.

--- a/crates/eelgrassdeal_dispatch/src/queue.rs
+++ b/crates/eelgrassdeal_dispatch/src/queue.rs
@@ -199,16 +199,22 @@
 
     /// Whether a request that waits would be placed before `request`.
     pub fn precedes(&self, request: &WaitingRequest, now: Instant) -> bool {
-        self.count_before(request, now) > 0
+        let rank = self.rank_of_arrival(request, now);
+        self.of_queue(&request.queue).any(|(_, other)| other.rank(now) < rank)
     }
 
     /// Number of waiting requests that would be placed before `request`.
     pub fn count_before(&self, request: &WaitingRequest, now: Instant) -> usize {
+        let rank = self.rank_of_arrival(request, now);
+        self.of_queue(&request.queue).filter(|(_, other)| other.rank(now) < rank).count()
+    }
+
+    /// Order of a request that arrives now, if its account has the next turn.
+    fn rank_of_arrival(&self, request: &WaitingRequest, now: Instant) -> QueueRank {
         let current = self.current_turns.get(&request.queue).copied().unwrap_or(0);
         let entry =
             WaitingEntry { request: request.clone(), turn: current + 1, arrival: self.arrivals };
-        let rank = entry.rank(now);
-        self.of_queue(&request.queue).filter(|(_, other)| other.rank(now) < rank).count()
+        entry.rank(now)
     }
 
     /// Removes a request that no longer waits.
--- a/crates/eelgrassdeal_gateway/src/notice.rs
+++ b/crates/eelgrassdeal_gateway/src/notice.rs
@@ -17,9 +17,6 @@
 use crate::peers::millis;
 use crate::state::GatewayState;
 
-/// Shortest time between two log lines on pauses that cannot be read.
-const INVALID_PAUSE_LOG_INTERVAL: Duration = Duration::from_secs(10);
-
 /// Records what the process of `record` says of itself in a response. `cause` names the request in the
 /// log.
 pub(crate) fn record_notice(
@@ -142,9 +139,7 @@
 
 fn log_invalid_pause(state: &GatewayState, upstream: &UpstreamId, now: Instant) {
     metrics::counter!("eelgrassdeal_invalid_pauses_total").increment(1);
-    let logged_at = state.invalid_pause_logged_at.get();
-    if logged_at.is_none_or(|at| now.duration_since(at) >= INVALID_PAUSE_LOG_INTERVAL) {
-        state.invalid_pause_logged_at.set(Some(now));
+    if state.invalid_pause_log.is_due(now) {
         log::warn!(
             "event=pause_unreadable upstream={upstream} reason=\"retry-after of a 503 is no number of seconds\""
         );
--- a/crates/eelgrassdeal_gateway/src/placing.rs
+++ b/crates/eelgrassdeal_gateway/src/placing.rs
@@ -253,10 +253,11 @@
         let reason = "no upstream is available for the request, and none is being prepared";
         return Err(PlacementFailure { reason, room: RoomForecast::Unknown });
     }
-    let forecast = limit_forecast(state, &queue, now);
-    let before = room.queue.borrow().count_before(&request, now);
-    if let Some(failure) = limited_failure(forecast, need, before, until, now) {
-        return Err(failure);
+    if let Some(forecast) = limit_forecast(state, &queue, now) {
+        let before = room.queue.borrow().count_before(&request, now);
+        if let Some(failure) = limited_failure(forecast, need, before, until, now) {
+            return Err(failure);
+        }
     }
     let pushed = room.queue.borrow_mut().push(request, now);
     let key = pushed.map_err(|room_in| PlacementFailure {
@@ -323,7 +324,7 @@
             let start_by = seat.start_by;
             drop(seats);
             let failure = paused_failure(state, &need, &queue, start_by, now)
-                .or_else(|| limited_failure(forecast, &need, before, start_by, now));
+                .or_else(|| limited_failure(forecast?, &need, before, start_by, now));
             if let Some(failure) = failure {
                 if let Some(seat) = state.waiting.seats.borrow_mut().get_mut(&key) {
                     seat.failure = Some(failure);
@@ -437,13 +438,15 @@
 /// `before` others precede. A request that may have run waits instead, since a refusal would end it for
 /// good.
 fn limited_failure(
-    forecast: Option<LimitForecast>,
+    forecast: LimitForecast,
     need: &PlacementNeed,
     before: usize,
     start_by: Instant,
     now: Instant,
 ) -> Option<PlacementFailure> {
-    let forecast = forecast.filter(|_| !need.is_rerun)?;
+    if need.is_rerun {
+        return None;
+    }
     let room_in = match forecast.wait(before) {
         Some(wait) => wait.checked_sub(start_by.saturating_duration_since(now))?,
         None => forecast.interval(),
--- a/crates/eelgrassdeal_gateway/src/plan.rs
+++ b/crates/eelgrassdeal_gateway/src/plan.rs
@@ -11,6 +11,7 @@
     PlannerSettings, ProbeOutcome, ProbeTarget, ServiceConfig, SharedTable, UpstreamOrder,
     WriteOutcome,
 };
+use eelgrassdeal_logging::LogLimiter;
 use eelgrassdeal_platform::encode_group;
 use eelgrassdeal_store::{
     CONTROL_PARTITION, HeldLease, LeaseClient, RowCondition, RowKey, RowWrite, StoreError,
@@ -63,8 +64,8 @@
     state: Rc<GatewayState>,
     lease: RefCell<Option<HeldLease>>,
     term: RefCell<Option<PlanTerm>>,
-    /// When the `event=fleet` lines were last logged; `None` before the first time.
-    fleet_logged_at: Cell<Option<Instant>>,
+    /// The `event=fleet` lines.
+    fleet_log: LogLimiter,
     /// Versions of the group rows that this node last wrote.
     written_versions: RefCell<HashMap<GroupId, u64>>,
     /// Notified when an order, a probe or a write has completed.
@@ -77,7 +78,7 @@
         state: state.clone(),
         lease: RefCell::default(),
         term: RefCell::default(),
-        fleet_logged_at: Cell::default(),
+        fleet_log: LogLimiter::new(FLEET_LOG_INTERVAL),
         written_versions: RefCell::default(),
         wake: Event::new(),
     });
@@ -174,11 +175,9 @@
     /// service, at most once per `FLEET_LOG_INTERVAL`. Of the upstreams in no group, `spares` have
     /// the model staged on their host and `empty` have no model staged there.
     fn log_fleet(&self, view: &FleetView, config: &ServiceConfig, now: Instant) {
-        if self.fleet_logged_at.get().is_some_and(|at| now.duration_since(at) < FLEET_LOG_INTERVAL)
-        {
+        if !self.fleet_log.is_due(now) {
             return;
         }
-        self.fleet_logged_at.set(Some(now));
         for spec in config.services.values() {
             let Some(engine) = &spec.engine else { continue };
             for model in &engine.models {
--- a/crates/eelgrassdeal_gateway/src/rate_limit.rs
+++ b/crates/eelgrassdeal_gateway/src/rate_limit.rs
@@ -15,9 +15,6 @@
 use crate::peers::millis;
 use crate::state::GatewayState;
 
-/// Shortest time between two log lines on limits that cannot be read.
-const UNREADABLE_LIMIT_LOG_INTERVAL: Duration = Duration::from_secs(10);
-
 /// Records what the process of `record` says in a response about the rate at which it takes requests.
 /// `has_succeeded` is whether the response is a signed success: others may lack the header.
 pub(crate) fn record_limit(
@@ -136,9 +133,7 @@
 
 fn log_unreadable_limit(state: &GatewayState, upstream: &UpstreamId, now: Instant) {
     metrics::counter!("eelgrassdeal_unreadable_limits_total").increment(1);
-    let logged_at = state.unreadable_limit_logged_at.get();
-    if logged_at.is_none_or(|at| now.duration_since(at) >= UNREADABLE_LIMIT_LOG_INTERVAL) {
-        state.unreadable_limit_logged_at.set(Some(now));
+    if state.unreadable_limit_log.is_due(now) {
         log::warn!(
             "event=limit_unreadable upstream={upstream} reason=\"server-limit is no number of requests a second\""
         );
--- a/crates/eelgrassdeal_gateway/src/state.rs
+++ b/crates/eelgrassdeal_gateway/src/state.rs
@@ -13,6 +13,7 @@
     UsualTimeout,
 };
 use eelgrassdeal_http::ConnectionPool;
+use eelgrassdeal_logging::LogLimiter;
 use eelgrassdeal_platform::{OrderClient, PlatformStore};
 use eelgrassdeal_types::{ServiceId, UpstreamId};
 use event_listener::Event;
@@ -74,6 +75,8 @@
 /// by the planner.
 const SILENCE_LIFETIME: Duration = Duration::from_millis(800);
 
+/// Shortest time between two lines on headers of one kind that cannot be read.
+const UNREADABLE_LOG_INTERVAL: Duration = Duration::from_secs(10);
 /// Fraction of the memory limit of the process that the bodies of requests may hold.
 const REQUEST_MEMORY_FRACTION: f64 = 0.4;
 /// Fraction of the memory limit of the process that responses may hold.
@@ -104,12 +107,12 @@
     pub(crate) response_budget: Arc<Mutex<BufferBudget>>,
     /// What upstreams said of themselves.
     pub(crate) notices: RefCell<NoticeTracker>,
-    /// When it was last logged that the pause of an upstream cannot be read.
-    pub(crate) invalid_pause_logged_at: Cell<Option<Instant>>,
+    /// Lines on pauses of upstreams that cannot be read.
+    pub(crate) invalid_pause_log: LogLimiter,
     /// Rate limits that upstreams name.
     pub(crate) rate_limits: RefCell<LimitTracker>,
-    /// When it was last logged that the limit of an upstream cannot be read.
-    pub(crate) unreadable_limit_logged_at: Cell<Option<Instant>>,
+    /// Lines on rate limits of upstreams that cannot be read.
+    pub(crate) unreadable_limit_log: LogLimiter,
     /// Notified when this node has observed a crash that it tells the other nodes of at once.
     pub(crate) crash_observed: Event,
     /// Requests that wait for an upstream with free capacity.
@@ -186,9 +189,9 @@
             loads: RefCell::default(),
             crash_ledger: RefCell::default(),
             notices: RefCell::default(),
-            invalid_pause_logged_at: Cell::new(None),
+            invalid_pause_log: LogLimiter::new(UNREADABLE_LOG_INTERVAL),
             rate_limits: RefCell::default(),
-            unreadable_limit_logged_at: Cell::new(None),
+            unreadable_limit_log: LogLimiter::new(UNREADABLE_LOG_INTERVAL),
             crash_observed: Event::new(),
             waiting: WaitingRoom::default(),
             usual_timeouts: RefCell::default(),
--- a/crates/eelgrassdeal_logging/src/lib.rs
+++ b/crates/eelgrassdeal_logging/src/lib.rs
@@ -4,12 +4,16 @@
 //! that stands still holds up nothing but the log. Lines that find the queue full are dropped and
 //! counted.
 
+mod limiter;
+
 use std::sync::OnceLock;
 
 use log::{LevelFilter, SetLoggerError};
 use simplelog::{ConfigBuilder, WriteLogger};
 use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
 
+pub use limiter::LogLimiter;
+
 /// Lines that wait for the reader at most. They have some hundred bytes each.
 const MAX_WAITING_LINES: usize = 4_096;
 
