Connections of callers leave descriptors for upstreams, other nodes and the store

`max_fds` was read from the settings and used nowhere: idle connections took all descriptors, accepting failed every 20 ms, and a request on an open connection ended as no_capacity, since no connection to its upstream could be opened ("Too many open files").

Each listen address for callers accepts as long as its connections are fewer than its share: 45 % of the descriptors for sockets at the front, since each request needs one more for its upstream, and 10 % at the locator. Further connections wait in the system's queue. Peers and readiness checks have no bound. `connections_full` and a metric tell of it, and `accept_failed` is logged once a second at most.

Remaining: while all connections are taken by idle callers, new ones wait for `idle_timeout_ms`.

--- a/crates/eelgrassdeal_gateway/src/lifecycle.rs
+++ b/crates/eelgrassdeal_gateway/src/lifecycle.rs
@@ -12,6 +12,7 @@
 use eelgrassdeal_platform::load_settings;
 use error_stack::{Report, ResultExt};
 
+use crate::connection_limit::ConnectionLimit;
 use crate::crash::{decide_quarantines, maintain_stored_quarantines};
 use crate::follow::{follow_table, register_node};
 use crate::front::FrontHandler;
@@ -30,6 +31,11 @@
 /// Time for which a leaving node still accepts requests: callers may have cached its address from
 /// the locator.
 pub(crate) const DRAIN_ACCEPT_PERIOD: Duration = Duration::from_millis(2_500);
+/// Fraction of the descriptors for the connections of callers. Each request needs another one for its
+/// upstream.
+const FRONT_FRACTION: f64 = 0.45;
+/// Fraction of the descriptors for connections to the locator.
+const LOCATOR_FRACTION: f64 = 0.1;
 /// Part of the time until SIGKILL that is reserved for closing connections.
 const KILL_MARGIN: Duration = Duration::from_millis(400);
 /// Time without a request in progress, and without a response that the system has not taken, after which
@@ -83,10 +89,13 @@
     let front = Rc::new(FrontHandler::new(state.clone()));
     let locator = Rc::new(LocatorHandler::new(state.clone()));
     let peers = Rc::new(PeerHandler::new(state.clone()));
-    listen(&state, Some(&settings.listen.peers), peers).await?;
-    listen(&state, settings.listen.front.as_ref(), front).await?;
-    listen(&state, settings.listen.locator.as_ref(), locator.clone()).await?;
-    listen(&state, settings.listen.readiness.as_ref(), locator).await?;
+    let limited = |fraction| ConnectionLimit::new(settings.max_descriptors, fraction);
+    let (front_limit, locator_limit) = (limited(FRONT_FRACTION), limited(LOCATOR_FRACTION));
+    let unlimited = ConnectionLimit::unlimited;
+    listen(&state, Some(&settings.listen.peers), peers, unlimited()).await?;
+    listen(&state, settings.listen.front.as_ref(), front, front_limit).await?;
+    listen(&state, settings.listen.locator.as_ref(), locator.clone(), locator_limit).await?;
+    listen(&state, settings.listen.readiness.as_ref(), locator, unlimited()).await?;
     log::info!(
         "event=start node={} data_centre={} version={} listen={:?}",
         settings.node,
@@ -126,13 +135,14 @@
     state: &Rc<GatewayState>,
     address: Option<&Arc<str>>,
     handler: Rc<H>,
+    limit: Rc<ConnectionLimit>,
 ) -> Result<(), Report<GatewayError>> {
     let Some(address) = address else { return Ok(()) };
     let listener = TcpListener::bind(&**address)
         .await
         .change_context(GatewayError)
         .attach_with(|| format!("listen address {address}"))?;
-    compio::runtime::spawn(accept_connections(state.clone(), listener, handler)).detach();
+    compio::runtime::spawn(accept_connections(state.clone(), listener, handler, limit)).detach();
     Ok(())
 }
 
--- a/crates/eelgrassdeal_gateway/src/server.rs
+++ b/crates/eelgrassdeal_gateway/src/server.rs
@@ -5,12 +5,13 @@
 use std::io;
 use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use compio::net::{TcpListener, TcpStream};
 use cyper_core::CompioTimer;
 use eelgrassdeal_http::{BoundedSocket, discard_unread, reset_connection};
+use eelgrassdeal_logging::LogLimiter;
 use eelgrassdeal_types::{CallError, ErrorKind};
 use futures_util::stream::LocalBoxStream;
 use futures_util::{FutureExt, StreamExt};
@@ -21,6 +22,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode, Version};
 
+use crate::connection_limit::ConnectionLimit;
 use crate::state::{CountGuard, GatewayState};
 
 /// A connection whose other side accepts no byte for this long is closed.
@@ -30,6 +32,8 @@
 /// Delay after a failed accept, for example when no file descriptor is free: open connections may
 /// end meanwhile.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Shortest time between two lines on failed accepts.
+const FAILURE_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Body of a response: complete, or a stream.
 pub(crate) type ReplyBody =
@@ -63,24 +67,30 @@
     fn head_limits(&self) -> (Duration, usize);
 }
 
-/// Accepts connections until the task is dropped.
+/// Accepts connections, as far as `limit` permits, until the task is dropped.
 pub(crate) async fn accept_connections<H: RequestHandler>(
     state: Rc<GatewayState>,
     listener: TcpListener,
     handler: Rc<H>,
+    limit: Rc<ConnectionLimit>,
 ) {
+    let failure_log = LogLimiter::new(FAILURE_LOG_INTERVAL);
     loop {
+        let permit = limit.reserve().await;
         match listener.accept().await {
             Ok((stream, _)) => {
                 let (state, handler) = (state.clone(), handler.clone());
                 compio::runtime::spawn(async move {
+                    let _permit = permit;
                     let _open = CountGuard::new(&state.connections);
                     serve_connection(stream, handler, state.unflushed.clone()).await;
                 })
                 .detach();
             }
             Err(error) => {
-                log::warn!("event=accept_failed reason=\"{error}\"");
+                if failure_log.is_due(Instant::now()) {
+                    log::warn!("event=accept_failed reason=\"{error}\"");
+                }
                 compio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
--- a/crates/eelgrassdeal_gateway/tests/common/mod.rs
+++ b/crates/eelgrassdeal_gateway/tests/common/mod.rs
@@ -22,6 +22,7 @@
 use eelgrassdeal_testkit::{ChildProcess, free_address};
 use http_body_util::Full;
 use hyper::Request;
+use rustix::process::{Pid, Resource, Rlimit, prlimit};
 use serde_json::{Value, json};
 
 pub const HOST: &str = "h.example";
@@ -84,6 +85,14 @@
         kilobytes.expect("a peak in kB") * 1024
     }
 
+    /// Has the system refuse the process more than `max_fds` descriptors.
+    pub fn enforce_max_fds(&self, max_fds: u64) {
+        let id = self.child.as_ref().expect("the gateway runs").id();
+        let pid = Pid::from_raw(id.try_into().expect("a process id"));
+        let limit = Rlimit { current: Some(max_fds), maximum: Some(max_fds) };
+        prlimit(pid, Resource::Nofile, limit).expect("a lower limit");
+    }
+
     /// Suspends the process until [`Self::unpause`].
     pub fn pause(&self) {
         self.child.as_ref().expect("the gateway runs").pause();
@@ -136,6 +145,8 @@
     retry_slack: u32,
     /// `memory_mb` in the settings of the gateways.
     memory_mb: u32,
+    /// `max_fds` in the settings of the gateways.
+    max_fds: u64,
     /// Where the gateways write their logs; `None` for a file each.
     log: Option<PathBuf>,
     _server: ServerHandle,
@@ -156,6 +167,7 @@
             pool: ConnectionPool::new(),
             retry_slack: 132,
             memory_mb: 256,
+            max_fds: 4_096,
             log: None,
             _server: server,
         };
@@ -227,6 +239,12 @@
         Self { memory_mb, ..self }
     }
 
+    /// Sets the limit of descriptors in the settings of the gateways; see
+    /// [`GatewayProcess::enforce_max_fds`].
+    pub fn with_max_fds(self, max_fds: u64) -> Self {
+        Self { max_fds, ..self }
+    }
+
     /// Has the gateways write their logs to `path`.
     pub fn with_log(self, path: PathBuf) -> Self {
         Self { log: Some(path), ..self }
@@ -238,7 +256,7 @@
         let seeds: Vec<_> = addresses.iter().map(|[.., peer]| peer.clone()).collect();
         for (index, addresses) in addresses.into_iter().enumerate() {
             let store = self.store_address.clone();
-            let bounds = (self.retry_slack, self.memory_mb);
+            let bounds = (self.retry_slack, self.memory_mb, self.max_fds);
             self.gateways.push(start_gateway(
                 index,
                 addresses,
@@ -259,7 +277,7 @@
         let seeds: Vec<String> =
             self.gateways.iter().map(|gateway| gateway.peer.to_string()).collect();
         let index = self.gateways.len();
-        let bounds = (self.retry_slack, self.memory_mb);
+        let bounds = (self.retry_slack, self.memory_mb, self.max_fds);
         self.gateways.push(start_gateway(
             index,
             free_addresses(),
@@ -448,7 +466,7 @@
     addresses: [String; 3],
     seeds: &[String],
     store: &str,
-    (retry_slack, memory_mb): (u32, u32),
+    (retry_slack, memory_mb, max_fds): (u32, u32, u64),
     log: Option<&Path>,
 ) -> GatewayProcess {
     let [front, locator, peer] = addresses;
@@ -456,7 +474,7 @@
         "node_name = \"node-{index}\"\nzone = \"zone-a\"\nregion = \"region\"\nip = \"127.0.0.1\"\n\
          port_range = [1, 2]\nseeds = {seeds:?}\n[listen]\nfront = \"{front}\"\nready = \"{locator}\"\n\
          control = \"{peer}\"\n[bounds]\ngrace_s = 8\nstall_ms = 4000\nretry_slack = {retry_slack}\n\
-         [limits]\nmemory_mb = {memory_mb}\n[platform]\naddress = \"{store}\"\n"
+         [limits]\nmemory_mb = {memory_mb}\nmax_fds = {max_fds}\n[platform]\naddress = \"{store}\"\n"
     );
     let folder = std::env::temp_dir();
     let name = format!("eelgrassdeal-gateway-{}", front.replace(':', "-"));
