--- a/crates/eelgrassdeal_dispatch/src/queue.rs
+++ b/crates/eelgrassdeal_dispatch/src/queue.rs
@@ -200,13 +200,13 @@
     /// Whether a request that waits would be placed before `request`.
     pub fn precedes(&self, request: &WaitingRequest, now: Instant) -> bool {
         let rank = self.rank_of_arrival(request, now);
-        self.of_queue(&request.queue).any(|(_, other)| other.rank(now) < rank)
+        self.ranked_before(&request.queue, rank, now).next().is_some()
     }
 
     /// Number of waiting requests that would be placed before `request`.
     pub fn count_before(&self, request: &WaitingRequest, now: Instant) -> usize {
         let rank = self.rank_of_arrival(request, now);
-        self.of_queue(&request.queue).filter(|(_, other)| other.rank(now) < rank).count()
+        self.ranked_before(&request.queue, rank, now).count()
     }
 
     /// Order of a request that arrives now, if its account has the next turn.
@@ -275,7 +275,7 @@
         let rank = entry.rank(now);
         let request = &entry.request;
         let queue = &request.queue;
-        let before = self.of_queue(queue).filter(|(_, other)| other.rank(now) < rank).count();
+        let before = self.ranked_before(queue, rank, now).count();
         let per_second = |rates: &HashMap<QueueId, EventRate>| {
             rates.get(queue).map_or(0.0, |rate| rate.per_second(now))
         };
@@ -288,7 +288,14 @@
         Duration::from_secs_f64(before as f64 / left)
     }
 
-    fn of_queue(&self, queue: &QueueId) -> impl Iterator<Item = (WaitingKey, &WaitingEntry)> {
-        self.entries.iter().filter(move |(_, entry)| entry.request.queue == *queue)
+    /// Waiting requests of a queue that are placed before one of this rank.
+    fn ranked_before(
+        &self,
+        queue: &QueueId,
+        rank: QueueRank,
+        now: Instant,
+    ) -> impl Iterator<Item = &WaitingEntry> {
+        let entries = self.entries.values();
+        entries.filter(move |entry| entry.request.queue == *queue && entry.rank(now) < rank)
     }
 }
