Tests: one fixture each for heartbeats, upstream records, bounds of gateways and the time to come back

The tests of limits, notices and the soak of rate limits each wrote out a heartbeat or an upstream record that tests/common has or now has. The bounds of a test gateway were a tuple that each bound made longer, built at two places; they are a struct. `retry-after` was parsed at three places, one of which took an unreadable header for an absent one; now all three fail on one. The test of the descriptors starts its worker by `with_plain_workers`. All assertions are unchanged.

--- a/crates/eelgrassdeal_dispatch/tests/common/mod.rs
+++ b/crates/eelgrassdeal_dispatch/tests/common/mod.rs
@@ -9,8 +9,9 @@
 
 use eelgrassdeal_dispatch::{
     EngineSpec, FleetView, GroupMembership, GroupPlanner, GroupRecord, GroupState, GroupWrite,
-    ModelSpec, OrderKind, OrderOutcome, PlanStep, PlannerSettings, ProbeOutcome, ServiceConfig,
-    ServiceSpec, TrafficSummary, UpstreamOrder, UpstreamRecord, UpstreamState, WriteOutcome,
+    ModelSpec, NodeHeartbeat, NodeStage, OrderKind, OrderOutcome, PlanStep, PlannerSettings,
+    ProbeOutcome, ServiceConfig, ServiceSpec, TrafficSummary, UpstreamOrder, UpstreamRecord,
+    UpstreamState, WriteOutcome,
 };
 use rand::Rng;
 use rand::rngs::StdRng;
@@ -76,6 +77,22 @@
     }
 }
 
+/// Heartbeat of a node that serves callers.
+pub fn heartbeat(node: &str, sequence: u64) -> NodeHeartbeat {
+    NodeHeartbeat {
+        node: Arc::from(node),
+        sequence,
+        stage: NodeStage::Serving,
+        has_store: true,
+        is_planner: false,
+        front_address: Arc::from("front"),
+        peer_address: Arc::from("peer"),
+        data_centre: Arc::from("dc"),
+        processor_share: 120,
+        age: Duration::ZERO,
+    }
+}
+
 fn planner_settings() -> PlannerSettings {
     PlannerSettings { load_window: Duration::from_secs(5) }
 }
--- a/crates/eelgrassdeal_dispatch/tests/limits.rs
+++ b/crates/eelgrassdeal_dispatch/tests/limits.rs
@@ -1,29 +1,18 @@
 //! Fleet-wide limits hold for the sum over all nodes.
 
-use std::sync::Arc;
+mod common;
+
 use std::time::{Duration, Instant};
 
-use eelgrassdeal_dispatch::{
-    ColdLimit, ColdShare, NodeDirectory, NodeHeartbeat, NodeStage, RetryLimits, RetryShare,
-};
+use common::heartbeat;
+use eelgrassdeal_dispatch::{ColdLimit, ColdShare, NodeDirectory, RetryLimits, RetryShare};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
 /// Directory of node `index` in a fleet of `nodes`. The node does not know about one in `missed` of
 /// the others.
 fn node(index: usize, nodes: usize, missed: usize, now: Instant) -> NodeDirectory {
-    let heartbeat = |index: usize| NodeHeartbeat {
-        node: Arc::from(format!("front-{index}")),
-        sequence: 1,
-        stage: NodeStage::Serving,
-        has_store: true,
-        is_planner: false,
-        front_address: Arc::from("front"),
-        peer_address: Arc::from("peer"),
-        data_centre: Arc::from("dc"),
-        processor_share: 120,
-        age: Duration::ZERO,
-    };
+    let heartbeat = |index: usize| heartbeat(&format!("front-{index}"), 1);
     let mut directory = NodeDirectory::new(heartbeat(index));
     let known = (0..nodes).filter(|other| !(index + other).is_multiple_of(missed));
     known.for_each(|other| directory.merge(heartbeat(other), now));
--- a/crates/eelgrassdeal_dispatch/tests/notice.rs
+++ b/crates/eelgrassdeal_dispatch/tests/notice.rs
@@ -1,32 +1,19 @@
 //! Upstreams that say that they leave, or that they want no requests for a while.
 
+mod common;
+
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use eelgrassdeal_dispatch::{
-    LeavingHint, MAX_PAUSE, NoticeCause, NoticeTracker, UpstreamRecord, UpstreamState,
-};
+use common::upstream;
+use eelgrassdeal_dispatch::{LeavingHint, MAX_PAUSE, NoticeCause, NoticeTracker, UpstreamRecord};
 use proptest::prelude::*;
 
 const NODES: usize = 7;
 
-fn record(upstream: &str, start_time_ms: u64, now: Instant) -> UpstreamRecord {
-    UpstreamRecord {
-        upstream: Arc::from(upstream),
-        service: Arc::from("service"),
-        address: Arc::from("127.0.0.1:1"),
-        data_centre: Arc::from("a"),
-        slots: 8,
-        state: UpstreamState::Ready,
-        cold_left: Duration::ZERO,
-        seen_at: now,
-        domain: None,
-        staged: Vec::new(),
-        loaded: None,
-        membership: None,
-        start_time_ms,
-    }
+fn record(name: &str, start_time_ms: u64, now: Instant) -> UpstreamRecord {
+    UpstreamRecord { slots: 8, start_time_ms, ..upstream(name, "domain", now) }
 }
 
 /// What happens to one upstream.
--- a/crates/eelgrassdeal_dispatch/tests/rate_limit_soak.rs
+++ b/crates/eelgrassdeal_dispatch/tests/rate_limit_soak.rs
@@ -3,13 +3,13 @@
 //!
 //! `RATE_LIMIT_SOAK_SEEDS=200 cargo test -p eelgrassdeal_dispatch --test rate_limit_soak` runs more seeds.
 
+mod common;
+
 use std::collections::{BTreeMap, VecDeque};
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use eelgrassdeal_dispatch::{
-    LimitTracker, NodeDirectory, NodeHeartbeat, NodeStage, UpstreamRecord, UpstreamState,
-};
+use common::{heartbeat, upstream};
+use eelgrassdeal_dispatch::{LimitTracker, NodeDirectory, NodeHeartbeat, UpstreamRecord};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -35,36 +35,11 @@
 const WINDOW_TICKS: u64 = 4 * TICKS_PER_S;
 
 fn record(now: Instant) -> UpstreamRecord {
-    UpstreamRecord {
-        upstream: Arc::from("i-limited"),
-        service: Arc::from("service"),
-        address: Arc::from("127.0.0.1:1"),
-        data_centre: Arc::from("a"),
-        slots: SLOTS,
-        state: UpstreamState::Ready,
-        cold_left: Duration::ZERO,
-        seen_at: now,
-        domain: None,
-        staged: Vec::new(),
-        loaded: None,
-        membership: None,
-        start_time_ms: 1,
-    }
+    UpstreamRecord { slots: SLOTS, ..upstream("i-limited", "domain", now) }
 }
 
-fn heartbeat(index: usize, sequence: u64) -> NodeHeartbeat {
-    NodeHeartbeat {
-        node: Arc::from(format!("front-{index}")),
-        sequence,
-        stage: NodeStage::Serving,
-        has_store: true,
-        is_planner: false,
-        front_address: Arc::from("front"),
-        peer_address: Arc::from("peer"),
-        data_centre: Arc::from("dc"),
-        processor_share: 120,
-        age: Duration::ZERO,
-    }
+fn heartbeat_of(index: usize, sequence: u64) -> NodeHeartbeat {
+    heartbeat(&format!("front-{index}"), sequence)
 }
 
 struct SimNode {
@@ -117,7 +92,7 @@
             }
         }
         let node = |index: usize| SimNode {
-            directory: NodeDirectory::new(heartbeat(index, 1)),
+            directory: NodeDirectory::new(heartbeat_of(index, 1)),
             tracker: LimitTracker::new(),
             starts_at: 0,
             frozen_until: 0,
@@ -195,7 +170,7 @@
             (0..self.nodes.len()).filter(|index| self.is_connected(*index)).collect();
         for receiver in &known {
             for sender in &known {
-                let heartbeat = heartbeat(*sender, self.now + 1);
+                let heartbeat = heartbeat_of(*sender, self.now + 1);
                 self.nodes[*receiver].directory.merge(heartbeat, now);
             }
         }
@@ -220,9 +195,9 @@
             }
             _ => {
                 let index = self.nodes.len();
-                let mut directory = NodeDirectory::new(heartbeat(index, 1));
+                let mut directory = NodeDirectory::new(heartbeat_of(index, 1));
                 for other in 0..index {
-                    directory.merge(heartbeat(other, 1), start);
+                    directory.merge(heartbeat_of(other, 1), start);
                 }
                 let mut node = SimNode {
                     directory,
--- a/crates/eelgrassdeal_gateway/tests/common/mod.rs
+++ b/crates/eelgrassdeal_gateway/tests/common/mod.rs
@@ -129,6 +129,14 @@
     }
 }
 
+/// Bounds in the settings of the gateways, under the names that they have there.
+#[derive(Clone, Copy, Debug)]
+struct GatewayBounds {
+    retry_slack: u32,
+    memory_mb: u32,
+    max_fds: u64,
+}
+
 /// The fakes of a platform, and its gateways.
 pub struct TestPlatform {
     pub store: MetadataStoreFake,
@@ -141,12 +149,7 @@
     pub violations: Rc<RefCell<Vec<String>>>,
     pub gateways: Vec<GatewayProcess>,
     pub pool: ConnectionPool,
-    /// `retry_slack` in the settings of the gateways.
-    retry_slack: u32,
-    /// `memory_mb` in the settings of the gateways.
-    memory_mb: u32,
-    /// `max_fds` in the settings of the gateways.
-    max_fds: u64,
+    bounds: GatewayBounds,
     /// Where the gateways write their logs; `None` for a file each.
     log: Option<PathBuf>,
     _server: ServerHandle,
@@ -165,9 +168,7 @@
             violations: Rc::default(),
             gateways: Vec::new(),
             pool: ConnectionPool::new(),
-            retry_slack: 132,
-            memory_mb: 256,
-            max_fds: 4_096,
+            bounds: GatewayBounds { retry_slack: 132, memory_mb: 256, max_fds: 4_096 },
             log: None,
             _server: server,
         };
@@ -230,19 +231,22 @@
     }
 
     /// Sets the retries that the gateways may make in a window beyond a share of their requests.
-    pub fn with_retry_slack(self, retry_slack: u32) -> Self {
-        Self { retry_slack, ..self }
+    pub fn with_retry_slack(mut self, retry_slack: u32) -> Self {
+        self.bounds.retry_slack = retry_slack;
+        self
     }
 
     /// Sets the memory limit of the gateways, which nothing but they themselves keep.
-    pub fn with_memory_mb(self, memory_mb: u32) -> Self {
-        Self { memory_mb, ..self }
+    pub fn with_memory_mb(mut self, memory_mb: u32) -> Self {
+        self.bounds.memory_mb = memory_mb;
+        self
     }
 
     /// Sets the limit of descriptors in the settings of the gateways; see
     /// [`GatewayProcess::enforce_max_fds`].
-    pub fn with_max_fds(self, max_fds: u64) -> Self {
-        Self { max_fds, ..self }
+    pub fn with_max_fds(mut self, max_fds: u64) -> Self {
+        self.bounds.max_fds = max_fds;
+        self
     }
 
     /// Has the gateways write their logs to `path`.
@@ -256,13 +260,12 @@
         let seeds: Vec<_> = addresses.iter().map(|[.., peer]| peer.clone()).collect();
         for (index, addresses) in addresses.into_iter().enumerate() {
             let store = self.store_address.clone();
-            let bounds = (self.retry_slack, self.memory_mb, self.max_fds);
             self.gateways.push(start_gateway(
                 index,
                 addresses,
                 &seeds,
                 &store,
-                bounds,
+                self.bounds,
                 self.log.as_deref(),
             ));
         }
@@ -277,13 +280,12 @@
         let seeds: Vec<String> =
             self.gateways.iter().map(|gateway| gateway.peer.to_string()).collect();
         let index = self.gateways.len();
-        let bounds = (self.retry_slack, self.memory_mb, self.max_fds);
         self.gateways.push(start_gateway(
             index,
             free_addresses(),
             &seeds,
             store,
-            bounds,
+            self.bounds,
             self.log.as_deref(),
         ));
     }
@@ -451,6 +453,17 @@
         .expect("a valid request")
 }
 
+/// When a refused caller is told to come back; `None` if it isn't told.
+///
+/// # Panics
+///
+/// When the header is no number of seconds.
+pub fn retry_after(answer: &BufferedResponse) -> Option<Duration> {
+    let value = answer.headers.get("retry-after")?;
+    let seconds = value.to_str().expect("text").parse().expect("a number of seconds");
+    Some(Duration::from_secs_f64(seconds))
+}
+
 /// Body of a complete stream of `count` events.
 pub fn complete_stream(count: u64) -> String {
     (1..=count).map(|id| format!("id: {id}\ndata: event {id}\n\n")).collect()
@@ -466,10 +479,11 @@
     addresses: [String; 3],
     seeds: &[String],
     store: &str,
-    (retry_slack, memory_mb, max_fds): (u32, u32, u64),
+    bounds: GatewayBounds,
     log: Option<&Path>,
 ) -> GatewayProcess {
     let [front, locator, peer] = addresses;
+    let GatewayBounds { retry_slack, memory_mb, max_fds } = bounds;
     let settings = format!(
         "node_name = \"node-{index}\"\nzone = \"zone-a\"\nregion = \"region\"\nip = \"127.0.0.1\"\n\
          port_range = [1, 2]\nseeds = {seeds:?}\n[listen]\nfront = \"{front}\"\nready = \"{locator}\"\n\
--- a/crates/eelgrassdeal_gateway/tests/connection_limit.rs
+++ b/crates/eelgrassdeal_gateway/tests/connection_limit.rs
@@ -4,12 +4,11 @@
 
 use std::time::Duration;
 
-use common::{API_KEY, HOST, PLAIN_SERVICE, TestPlatform};
+use common::{API_KEY, HOST, TestPlatform};
 use compio::BufResult;
 use compio::io::{AsyncRead, AsyncWriteExt};
 use compio::net::TcpStream;
 use compio::time::sleep;
-use eelgrassdeal_standins::WorkerOptions;
 
 /// Limit of descriptors of the gateway.
 const MAX_FDS: u64 = 400;
@@ -33,10 +32,7 @@
 #[compio::test]
 async fn idle_connections_leave_descriptors_for_upstreams() {
     let platform = TestPlatform::new().await.with_max_fds(MAX_FDS);
-    platform.write_config(2, &[API_KEY]);
-    let options = WorkerOptions::new("i-desk0", PLAIN_SERVICE, "zone-a");
-    platform.start_worker(options).await;
-    let platform = platform.with_gateways(1).await;
+    let platform = platform.with_plain_workers(1).await.with_gateways(1).await;
     platform.gateways[0].enforce_max_fds(MAX_FDS);
     let front = platform.gateways[0].front.clone();
     let connect = || TcpStream::connect(&*front);
--- a/crates/eelgrassdeal_gateway/tests/rate_limits.rs
+++ b/crates/eelgrassdeal_gateway/tests/rate_limits.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use common::{API_KEY, PLAIN_SERVICE, TestPlatform, caller_request};
+use common::{API_KEY, PLAIN_SERVICE, TestPlatform, caller_request, retry_after};
 use compio::time::sleep;
 use eelgrassdeal_http::{BufferedResponse, SendOptions};
 use eelgrassdeal_standins::{WorkerArrival, WorkerFake, WorkerOptions};
@@ -54,12 +54,8 @@
 
 impl CallResult {
     fn new(answer: &BufferedResponse, took: Duration) -> Self {
-        let retry_after = answer.headers.get("retry-after").map(|value| {
-            let seconds = value.to_str().expect("text").parse().expect("a number of seconds");
-            Duration::from_secs_f64(seconds)
-        });
         let text = String::from_utf8_lossy(&answer.body).into_owned();
-        Self { status: answer.status, retry_after, text, took }
+        Self { status: answer.status, retry_after: retry_after(answer), text, took }
     }
 }
 
--- a/crates/eelgrassdeal_gateway/tests/request_bodies.rs
+++ b/crates/eelgrassdeal_gateway/tests/request_bodies.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use common::{API_KEY, PLAIN_SERVICE, TestPlatform, caller_request};
+use common::{API_KEY, PLAIN_SERVICE, TestPlatform, caller_request, retry_after};
 use compio::time::sleep;
 use eelgrassdeal_http::{BufferedResponse, SendFailure, SendOptions};
 use eelgrassdeal_standins::WorkerOptions;
@@ -40,11 +40,6 @@
     platform.pool.call(&front, request, SendOptions::default(), CALL_TIMEOUT, 4_096).await
 }
 
-fn retry_after(answer: &BufferedResponse) -> Option<Duration> {
-    let seconds = answer.headers.get("retry-after")?.to_str().ok()?.parse().ok()?;
-    Some(Duration::from_secs_f64(seconds))
-}
-
 /// Bodies as large as the configuration allows used up the memory of the process together.
 #[compio::test]
 async fn large_bodies_in_progress_stay_within_the_memory_limit() {
--- a/crates/eelgrassdeal_gateway/tests/upstream_notices.rs
+++ b/crates/eelgrassdeal_gateway/tests/upstream_notices.rs
@@ -6,6 +6,7 @@
 
 use common::{
     API_KEY, ENGINE_SERVICE, PLAIN_SERVICE, TestPlatform, caller_request, complete_stream,
+    retry_after,
 };
 use compio::time::sleep;
 use eelgrassdeal_http::{BufferedResponse, SendOptions};
@@ -49,11 +50,6 @@
     answer.status == 503 && text.contains("has asked for no requests")
 }
 
-fn retry_after(answer: &BufferedResponse) -> Duration {
-    let value = answer.headers.get("retry-after").expect("a time to come back");
-    Duration::from_secs_f64(value.to_str().expect("text").parse().expect("seconds"))
-}
-
 #[compio::test]
 async fn leaving_worker_gets_no_requests_while_its_row_says_ready_and_the_store_is_down() {
     let platform = TestPlatform::new().await.with_plain_workers(2).await.with_gateways(1).await;
@@ -207,7 +203,7 @@
     for index in 0..20 {
         let answer = send(&platform, 0, "/book/x", &format!("id-{index}")).await;
         assert!(is_refused_for_pauses(&answer), "{answer:?}");
-        waits.push(asked.elapsed() + retry_after(&answer));
+        waits.push(asked.elapsed() + retry_after(&answer).expect("a time to come back"));
     }
     let (first, last) = (waits.iter().min().expect("20"), waits.iter().max().expect("20"));
     assert!(*first >= PAUSE, "a caller would come back in the pause, after {first:?}");
