Log and count requests whose connection ends without a whole response

A request that no handler saw left neither a line nor a number. PhaseClock observes a connection at its socket, its service and its response bodies; when the connection ends in any phase but idle, also by a panic or the end of the process, a line at level info names the phase, the request and the reason, and eelgrassdeal_unanswered_requests_total counts it.

--- a/crates/eelgrassdeal_gateway/src/lib.rs
+++ b/crates/eelgrassdeal_gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //! table changes with other nodes, and one that forms, repairs and removes groups of upstreams
 //! while this node holds the planner's lease. The tasks share a `GatewayState` by `Rc`.
 
+mod connection;
 mod connection_limit;
 mod crash;
 mod follow;
--- a/crates/eelgrassdeal_gateway/src/server.rs
+++ b/crates/eelgrassdeal_gateway/src/server.rs
@@ -1,34 +1,23 @@
 //! HTTP/1.1 server for all listen addresses of the gateway.
 
-use std::cell::Cell;
-use std::convert::Infallible;
 use std::io;
-use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use compio::net::{TcpListener, TcpStream};
-use cyper_core::CompioTimer;
-use eelgrassdeal_http::{BoundedSocket, discard_unread, reset_connection};
+use compio::net::TcpListener;
 use eelgrassdeal_logging::LogLimiter;
-use eelgrassdeal_types::{CallError, ErrorKind};
+use futures_util::StreamExt;
 use futures_util::stream::LocalBoxStream;
-use futures_util::{FutureExt, StreamExt};
 use http_body_util::{Either, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
 use hyper::header::{CONTENT_TYPE, HeaderValue};
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode, Version};
+use hyper::{Request, Response, StatusCode};
 
+use crate::connection::serve_connection;
 use crate::connection_limit::ConnectionLimit;
 use crate::state::{CountGuard, GatewayState};
 
-/// A connection whose other side accepts no byte for this long is closed.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
-/// Smallest buffer that hyper accepts for the head of a request.
-const MIN_HEAD_BYTES: usize = 8 * 1024;
 /// Delay after a failed accept, for example when no file descriptor is free: open connections may
 /// end meanwhile.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -78,12 +67,12 @@
     loop {
         let permit = limit.reserve().await;
         match listener.accept().await {
-            Ok((stream, _)) => {
+            Ok((stream, caller)) => {
                 let (state, handler) = (state.clone(), handler.clone());
                 compio::runtime::spawn(async move {
                     let _permit = permit;
                     let _open = CountGuard::new(&state.connections);
-                    serve_connection(stream, handler, state.unflushed.clone()).await;
+                    serve_connection(stream, caller, handler, state.unflushed.clone()).await;
                 })
                 .detach();
             }
@@ -96,56 +85,3 @@
         }
     }
 }
-
-/// Answers a request also if its handler panics.
-async fn handle_or_report_panic<H: RequestHandler>(
-    handler: Rc<H>,
-    request: Request<Incoming>,
-) -> Reply {
-    let reply = AssertUnwindSafe(Box::pin(handler.handle(request))).catch_unwind().await;
-    reply.unwrap_or_else(|_| {
-        // An upstream may have run the request.
-        let error = CallError::new(ErrorKind::Internal, "an unexpected error of the node");
-        let response = error.kind.response();
-        let status = StatusCode::from_u16(response.status).unwrap_or(StatusCode::BAD_GATEWAY);
-        full_reply(status, "text/plain", Bytes::from(format!("{error}\n")))
-    })
-}
-
-async fn serve_connection<H: RequestHandler>(
-    stream: TcpStream,
-    handler: Rc<H>,
-    unflushed: Rc<Cell<u32>>,
-) {
-    // Without Nagle's algorithm an event of a stream is sent before the previous one is
-    // acknowledged.
-    let _ = stream.set_nodelay(true);
-    let raw_stream = stream.clone();
-    let (header_timeout, max_head_bytes) = handler.head_limits();
-    let has_chunks = Rc::new(Cell::new(true));
-    let version_seen = has_chunks.clone();
-    let service = service_fn(move |request: Request<Incoming>| {
-        let handler = handler.clone();
-        version_seen.set(request.version() >= Version::HTTP_11);
-        async move { Ok::<_, Infallible>(handle_or_report_panic(handler, request).await) }
-    });
-    let socket = BoundedSocket::new_plain(stream, WRITE_TIMEOUT).with_unflushed_count(unflushed);
-    let ended = http1::Builder::new()
-        .timer(CompioTimer)
-        .header_read_timeout(header_timeout)
-        .max_buf_size(max_head_bytes.max(MIN_HEAD_BYTES))
-        .serve_connection(socket, service)
-        .await;
-    match ended {
-        // Closing the socket with unread bytes would reset the connection, and the caller could
-        // lose the last response.
-        Ok(()) => discard_unread(raw_stream).await,
-        Err(error) => {
-            log::debug!("event=connection_ended reason=\"{error}\"");
-            // Without chunks, a plain close would make a response that was cut look complete.
-            if !has_chunks.get() {
-                reset_connection(raw_stream);
-            }
-        }
-    }
-}
--- a/crates/eelgrassdeal_http/src/lib.rs
+++ b/crates/eelgrassdeal_http/src/lib.rs
@@ -1,15 +1,18 @@
 //! HTTP/1.1 on compio: sockets with bounded buffers and pooled connections to other processes.
 //!
 //! - [`BoundedSocket`] adapts a compio TCP or TLS stream to hyper.
+//! - [`PhaseClock`] tells what a server connection is doing.
 //! - [`discard_unread`] closes a server connection so that the caller receives the last response,
 //!   and [`reset_connection`] so that it can tell that the last response is incomplete.
 //! - [`ConnectionPool`] sends requests on connections that are reused only after a response was
 //!   read completely, and reset if it was not.
 
 mod discard;
+mod phase;
 mod pool;
 mod socket;
 
 pub use discard::{discard_unread, reset_connection};
+pub use phase::{ConnectionPhase, PhaseClock, TrackedBody};
 pub use pool::{BufferedResponse, ConnectionPool, PooledResponse, SendFailure, SendOptions};
 pub use socket::{BoundedSocket, CLIENT_BUFFER_BYTES};
--- /dev/null
+++ b/crates/eelgrassdeal_http/src/phase.rs
@@ -0,0 +1,155 @@
+//! What a server connection is doing, observed at its socket, its service and its response bodies.
+
+use std::cell::Cell;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Instant;
+
+use hyper::Method;
+use hyper::body::{Body, Frame, SizeHint};
+
+/// What a server connection is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionPhase {
+    /// It waits for the first byte of a request; all responses have left.
+    Idle,
+    /// A part of a request's head has been received.
+    Head,
+    /// A request has been received, and its response has not begun.
+    Request,
+    /// A response is being sent. The last phase of a connection whose response stays incomplete.
+    Response,
+    /// A response is complete, and the system has not taken all of it.
+    Flush,
+}
+
+impl ConnectionPhase {
+    /// Name for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Idle => "idle",
+            Self::Head => "head",
+            Self::Request => "request",
+            Self::Response => "response",
+            Self::Flush => "flush",
+        }
+    }
+}
+
+/// The phase of one server connection and when it began. The connection's socket, service and response
+/// bodies share it.
+///
+/// Bytes of a next request that arrive before the response to the previous one is complete don't count
+/// as its head.
+#[derive(Debug)]
+pub struct PhaseClock {
+    phase: Cell<ConnectionPhase>,
+    since: Cell<Instant>,
+    requests: Cell<u64>,
+    /// Whether the response to the current request has no body, whatever its headers say.
+    is_head_request: Cell<bool>,
+}
+
+impl PhaseClock {
+    /// Creates the clock of a connection that has just been accepted.
+    pub fn new() -> Rc<Self> {
+        Rc::new(Self {
+            phase: Cell::new(ConnectionPhase::Idle),
+            since: Cell::new(Instant::now()),
+            requests: Cell::new(0),
+            is_head_request: Cell::new(false),
+        })
+    }
+
+    /// What the connection is doing.
+    pub fn phase(&self) -> ConnectionPhase {
+        self.phase.get()
+    }
+
+    /// When the phase began.
+    pub fn since(&self) -> Instant {
+        self.since.get()
+    }
+
+    /// Number of requests whose heads have been received.
+    pub fn request_count(&self) -> u64 {
+        self.requests.get()
+    }
+
+    /// Records that the head of a request with this method is complete.
+    pub fn begin_request(&self, method: &Method) {
+        self.requests.set(self.requests.get() + 1);
+        self.is_head_request.set(method == Method::HEAD);
+        self.enter(ConnectionPhase::Request);
+    }
+
+    /// Records that the response to the request begins, and observes its body.
+    pub fn begin_response<B: Body>(self: &Rc<Self>, body: B) -> TrackedBody<B> {
+        self.enter(ConnectionPhase::Response);
+        let is_whole = self.is_head_request.get() || body.is_end_stream();
+        TrackedBody { body, is_whole, clock: self.clone() }
+    }
+
+    /// Records that bytes have been received.
+    pub(crate) fn record_read(&self) {
+        if matches!(self.phase.get(), ConnectionPhase::Idle | ConnectionPhase::Flush) {
+            self.enter(ConnectionPhase::Head);
+        }
+    }
+
+    /// Records that the system has taken all output.
+    pub(crate) fn record_flush(&self) {
+        if self.phase.get() == ConnectionPhase::Flush {
+            self.enter(ConnectionPhase::Idle);
+        }
+    }
+
+    fn enter(&self, phase: ConnectionPhase) {
+        self.phase.set(phase);
+        self.since.set(Instant::now());
+    }
+}
+
+/// Body of a response that tells its connection's [`PhaseClock`] of its end.
+#[derive(Debug)]
+pub struct TrackedBody<B> {
+    body: B,
+    is_whole: bool,
+    clock: Rc<PhaseClock>,
+}
+
+impl<B: Body + Unpin> Body for TrackedBody<B> {
+    type Data = B::Data;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
+        let polled = Pin::new(&mut self.body).poll_frame(context);
+        self.is_whole |= match &polled {
+            Poll::Ready(None) => true,
+            Poll::Ready(Some(Ok(_))) => self.body.is_end_stream(),
+            Poll::Ready(Some(Err(_))) | Poll::Pending => false,
+        };
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// The server drops a body as soon as it is complete, or with the connection.
+impl<B> Drop for TrackedBody<B> {
+    fn drop(&mut self) {
+        if self.is_whole {
+            self.clock.enter(ConnectionPhase::Flush);
+        }
+    }
+}
--- a/crates/eelgrassdeal_http/src/socket.rs
+++ b/crates/eelgrassdeal_http/src/socket.rs
@@ -13,6 +13,8 @@
 use futures_util::{AsyncRead, AsyncWrite};
 use hyper::rt::{Read, ReadBufCursor, Write};
 
+use crate::phase::PhaseClock;
+
 /// Size of each of the two buffers of a socket, one for reads and one for writes. [`BoundedSocket`]
 /// is used in place of the adapter of `cyper-core`, which lets the buffers grow to 64 MiB.
 const SOCKET_BUFFER_BYTES: usize = 2 * 1024;
@@ -37,6 +39,7 @@
     write_timer: Option<WriteTimer>,
     is_reset_at_end: Rc<Cell<bool>>,
     output: OutputMark,
+    phase_clock: Option<Rc<PhaseClock>>,
     /// Number of reads since the connection last waited for data or let others run.
     reads_in_turn: u32,
 }
@@ -56,6 +59,7 @@
             write_timer: None,
             is_reset_at_end: Rc::default(),
             output: OutputMark::default(),
+            phase_clock: None,
             reads_in_turn: 0,
         }
     }
@@ -66,6 +70,12 @@
         self
     }
 
+    /// Reports what is read and written to the clock of a server connection.
+    pub fn with_phase_clock(mut self, phase_clock: Rc<PhaseClock>) -> Self {
+        self.phase_clock = Some(phase_clock);
+        self
+    }
+
     /// Shares a flag by which the socket is not shut down, since its owner resets the connection.
     pub(crate) fn with_reset_flag(mut self, is_reset_at_end: Rc<Cell<bool>>) -> Self {
         self.is_reset_at_end = is_reset_at_end;
@@ -146,6 +156,9 @@
         let result = Pin::new(&mut this.stream).poll_read(context, &mut bytes[..max_count]);
         this.reads_in_turn = if result.is_ready() { this.reads_in_turn + 1 } else { 0 };
         let count = ready!(result)?;
+        if let Some(clock) = this.phase_clock.as_ref().filter(|_| count > 0) {
+            clock.record_read();
+        }
         cursor.put_slice(&bytes[..count]);
         Poll::Ready(Ok(()))
     }
@@ -186,6 +199,9 @@
         let result = Pin::new(&mut this.stream).poll_flush(context);
         if result.is_ready() {
             this.output.set(false);
+            if let Some(clock) = &this.phase_clock {
+                clock.record_flush();
+            }
         }
         this.check_write_timeout(context, result)
     }
