Announce the end of a connection whose request body was not read

Callers got a refusal (401, 404, 413, 503) before their body was read, on a connection that seemed to go on. hyper ends it after such a response. A request that the caller sent next on it was read by discard_unread and got no answer.

The end was announced only if hyper noticed the unread body before it wrote the head of the response, which it does when the handler waits in between.

RequestBody remembers whether it was read to its end, and a response to a request whose body was not says `Connection: close`.

The test failed before: the 401 had no `connection: close`.

--- a/crates/eelgrassdeal_gateway/src/connection.rs
+++ b/crates/eelgrassdeal_gateway/src/connection.rs
@@ -12,12 +12,13 @@
 use compio::net::TcpStream;
 use cyper_core::CompioTimer;
 use eelgrassdeal_http::{
-    BoundedSocket, ConnectionPhase, PhaseClock, discard_unread, reset_connection,
+    BoundedSocket, ConnectionPhase, PhaseClock, RequestBody, discard_unread, reset_connection,
 };
 use eelgrassdeal_platform::CallerRequest;
 use eelgrassdeal_types::{CallError, ErrorKind};
 use futures_util::FutureExt;
 use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, StatusCode, Version};
@@ -52,10 +53,10 @@
         })
     }
 
-    fn begin_request(&self, request: &Request<Incoming>) {
+    fn begin_request(&self, request: Request<Incoming>) -> Request<RequestBody> {
         let id = CallerRequest::request_id(request.headers()).unwrap_or_else(|| Arc::from("-"));
         *self.request_id.borrow_mut() = id;
-        self.phase_clock.begin_request(request.method());
+        self.phase_clock.begin_request(request)
     }
 
     fn record_end(&self, ended: &hyper::Result<()>) {
@@ -94,7 +95,7 @@
 /// Answers a request also if its handler panics.
 async fn handle_or_report_panic<H: RequestHandler>(
     handler: Rc<H>,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Reply {
     let reply = AssertUnwindSafe(Box::pin(handler.handle(request))).catch_unwind().await;
     reply.unwrap_or_else(|_| {
@@ -125,10 +126,15 @@
     let request_report = report.clone();
     let service = service_fn(move |request: Request<Incoming>| {
         let (handler, phase_clock) = (handler.clone(), request_report.phase_clock.clone());
-        request_report.begin_request(&request);
         version_seen.set(request.version() >= Version::HTTP_11);
+        let request = request_report.begin_request(request);
+        let is_body_whole = request.body().whole_flag();
         async move {
-            let reply = handle_or_report_panic(handler, request).await;
+            let mut reply = handle_or_report_panic(handler, request).await;
+            // hyper ends a connection with an unread body, but announces it only sometimes.
+            if !is_body_whole.get() {
+                reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
             Ok::<_, Infallible>(reply.map(|body| phase_clock.begin_response(body)))
         }
     });
--- a/crates/eelgrassdeal_gateway/src/front/call.rs
+++ b/crates/eelgrassdeal_gateway/src/front/call.rs
@@ -8,10 +8,11 @@
 
 use bytes::{Bytes, BytesMut};
 use eelgrassdeal_dispatch::{CrashSuspect, RouteRule, ServiceConfig};
+use eelgrassdeal_http::RequestBody;
 use eelgrassdeal_platform::{CallerRequest, PromptPart};
 use eelgrassdeal_types::{ClientAccountId, ErrorKind, ServiceId};
 use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 use hyper::header::HeaderMap;
 use hyper::{Method, Request};
 use sha2::{Digest, Sha256};
@@ -68,7 +69,7 @@
     /// The refusal to send to the caller.
     pub(super) async fn read(
         state: &Rc<GatewayState>,
-        request: Request<Incoming>,
+        request: Request<RequestBody>,
         received: Instant,
     ) -> Result<Self, CallRefusal> {
         let (head, body) = request.into_parts();
@@ -281,13 +282,13 @@
 
 /// Reads a body of at most `limit` bytes into one buffer. Its memory is taken from the budget of `hold`
 /// before its bytes are read, and given back when the last copy of the body is dropped.
-async fn read_body(body: Incoming, limit: usize, hold: BufferHold) -> Result<Bytes, BodyError> {
+async fn read_body(body: RequestBody, limit: usize, hold: BufferHold) -> Result<Bytes, BodyError> {
     let read = compio::time::timeout(BODY_TIMEOUT, collect_body(body, limit, hold)).await;
     read.unwrap_or(Err(BodyError::Late))
 }
 
 async fn collect_body(
-    mut body: Incoming,
+    mut body: RequestBody,
     limit: usize,
     mut hold: BufferHold,
 ) -> Result<Bytes, BodyError> {
--- a/crates/eelgrassdeal_gateway/src/front/mod.rs
+++ b/crates/eelgrassdeal_gateway/src/front/mod.rs
@@ -11,8 +11,8 @@
 use std::time::{Duration, Instant};
 
 use eelgrassdeal_dispatch::{CallerLimits, NodeStage};
+use eelgrassdeal_http::RequestBody;
 use hyper::Request;
-use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 
 use crate::server::{Reply, RequestHandler};
@@ -29,7 +29,7 @@
         Self { state }
     }
 
-    async fn serve(&self, request: Request<Incoming>) -> Reply {
+    async fn serve(&self, request: Request<RequestBody>) -> Reply {
         let received = Instant::now();
         let state = &self.state;
         state.has_traffic.set(true);
@@ -59,7 +59,7 @@
 }
 
 impl RequestHandler for FrontHandler {
-    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Reply {
+    async fn handle(self: Rc<Self>, request: Request<RequestBody>) -> Reply {
         let _in_flight = InFlightGuard::new(&self.state);
         let mut reply = self.serve(request).await;
         if self.state.stage.get() == NodeStage::Leaving {
--- a/crates/eelgrassdeal_gateway/src/locator.rs
+++ b/crates/eelgrassdeal_gateway/src/locator.rs
@@ -8,8 +8,8 @@
 
 use bytes::Bytes;
 use eelgrassdeal_dispatch::NodeStage;
+use eelgrassdeal_http::RequestBody;
 use eelgrassdeal_platform::{LOCATOR_CONTENT_TYPE, LocatorEndpoint, locator_body};
-use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
 
 use crate::server::{Reply, RequestHandler, full_reply};
@@ -60,7 +60,7 @@
 }
 
 impl RequestHandler for LocatorHandler {
-    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Reply {
+    async fn handle(self: Rc<Self>, request: Request<RequestBody>) -> Reply {
         match LocatorEndpoint::for_request(request.method(), request.uri().path()) {
             LocatorEndpoint::Locate => self.locate(),
             LocatorEndpoint::Readiness => self.readiness(),
--- a/crates/eelgrassdeal_gateway/src/peers/serve.rs
+++ b/crates/eelgrassdeal_gateway/src/peers/serve.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use eelgrassdeal_http::RequestBody;
 use eelgrassdeal_schema::gateway::{RelayedOrder, SyncMessage};
 use eelgrassdeal_schema::{decode_message, encode_message};
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
 use prost::Message;
 
@@ -36,7 +36,7 @@
     }
 
     /// Applies a message of another node and replies with one.
-    async fn handle_sync(&self, body: Incoming) -> Reply {
+    async fn handle_sync(&self, body: RequestBody) -> Reply {
         match read_message::<SyncMessage>(body).await {
             Ok(sync) => {
                 let (role, node, versions) = message::apply_message(&self.state, sync, None);
@@ -49,7 +49,7 @@
     }
 
     /// Sends a relayed order to its upstream and replies with the outcome.
-    async fn handle_relay(&self, body: Incoming) -> Reply {
+    async fn handle_relay(&self, body: RequestBody) -> Reply {
         match read_message::<RelayedOrder>(body).await {
             Ok(order) => protobuf_reply(encode_message(
                 &relay::execute_relayed_order(&self.state, order).await,
@@ -60,7 +60,7 @@
 }
 
 impl RequestHandler for PeerHandler {
-    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Reply {
+    async fn handle(self: Rc<Self>, request: Request<RequestBody>) -> Reply {
         let path = request.uri().path().to_owned();
         match path.as_str() {
             SYNC_PATH => self.handle_sync(request.into_body()).await,
@@ -84,7 +84,7 @@
 /// # Errors
 ///
 /// The error response, if the message is incomplete or malformed.
-async fn read_message<M: Message + Default>(body: Incoming) -> Result<M, Reply> {
+async fn read_message<M: Message + Default>(body: RequestBody) -> Result<M, Reply> {
     let Ok(collected) = Limited::new(body, MAX_MESSAGE_BYTES).collect().await else {
         return Err(error_reply(StatusCode::BAD_REQUEST, "the message is incomplete or too large"));
     };
--- a/crates/eelgrassdeal_gateway/src/server.rs
+++ b/crates/eelgrassdeal_gateway/src/server.rs
@@ -6,11 +6,12 @@
 
 use bytes::Bytes;
 use compio::net::TcpListener;
+use eelgrassdeal_http::RequestBody;
 use eelgrassdeal_logging::LogLimiter;
 use futures_util::StreamExt;
 use futures_util::stream::LocalBoxStream;
 use http_body_util::{Either, Full, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::Frame;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 
@@ -49,7 +50,7 @@
 /// Handles the requests that arrive at one listen address.
 pub(crate) trait RequestHandler: 'static {
     /// Handles one request.
-    fn handle(self: Rc<Self>, request: Request<Incoming>) -> impl Future<Output = Reply>;
+    fn handle(self: Rc<Self>, request: Request<RequestBody>) -> impl Future<Output = Reply>;
 
     /// Limits for the head of a request: the maximum time until it is received, including the time
     /// for which the connection is idle before it, and its maximum size in bytes.
--- a/crates/eelgrassdeal_gateway/tests/common/mod.rs
+++ b/crates/eelgrassdeal_gateway/tests/common/mod.rs
@@ -307,6 +307,13 @@
 
     /// Like [`Self::write_config`], with request bodies of up to `max_body_bytes`.
     pub fn write_config_with_bodies(&self, version: u64, keys: &[&str], max_body_bytes: usize) {
+        let limits = json!({ "max_header_bytes": 16384, "max_body_bytes": max_body_bytes,
+            "header_timeout_ms": 3000, "idle_timeout_ms": 15000 });
+        self.write_config_with_limits(version, keys, limits);
+    }
+
+    /// Like [`Self::write_config`], with these limits for callers.
+    pub fn write_config_with_limits(&self, version: u64, keys: &[&str], limits: serde_json::Value) {
         let route = |name: &str, prefix: &str, kind: &str, service: &str, attempts: u32| {
             json!({ "name": name, "host": HOST, "path_prefix": prefix, "kind": kind,
                 "timeout_ms": 8000, "target_latency_ms": 300, "gap_target_ms": 300, "priority": 1,
@@ -327,8 +334,7 @@
                     "models": [{ "name": MODEL, "size": 2, "share": 1.0, "load_s": 0.1, "warm_s": 0.1 }] } },
                 { "name": PLAIN_SERVICE, "health_path": "/health", "max_conns": 50 },
             ],
-            "limits": { "max_header_bytes": 16384, "max_body_bytes": max_body_bytes,
-                "header_timeout_ms": 3000, "idle_timeout_ms": 15000 },
+            "limits": limits,
             "tenants": [{ "name": "account-1", "api_keys": keys, "priority": 1 }],
         });
         self.store.put("op", "config", config.to_string().as_bytes());
--- /dev/null
+++ b/crates/eelgrassdeal_gateway/tests/kept_connections.rs
@@ -0,0 +1,82 @@
+//! Connections that callers keep open between requests.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{API_KEY, HOST, TestPlatform};
+use compio::BufResult;
+use compio::io::{AsyncRead, AsyncWriteExt};
+use compio::net::TcpStream;
+use compio::time::sleep;
+use serde_json::json;
+
+const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+const HEAD_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time in which a gateway has read a configuration.
+const CONFIG_DELAY: Duration = Duration::from_secs(1);
+
+fn request_text(id: &str, key: &str, body_bytes: usize) -> String {
+    format!(
+        "POST /book/x HTTP/1.1\r\nhost: {HOST}\r\nauthorization: Bearer {key}\r\n\
+         x-eelgrassdeal-request-id: {id}\r\nx-eelgrassdeal-deadline-ms: 8000\r\n\
+         content-length: {body_bytes}\r\n\r\n"
+    )
+}
+
+/// A caller's connection on which requests follow each other.
+struct KeptConnection(TcpStream);
+
+impl KeptConnection {
+    async fn open(platform: &TestPlatform) -> Self {
+        let front = platform.gateways[0].front.clone();
+        Self(TcpStream::connect(&*front).await.expect("a connection"))
+    }
+
+    async fn write(&mut self, text: &str) {
+        // Without an open connection the response is missing.
+        let _ = self.0.write_all(text.as_bytes().to_vec()).await.0;
+    }
+
+    /// Reads one response, which is short; empty if the connection ends before it.
+    async fn read(&mut self) -> String {
+        let BufResult(_, head) = self.0.read(Vec::with_capacity(4_096)).await;
+        String::from_utf8_lossy(&head).to_lowercase()
+    }
+
+    async fn call(&mut self, id: &str) -> String {
+        self.write(&request_text(id, API_KEY, 0)).await;
+        self.read().await
+    }
+}
+
+fn write_timeouts(platform: &TestPlatform, version: u64, idle: Duration) {
+    let limits = json!({ "max_header_bytes": 16384, "max_body_bytes": 65_536,
+        "header_timeout_ms": HEAD_TIMEOUT.as_millis(), "idle_timeout_ms": idle.as_millis() });
+    platform.write_config_with_limits(version, &[API_KEY], limits);
+}
+
+async fn platform_with_timeouts() -> TestPlatform {
+    let platform = TestPlatform::new().await.with_plain_workers(1).await.with_gateways(1).await;
+    write_timeouts(&platform, 50, IDLE_TIMEOUT);
+    sleep(CONFIG_DELAY).await;
+    platform
+}
+
+/// A caller that reused the connection after such a refusal got no answer.
+#[compio::test]
+async fn refusal_before_the_body_is_read_says_that_the_connection_ends() {
+    let platform = platform_with_timeouts().await;
+    let mut connection = KeptConnection::open(&platform).await;
+    connection.write(&request_text("unread", "unknown-key", 10_000)).await;
+    let response = connection.read().await;
+    assert!(response.starts_with("http/1.1 401 "), "{response:?}");
+    assert!(response.contains("connection: close"), "{response:?}");
+
+    let mut connection = KeptConnection::open(&platform).await;
+    connection.write(&request_text("without-body", "unknown-key", 0)).await;
+    let response = connection.read().await;
+    assert!(response.starts_with("http/1.1 401 "), "{response:?}");
+    assert!(!response.contains("connection: close"), "{response:?}");
+    assert!(connection.call("next").await.starts_with("http/1.1 200 "));
+}
--- a/crates/eelgrassdeal_http/src/lib.rs
+++ b/crates/eelgrassdeal_http/src/lib.rs
@@ -13,6 +13,6 @@
 mod socket;
 
 pub use discard::{discard_unread, reset_connection};
-pub use phase::{ConnectionPhase, PhaseClock, TrackedBody};
+pub use phase::{ConnectionPhase, PhaseClock, RequestBody, TrackedBody};
 pub use pool::{BufferedResponse, ConnectionPool, PooledResponse, SendFailure, SendOptions};
 pub use socket::{BoundedSocket, CLIENT_BUFFER_BYTES};
--- a/crates/eelgrassdeal_http/src/phase.rs
+++ b/crates/eelgrassdeal_http/src/phase.rs
@@ -1,4 +1,5 @@
-//! What a server connection is doing, observed at its socket, its service and its response bodies.
+//! What a server connection is doing, observed at its socket, its service and the bodies of its requests
+//! and responses.
 
 use std::cell::Cell;
 use std::pin::Pin;
@@ -6,8 +7,9 @@
 use std::task::{Context, Poll};
 use std::time::Instant;
 
-use hyper::Method;
-use hyper::body::{Body, Frame, SizeHint};
+use bytes::Bytes;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::{Method, Request};
 
 /// What a server connection is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -77,11 +79,12 @@
         self.requests.get()
     }
 
-    /// Records that the head of a request with this method is complete.
-    pub fn begin_request(&self, method: &Method) {
+    /// Records that the head of `request` is complete, and observes its body.
+    pub fn begin_request(&self, request: Request<Incoming>) -> Request<RequestBody> {
         self.requests.set(self.requests.get() + 1);
-        self.is_head_request.set(method == Method::HEAD);
+        self.is_head_request.set(request.method() == Method::HEAD);
         self.enter(ConnectionPhase::Request);
+        request.map(RequestBody::new)
     }
 
     /// Records that the response to the request begins, and observes its body.
@@ -111,6 +114,49 @@
     }
 }
 
+/// Body of a request that knows whether it has been read to its end. A server connection ends after the
+/// response to a request whose body was not.
+#[derive(Debug)]
+pub struct RequestBody {
+    body: Incoming,
+    is_whole: Rc<Cell<bool>>,
+}
+
+impl RequestBody {
+    fn new(body: Incoming) -> Self {
+        let is_whole = Rc::new(Cell::new(body.is_end_stream()));
+        Self { body, is_whole }
+    }
+
+    /// Whether the body has been read to its end, also after it was dropped.
+    pub fn whole_flag(&self) -> Rc<Cell<bool>> {
+        self.is_whole.clone()
+    }
+}
+
+impl Body for RequestBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let polled = Pin::new(&mut self.body).poll_frame(context);
+        let is_end = matches!(polled, Poll::Ready(None)) || self.body.is_end_stream();
+        self.is_whole.set(is_end);
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// Body of a response that tells its connection's [`PhaseClock`] of its end.
 #[derive(Debug)]
 pub struct TrackedBody<B> {
