Give the head of a request a time of its own, under the configuration in force

Callers found a connection closed in the middle of a head that they sent in time. hyper has one timer for the idle time and the head, which begins at the end of the previous response: after 12 of 15 s without a request only 3 s were left for the head, whose limit is a time of its own. What came too late got no response. The limits were those of the moment at which the connection was accepted, so that a configuration with a longer idle timeout reached no open connection, and callers under the new one found theirs closed.

ServerWatch runs a connection beside its PhaseClock: the idle timeout ends with the first byte of a request, the head then has the header timeout and 1 s for the network, and both are asked for whenever the connection waits. A late head gets 408, which says that the request has not run. A connection whose socket has unread bytes isn't ended, as its request came while the process stood still. A new limit for the size of heads reaches a connection by its end after the next response.

Three tests failed before, with an empty response in place of 200, 408 and 200: head_after_a_long_idle_time_has_its_own_time, head_that_comes_too_late_is_answered_as_not_run, open_connections_have_the_idle_timeout_of_a_new_configuration. request_that_came_while_the_node_stood_still_is_answered passed before, too.

--- a/crates/eelgrassdeal_gateway/src/connection.rs
+++ b/crates/eelgrassdeal_gateway/src/connection.rs
@@ -10,9 +10,9 @@
 
 use bytes::Bytes;
 use compio::net::TcpStream;
-use cyper_core::CompioTimer;
 use eelgrassdeal_http::{
-    BoundedSocket, ConnectionPhase, PhaseClock, RequestBody, discard_unread, reset_connection,
+    BoundedSocket, ConnectionEnd, ConnectionPhase, PhaseClock, RequestBody, ServerWatch,
+    discard_unread, reject_late_head, reset_connection,
 };
 use eelgrassdeal_platform::CallerRequest;
 use eelgrassdeal_types::{CallError, ErrorKind};
@@ -43,9 +43,9 @@
 }
 
 impl ConnectionReport {
-    fn new(caller: SocketAddr) -> Rc<Self> {
+    fn new(caller: SocketAddr, phase_clock: Rc<PhaseClock>) -> Rc<Self> {
         Rc::new(Self {
-            phase_clock: PhaseClock::new(),
+            phase_clock,
             caller,
             request_id: RefCell::new(Arc::from("-")),
             end_reason: RefCell::new(None),
@@ -59,12 +59,16 @@
         self.phase_clock.begin_request(request)
     }
 
-    fn record_end(&self, ended: &hyper::Result<()>) {
-        let (reason, is_answered) = match ended {
+    fn record_end(&self, end: &ConnectionEnd) {
+        let (reason, is_answered) = match end {
             // Without an error, what arrived after the last response is the rest of its request's body.
-            Ok(()) => ("closed".to_owned(), self.phase_clock.phase() == ConnectionPhase::Head),
+            ConnectionEnd::Closed => {
+                ("closed".to_owned(), self.phase_clock.phase() == ConnectionPhase::Head)
+            }
+            ConnectionEnd::Idle => ("idle".to_owned(), true),
+            ConnectionEnd::LateHead => ("the head is late".to_owned(), true),
             // hyper answers what it can't parse.
-            Err(error) => (error.to_string(), error.is_parse()),
+            ConnectionEnd::Failed(error) => (error.to_string(), error.is_parse()),
         };
         *self.end_reason.borrow_mut() = Some(reason);
         self.is_answered.set(is_answered);
@@ -118,41 +122,56 @@
     // acknowledged.
     let _ = stream.set_nodelay(true);
     let raw_stream = stream.clone();
-    let (header_timeout, max_head_bytes) = handler.head_limits();
+    let max_head_bytes = handler.max_head_bytes();
     let has_chunks = Rc::new(Cell::new(true));
     let version_seen = has_chunks.clone();
-    let report = ConnectionReport::new(caller);
-    let phase_clock = report.phase_clock.clone();
-    let request_report = report.clone();
+    let mut watch = ServerWatch::new(stream.clone());
+    let report = ConnectionReport::new(caller, watch.phase_clock());
+    let (service_report, service_handler) = (report.clone(), handler.clone());
     let service = service_fn(move |request: Request<Incoming>| {
-        let (handler, phase_clock) = (handler.clone(), request_report.phase_clock.clone());
+        let (report, handler) = (service_report.clone(), service_handler.clone());
         version_seen.set(request.version() >= Version::HTTP_11);
-        let request = request_report.begin_request(request);
-        let is_body_whole = request.body().whole_flag();
+        let request = report.begin_request(request);
         async move {
-            let mut reply = handle_or_report_panic(handler, request).await;
-            // hyper ends a connection with an unread body, but announces it only sometimes.
-            if !is_body_whole.get() {
+            let is_body_whole = request.body().whole_flag();
+            let mut reply = handle_or_report_panic(handler.clone(), request).await;
+            // hyper ends a connection with an unread body, but announces it only sometimes. It keeps the
+            // limit for heads that it began with.
+            if !is_body_whole.get() || handler.max_head_bytes() != max_head_bytes {
                 reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
-            Ok::<_, Infallible>(reply.map(|body| phase_clock.begin_response(body)))
+            let clock = &report.phase_clock;
+            Ok::<_, Infallible>(reply.map(|body| clock.begin_response(body)))
         }
     });
     let socket = BoundedSocket::new_plain(stream, WRITE_TIMEOUT)
         .with_unflushed_count(unflushed)
-        .with_phase_clock(phase_clock);
-    let ended = http1::Builder::new()
-        .timer(CompioTimer)
-        .header_read_timeout(header_timeout)
-        .max_buf_size(max_head_bytes.max(MIN_HEAD_BYTES))
-        .serve_connection(socket, service)
-        .await;
-    report.record_end(&ended);
-    match ended {
+        .with_phase_clock(watch.phase_clock());
+    let end = {
+        let connection = http1::Builder::new()
+            .header_read_timeout(None)
+            .max_buf_size(max_head_bytes.max(MIN_HEAD_BYTES))
+            .serve_connection(socket, service);
+        watch.run(std::pin::pin!(connection), || handler.timeouts()).await
+    };
+    drop(watch);
+    report.record_end(&end);
+    match end {
         // Closing the socket with unread bytes would reset the connection, and the caller could
         // lose the last response.
-        Ok(()) => discard_unread(raw_stream).await,
-        Err(error) => {
+        ConnectionEnd::Closed => discard_unread(raw_stream).await,
+        ConnectionEnd::Idle => {
+            metrics::counter!("eelgrassdeal_idle_connections_ended_total").increment(1);
+        }
+        ConnectionEnd::LateHead => {
+            metrics::counter!("eelgrassdeal_late_heads_total").increment(1);
+            log::info!(
+                "event=late_head caller={caller} requests={}",
+                report.phase_clock.request_count()
+            );
+            reject_late_head(raw_stream).await;
+        }
+        ConnectionEnd::Failed(error) => {
             log::debug!("event=connection_ended reason=\"{error}\"");
             // Without chunks, a plain close would make a response that was cut look complete.
             if !has_chunks.get() {
--- a/crates/eelgrassdeal_gateway/src/front/mod.rs
+++ b/crates/eelgrassdeal_gateway/src/front/mod.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 use eelgrassdeal_dispatch::{CallerLimits, NodeStage};
-use eelgrassdeal_http::RequestBody;
+use eelgrassdeal_http::{RequestBody, ServerTimeouts};
 use hyper::Request;
 use hyper::header::{CONNECTION, HeaderValue};
 
@@ -19,6 +19,9 @@
 use crate::state::{GatewayState, InFlightGuard};
 use call::GatewayCall;
 
+/// Added to the time that callers may take for a head, for what the network adds to it.
+const HEAD_TRANSIT_MARGIN: Duration = Duration::from_secs(1);
+
 /// Handles requests of callers, on the listener `listen.front`.
 pub(crate) struct FrontHandler {
     state: Rc<GatewayState>,
@@ -29,6 +32,10 @@
         Self { state }
     }
 
+    fn limits(&self) -> CallerLimits {
+        self.state.config().map_or_else(CallerLimits::default, |config| config.limits)
+    }
+
     async fn serve(&self, request: Request<RequestBody>) -> Reply {
         let received = Instant::now();
         let state = &self.state;
@@ -69,11 +76,15 @@
         reply
     }
 
-    fn head_limits(&self) -> (Duration, usize) {
-        let limits = self.state.config().map_or_else(CallerLimits::default, |config| config.limits);
-        // The idle timeout is also the header timeout, in place of `CallerLimits::header_timeout`:
-        // hyper measures the header timeout from the end of the previous request, so a shorter one
-        // would close keep-alive connections.
-        (limits.idle_timeout, limits.max_head_bytes)
+    fn timeouts(&self) -> ServerTimeouts {
+        let limits = self.limits();
+        ServerTimeouts {
+            idle: limits.idle_timeout,
+            head: limits.header_timeout + HEAD_TRANSIT_MARGIN,
+        }
+    }
+
+    fn max_head_bytes(&self) -> usize {
+        self.limits().max_head_bytes
     }
 }
--- a/crates/eelgrassdeal_gateway/src/locator.rs
+++ b/crates/eelgrassdeal_gateway/src/locator.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use eelgrassdeal_dispatch::NodeStage;
-use eelgrassdeal_http::RequestBody;
+use eelgrassdeal_http::{RequestBody, ServerTimeouts};
 use eelgrassdeal_platform::{LOCATOR_CONTENT_TYPE, LocatorEndpoint, locator_body};
 use hyper::{Request, StatusCode};
 
@@ -22,9 +22,10 @@
 const LOCATOR_TTL: Duration = Duration::from_secs(2);
 /// Largest request head; locator and readiness requests have small ones.
 const MAX_HEAD_BYTES: usize = 8 * 1024;
-/// Maximum time until a request head is received, including the time for which the connection is
-/// idle before it.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(15);
+/// Time after which a connection without a request is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+/// Maximum time until a request head is received.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(4);
 /// Content type of readiness and error responses.
 const TEXT: &str = "text/plain";
 
@@ -70,7 +71,11 @@
         }
     }
 
-    fn head_limits(&self) -> (Duration, usize) {
-        (HEAD_TIMEOUT, MAX_HEAD_BYTES)
+    fn timeouts(&self) -> ServerTimeouts {
+        ServerTimeouts { idle: IDLE_TIMEOUT, head: HEAD_TIMEOUT }
+    }
+
+    fn max_head_bytes(&self) -> usize {
+        MAX_HEAD_BYTES
     }
 }
--- a/crates/eelgrassdeal_gateway/src/peers/serve.rs
+++ b/crates/eelgrassdeal_gateway/src/peers/serve.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use eelgrassdeal_http::RequestBody;
+use eelgrassdeal_http::{RequestBody, ServerTimeouts};
 use eelgrassdeal_schema::gateway::{RelayedOrder, SyncMessage};
 use eelgrassdeal_schema::{decode_message, encode_message};
 use http_body_util::{BodyExt, Limited};
@@ -19,9 +19,10 @@
 
 const METRICS_PATH: &str = "/metrics";
 const MAX_HEADER_BYTES: usize = 8 * 1024;
-/// Timeout for the headers of a request. It includes the time for which another node keeps an idle
-/// connection open between two requests.
-const HEADER_TIMEOUT: Duration = Duration::from_secs(60);
+/// Time after which another node's connection without a request is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// Timeout for the headers of a request.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
 const PROTOBUF_CONTENT_TYPE: &str = "application/x-protobuf";
 const TEXT_CONTENT_TYPE: &str = "text/plain";
 
@@ -74,8 +75,12 @@
         }
     }
 
-    fn head_limits(&self) -> (Duration, usize) {
-        (HEADER_TIMEOUT, MAX_HEADER_BYTES)
+    fn timeouts(&self) -> ServerTimeouts {
+        ServerTimeouts { idle: IDLE_TIMEOUT, head: HEADER_TIMEOUT }
+    }
+
+    fn max_head_bytes(&self) -> usize {
+        MAX_HEADER_BYTES
     }
 }
 
--- a/crates/eelgrassdeal_gateway/src/server.rs
+++ b/crates/eelgrassdeal_gateway/src/server.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use compio::net::TcpListener;
-use eelgrassdeal_http::RequestBody;
+use eelgrassdeal_http::{RequestBody, ServerTimeouts};
 use eelgrassdeal_logging::LogLimiter;
 use futures_util::StreamExt;
 use futures_util::stream::LocalBoxStream;
@@ -52,9 +52,11 @@
     /// Handles one request.
     fn handle(self: Rc<Self>, request: Request<RequestBody>) -> impl Future<Output = Reply>;
 
-    /// Limits for the head of a request: the maximum time until it is received, including the time
-    /// for which the connection is idle before it, and its maximum size in bytes.
-    fn head_limits(&self) -> (Duration, usize);
+    /// How long connections wait for their callers.
+    fn timeouts(&self) -> ServerTimeouts;
+
+    /// Maximum size of a request's head in bytes.
+    fn max_head_bytes(&self) -> usize;
 }
 
 /// Accepts connections, as far as `limit` permits, until the task is dropped.
--- a/crates/eelgrassdeal_gateway/tests/kept_connections.rs
+++ b/crates/eelgrassdeal_gateway/tests/kept_connections.rs
@@ -8,11 +8,13 @@
 use compio::BufResult;
 use compio::io::{AsyncRead, AsyncWriteExt};
 use compio::net::TcpStream;
-use compio::time::sleep;
+use compio::time::{sleep, timeout};
 use serde_json::json;
 
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 const HEAD_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Callers use connections that were idle for up to this part of the timeout.
+const USED_FRACTION: f64 = 0.8;
 /// Time in which a gateway has read a configuration.
 const CONFIG_DELAY: Duration = Duration::from_secs(1);
 
@@ -63,6 +65,50 @@
     platform
 }
 
+/// One timer for both closed the connection in the middle of a head that came in time.
+#[compio::test]
+async fn head_after_a_long_idle_time_has_its_own_time() {
+    let platform = platform_with_timeouts().await;
+    let mut connection = KeptConnection::open(&platform).await;
+    connection.call("first").await;
+    sleep(IDLE_TIMEOUT.mul_f64(USED_FRACTION)).await;
+    let text = request_text("slow", API_KEY, 0);
+    let (start, rest) = text.split_at(40);
+    connection.write(start).await;
+    sleep(HEAD_TIMEOUT.mul_f64(0.8)).await;
+    connection.write(rest).await;
+    let response = connection.read().await;
+    assert!(response.starts_with("http/1.1 200 "), "{response:?}");
+}
+
+/// The caller found its connection closed, and could not tell whether the request had run.
+#[compio::test]
+async fn head_that_comes_too_late_is_answered_as_not_run() {
+    let platform = platform_with_timeouts().await;
+    let mut connection = KeptConnection::open(&platform).await;
+    connection.write(&request_text("late", API_KEY, 0)[..40]).await;
+    let response = timeout(IDLE_TIMEOUT * 2, connection.read()).await.unwrap_or_default();
+    assert!(response.starts_with("http/1.1 408 "), "{response:?}");
+    assert!(response.contains("connection: close"), "{response:?}");
+}
+
+/// Connections kept the idle timeout that was in force when they were accepted.
+#[compio::test]
+async fn open_connections_have_the_idle_timeout_of_a_new_configuration() {
+    let platform = platform_with_timeouts().await;
+    let short = Duration::from_millis(1_500);
+    write_timeouts(&platform, 60, short);
+    sleep(CONFIG_DELAY).await;
+    let mut connection = KeptConnection::open(&platform).await;
+    connection.call("first").await;
+    write_timeouts(&platform, 70, IDLE_TIMEOUT);
+    sleep(CONFIG_DELAY).await;
+    connection.call("second").await;
+    sleep(IDLE_TIMEOUT.mul_f64(USED_FRACTION)).await;
+    let response = connection.call("third").await;
+    assert!(response.starts_with("http/1.1 200 "), "{response:?}");
+}
+
 /// A caller that reused the connection after such a refusal got no answer.
 #[compio::test]
 async fn refusal_before_the_body_is_read_says_that_the_connection_ends() {
@@ -80,3 +126,18 @@
     assert!(!response.contains("connection: close"), "{response:?}");
     assert!(connection.call("next").await.starts_with("http/1.1 200 "));
 }
+
+/// The timer of the connection and its request become due together when the node goes on.
+#[compio::test]
+async fn request_that_came_while_the_node_stood_still_is_answered() {
+    let platform = platform_with_timeouts().await;
+    let mut connection = KeptConnection::open(&platform).await;
+    connection.call("first").await;
+    sleep(IDLE_TIMEOUT.mul_f64(USED_FRACTION)).await;
+    platform.gateways[0].pause();
+    connection.write(&request_text("meanwhile", API_KEY, 0)).await;
+    sleep(Duration::from_secs(2)).await;
+    platform.gateways[0].unpause();
+    let response = connection.read().await;
+    assert!(response.starts_with("http/1.1 200 "), "{response:?}");
+}
