Tell callers for how long an idle connection may be used

Callers weren't told when a connection ends.

Responses say now how long the connection lasts (Keep-Alive: timeout=), four fifths of the idle timeout in whole seconds, and the connection is kept for the whole of it. What was told holds also if a new configuration has a shorter timeout.

The test failed before: no Keep-Alive in the response. The other new assertion, on a shorter timeout, guards what held before.

--- a/crates/eelgrassdeal_gateway/src/connection.rs
+++ b/crates/eelgrassdeal_gateway/src/connection.rs
@@ -18,7 +18,6 @@
 use eelgrassdeal_types::{CallError, ErrorKind};
 use futures_util::FutureExt;
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, StatusCode, Version};
@@ -135,12 +134,10 @@
         async move {
             let is_body_whole = request.body().whole_flag();
             let mut reply = handle_or_report_panic(handler.clone(), request).await;
-            // hyper ends a connection with an unread body, but announces it only sometimes. It keeps the
-            // limit for heads that it began with.
-            if !is_body_whole.get() || handler.max_head_bytes() != max_head_bytes {
-                reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-            }
+            // hyper ends a connection with an unread body, and keeps the limit that it began with.
+            let is_last = !is_body_whole.get() || handler.max_head_bytes() != max_head_bytes;
             let clock = &report.phase_clock;
+            ServerWatch::tell_caller(clock, reply.headers_mut(), handler.timeouts(), is_last);
             Ok::<_, Infallible>(reply.map(|body| clock.begin_response(body)))
         }
     });
--- a/crates/eelgrassdeal_gateway/tests/kept_connections.rs
+++ b/crates/eelgrassdeal_gateway/tests/kept_connections.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use common::{API_KEY, HOST, TestPlatform};
 use compio::BufResult;
@@ -52,6 +52,12 @@
     }
 }
 
+/// The time for which a response allows its connection to be idle.
+fn told_idle(response: &str) -> Option<Duration> {
+    let line = response.lines().find_map(|line| line.strip_prefix("keep-alive: timeout="))?;
+    Some(Duration::from_secs(line.trim().parse().ok()?))
+}
+
 fn write_timeouts(platform: &TestPlatform, version: u64, idle: Duration) {
     let limits = json!({ "max_header_bytes": 16384, "max_body_bytes": 65_536,
         "header_timeout_ms": HEAD_TIMEOUT.as_millis(), "idle_timeout_ms": idle.as_millis() });
@@ -65,6 +71,25 @@
     platform
 }
 
+/// A request crossed the end of its connection, as its caller didn't know for how long to use it.
+#[compio::test]
+async fn callers_are_told_how_long_an_idle_connection_lasts() {
+    let platform = platform_with_timeouts().await;
+    let mut connection = KeptConnection::open(&platform).await;
+    let response = connection.call("first").await;
+    let told = told_idle(&response).unwrap_or_else(|| panic!("no idle time in {response:?}"));
+    assert!(told > Duration::ZERO && told <= IDLE_TIMEOUT.mul_f64(USED_FRACTION), "{told:?}");
+
+    sleep(told).await;
+    let response = connection.call("later").await;
+    assert!(response.starts_with("http/1.1 200 "), "{response:?}");
+
+    let idle_since = Instant::now();
+    let end = timeout(IDLE_TIMEOUT * 2, connection.read()).await;
+    assert_eq!(end.as_deref(), Ok(""));
+    assert!(idle_since.elapsed() >= IDLE_TIMEOUT, "{:?}", idle_since.elapsed());
+}
+
 /// One timer for both closed the connection in the middle of a head that came in time.
 #[compio::test]
 async fn head_after_a_long_idle_time_has_its_own_time() {
@@ -107,6 +132,12 @@
     sleep(IDLE_TIMEOUT.mul_f64(USED_FRACTION)).await;
     let response = connection.call("third").await;
     assert!(response.starts_with("http/1.1 200 "), "{response:?}");
+
+    // What a caller was told holds until its next request.
+    write_timeouts(&platform, 80, short);
+    sleep(IDLE_TIMEOUT.mul_f64(USED_FRACTION)).await;
+    let response = connection.call("fourth").await;
+    assert!(response.starts_with("http/1.1 200 "), "{response:?}");
 }
 
 /// A caller that reused the connection after such a refusal got no answer.
--- a/crates/eelgrassdeal_http/src/phase.rs
+++ b/crates/eelgrassdeal_http/src/phase.rs
@@ -5,7 +5,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -49,6 +49,8 @@
     phase: Cell<ConnectionPhase>,
     since: Cell<Instant>,
     requests: Cell<u64>,
+    /// Idle timeout at the last response, which told the caller a part of it.
+    told_idle: Cell<Duration>,
     /// Whether the response to the current request has no body, whatever its headers say.
     is_head_request: Cell<bool>,
 }
@@ -60,6 +62,7 @@
             phase: Cell::new(ConnectionPhase::Idle),
             since: Cell::new(Instant::now()),
             requests: Cell::new(0),
+            told_idle: Cell::new(Duration::ZERO),
             is_head_request: Cell::new(false),
         })
     }
@@ -87,6 +90,16 @@
         request.map(RequestBody::new)
     }
 
+    /// Records that a response tells the caller a part of this idle timeout.
+    pub(crate) fn tell_idle(&self, timeout: Duration) {
+        self.told_idle.set(timeout);
+    }
+
+    /// Idle timeout at the last response that told the caller of it; zero if none did.
+    pub(crate) fn told_idle(&self) -> Duration {
+        self.told_idle.get()
+    }
+
     /// Records that the response to the request begins, and observes its body.
     pub fn begin_response<B: Body>(self: &Rc<Self>, body: B) -> TrackedBody<B> {
         self.enter(ConnectionPhase::Response);
--- a/crates/eelgrassdeal_http/src/server.rs
+++ b/crates/eelgrassdeal_http/src/server.rs
@@ -1,4 +1,4 @@
-//! Time limits of server connections.
+//! Time limits of server connections, and what callers are told of them.
 
 use std::future::poll_fn;
 use std::pin::Pin;
@@ -8,11 +8,16 @@
 
 use compio::io::AsyncWriteExt;
 use compio::net::TcpStream;
+use hyper::header::{CONNECTION, HeaderMap, HeaderName, HeaderValue};
 use rustix::io::ioctl_fionread;
 
 use crate::discard::discard_unread;
 use crate::phase::{ConnectionPhase, PhaseClock};
 
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+/// Fraction of the idle timeout for which callers are told to use a connection. The rest covers what is
+/// on its way, and a response that its caller reads slowly.
+const TOLD_FRACTION: f64 = 0.8;
 /// Delay of the end of a connection whose socket has bytes that have not been read yet.
 const INPUT_DELAY: Duration = Duration::from_millis(20);
 /// Response to a head that doesn't arrive in time. By its status the request has not run.
@@ -92,7 +97,11 @@
         loop {
             let since = self.phase_clock.since();
             let (deadline, end) = match self.phase_clock.phase() {
-                ConnectionPhase::Idle => (since + timeouts().idle, ConnectionEnd::Idle),
+                // The caller may rely on what it was told, also if the timeout is shorter by now.
+                ConnectionPhase::Idle => {
+                    let told = self.phase_clock.told_idle();
+                    (since + timeouts().idle.max(told), ConnectionEnd::Idle)
+                }
                 ConnectionPhase::Head => (since + timeouts().head, ConnectionEnd::LateHead),
                 _ => return Poll::Pending,
             };
@@ -116,6 +125,31 @@
             return Poll::Ready(end);
         }
     }
+
+    /// Tells the caller in the headers of a response for how long it may use the connection afterwards.
+    /// The connection ends after the response if `is_last`.
+    pub fn tell_caller(
+        phase_clock: &PhaseClock,
+        headers: &mut HeaderMap,
+        timeouts: ServerTimeouts,
+        is_last: bool,
+    ) {
+        let told = timeouts.idle.mul_f64(TOLD_FRACTION).as_secs();
+        match told {
+            _ if is_last => {
+                headers.insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            // Shorter times can't be told, as the header has whole seconds.
+            0 => {}
+            _ if headers.contains_key(CONNECTION) => {}
+            _ => {
+                if let Ok(value) = HeaderValue::from_str(&format!("timeout={told}")) {
+                    headers.insert(KEEP_ALIVE, value);
+                }
+                phase_clock.tell_idle(timeouts.idle);
+            }
+        }
+    }
 }
 
 impl WaitTimer {
