eelgrassdeal-node: tell callers when their connections end

The same faults as in the gateway: the header timeout also ended idle connections, without callers being told of it, a late head got no response, and the response to a request whose body was not read didn't announce the end of its connection. At a stop, hyper ended a connection in the middle of a head.

The node uses ServerWatch too. The idle timeout is still the header timeout, and begins anew with the first byte of a head.

Before, callers_are_told_when_their_connection_ends failed (401 without `connection: close`), and so does incomplete_requests_time_out with its check made stricter: a partial head gets 408, not only no 200. No test covers the head in progress at a stop.

--- a/crates/eelgrassdeal_node/src/admin.rs
+++ b/crates/eelgrassdeal_node/src/admin.rs
@@ -4,11 +4,11 @@
 use std::sync::OnceLock;
 use std::time::Instant;
 
+use eelgrassdeal_http::RequestBody;
 use eelgrassdeal_schema::admin::NodeStatus;
 use eelgrassdeal_schema::config::ConfigChange;
 use eelgrassdeal_schema::decode_message;
 use eelgrassdeal_types::{CallError, ErrorKind};
-use hyper::body::Incoming;
 use hyper::{Method, Request};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 
@@ -67,7 +67,7 @@
 /// Handles requests to paths below `/admin/`, which need the admin token.
 pub(crate) async fn handle_request(
     state: &Rc<NodeState>,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Result<Reply, CallError> {
     check_admin(state, &request)?;
     match (request.method().clone(), request.uri().path()) {
@@ -85,7 +85,7 @@
     }
 }
 
-fn check_admin(state: &NodeState, request: &Request<Incoming>) -> Result<(), CallError> {
+fn check_admin(state: &NodeState, request: &Request<RequestBody>) -> Result<(), CallError> {
     let presented = header_text(request.headers(), "authorization")
         .and_then(|value| value.strip_prefix("Bearer "));
     match (&state.secrets.admin, presented) {
--- a/crates/eelgrassdeal_node/src/chat/mod.rs
+++ b/crates/eelgrassdeal_node/src/chat/mod.rs
@@ -9,11 +9,11 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use eelgrassdeal_http::RequestBody;
 use eelgrassdeal_routing::{RequestFingerprint, affinity_key};
 use eelgrassdeal_schema::engine::{ChatRequest, ResumePoint};
 use eelgrassdeal_types::{CallError, ClientAccountId, ErrorKind, ModelId};
 use hyper::Request;
-use hyper::body::Incoming;
 use serde::Deserialize;
 use serde_json::Value;
 
@@ -50,7 +50,7 @@
 /// Handles `POST /v1/chat/completions`.
 pub(crate) async fn complete_chat(
     state: &Rc<NodeState>,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
     request_id: Arc<str>,
 ) -> Result<Reply, CallError> {
     let (parts, body) = request.into_parts();
--- a/crates/eelgrassdeal_node/src/http/body.rs
+++ b/crates/eelgrassdeal_node/src/http/body.rs
@@ -3,13 +3,16 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use eelgrassdeal_http::RequestBody;
 use eelgrassdeal_schema::settings::LimitSettings;
 use eelgrassdeal_types::{CallError, ErrorKind};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
 
 /// Reads a complete body, limited to `max_body_bytes` and `body_timeout_ms`.
-pub(crate) async fn read_body(body: Incoming, limits: &LimitSettings) -> Result<Bytes, CallError> {
+pub(crate) async fn read_body(
+    body: RequestBody,
+    limits: &LimitSettings,
+) -> Result<Bytes, CallError> {
     let limit = limits.max_body_bytes as usize;
     let timeout = Duration::from_millis(u64::from(limits.body_timeout_ms));
     match compio::time::timeout(timeout, Limited::new(body, limit).collect()).await {
--- a/crates/eelgrassdeal_node/src/http/mod.rs
+++ b/crates/eelgrassdeal_node/src/http/mod.rs
@@ -4,7 +4,6 @@
 mod reply;
 mod tls;
 
-use std::cell::Cell;
 use std::convert::Infallible;
 use std::io;
 use std::rc::Rc;
@@ -12,7 +11,6 @@
 
 use compio::net::{TcpListener, TcpStream};
 use compio::tls::TlsAcceptor;
-use cyper_core::CompioTimer;
 use futures_util::future::{Either, select};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -21,7 +19,10 @@
 
 use crate::state::{NodePhase, NodeState};
 use crate::{admin, call, chat, locate, service_call};
-use eelgrassdeal_http::{BoundedSocket, discard_unread};
+use eelgrassdeal_http::{
+    BoundedSocket, ConnectionEnd, ConnectionPhase, RequestBody, ServerTimeouts, ServerWatch,
+    discard_unread, reject_late_head,
+};
 
 pub(crate) use body::read_body;
 pub(crate) use reply::{
@@ -69,9 +70,12 @@
     let _ = stream.set_nodelay(true);
     let limits = state.limits;
     let header_timeout = Duration::from_millis(u64::from(limits.header_timeout_ms));
+    let timeouts = ServerTimeouts { idle: header_timeout, head: header_timeout };
     let raw_stream = stream.clone();
+    let is_encrypted = tls.is_some();
+    let mut watch = ServerWatch::new(stream.clone());
     let socket = match open_socket(stream, tls, header_timeout).await {
-        Ok(socket) => socket,
+        Ok(socket) => socket.with_phase_clock(watch.phase_clock()),
         Err(error) => {
             log::debug!("TLS handshake failed: {error}");
             // Closing a socket with unread bytes resets the connection, and the caller could lose
@@ -82,40 +86,55 @@
             return;
         }
     };
-    let handler_state = state.clone();
-    let has_request = Rc::new(Cell::new(false));
-    let has_request_setter = has_request.clone();
-    let service = service_fn(move |request| {
-        let state = handler_state.clone();
-        has_request_setter.set(true);
+    let (handler_state, phase_clock) = (state.clone(), watch.phase_clock());
+    let request_clock = phase_clock.clone();
+    let service = service_fn(move |request: Request<Incoming>| {
+        let (state, clock) = (handler_state.clone(), request_clock.clone());
+        let request = clock.begin_request(request);
         // hyper reserves the space for this future as long as the connection is open. The handler
-        // is boxed, so that this space is one pointer and its memory is freed before a stream
-        // begins.
-        async move { Ok::<_, Infallible>(Box::pin(route_request(state, request)).await) }
+        // is boxed, so that this space is small and its memory is freed before a stream begins.
+        let is_body_whole = request.body().whole_flag();
+        async move {
+            let mut reply = Box::pin(route_request(state, request)).await;
+            let is_last = !is_body_whole.get();
+            ServerWatch::tell_caller(&clock, reply.headers_mut(), timeouts, is_last);
+            Ok::<_, Infallible>(reply.map(|body| clock.begin_response(body)))
+        }
     });
     let connection = http1::Builder::new()
-        .timer(CompioTimer)
-        .header_read_timeout(header_timeout)
+        .header_read_timeout(None)
         .max_buf_size(limits.max_header_bytes as usize)
         .serve_connection(socket, service);
-    let mut connection = std::pin::pin!(connection);
+    let mut connection = Box::pin(connection);
     let close_signal = std::pin::pin!(state.front.close_signal.wait());
-    let ended = match select(connection.as_mut(), close_signal).await {
-        Either::Left((ended, _)) => ended,
-        Either::Right(_) => {
-            // hyper would close a connection without requests at once, although its first request
-            // may be in transit. That request is refused, and its response closes the connection.
-            if has_request.get() {
+    let ended = {
+        let running = std::pin::pin!(watch.run(connection.as_mut(), || timeouts));
+        match select(running, close_signal).await {
+            Either::Left((end, _)) => Some(end),
+            Either::Right(_) => None,
+        }
+    };
+    let end = match ended {
+        Some(end) => end,
+        None => {
+            // hyper would close a connection without requests at once, although its first request may be
+            // in transit, and one in the middle of a head. The request is refused, and its response
+            // closes the connection.
+            let is_in_head = phase_clock.phase() == ConnectionPhase::Head;
+            if phase_clock.request_count() > 0 && !is_in_head {
                 connection.as_mut().graceful_shutdown();
             }
-            connection.await
+            watch.run(connection.as_mut(), || timeouts).await
         }
     };
-    match ended {
+    drop((connection, watch));
+    match end {
         // Closing a socket with unread bytes resets the connection, and the caller could lose the
         // response.
-        Ok(()) => discard_unread(raw_stream).await,
-        Err(error) => log::debug!("connection ended: {error}"),
+        ConnectionEnd::Closed => discard_unread(raw_stream).await,
+        ConnectionEnd::LateHead if !is_encrypted => reject_late_head(raw_stream).await,
+        ConnectionEnd::LateHead | ConnectionEnd::Idle => {}
+        ConnectionEnd::Failed(error) => log::debug!("connection ended: {error}"),
     }
 }
 
@@ -150,7 +169,7 @@
     }
 }
 
-async fn route_request(state: Rc<NodeState>, request: Request<Incoming>) -> Reply {
+async fn route_request(state: Rc<NodeState>, request: Request<RequestBody>) -> Reply {
     let request_id = call::request_id(request.headers());
     let path = request.uri().path().to_owned();
     let method = request.method().clone();
--- a/crates/eelgrassdeal_node/src/service_call.rs
+++ b/crates/eelgrassdeal_node/src/service_call.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use eelgrassdeal_http::RequestBody;
 use eelgrassdeal_store::{ClaimOutcome, ClaimedCall, StoredResult};
 use eelgrassdeal_types::{CallError, ErrorKind, ReplicaId, unix_ms_now};
 use http_body_util::{BodyExt, Full, Limited};
@@ -47,7 +48,7 @@
 /// Handles `POST /v1/services/{service}/{call}`. `path` is the part `{service}/{call}`.
 pub(crate) async fn call_service(
     state: &Rc<NodeState>,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
     path: &str,
     request_id: Arc<str>,
 ) -> Result<Reply, CallError> {
--- a/crates/eelgrassdeal_node/tests/bad_input.rs
+++ b/crates/eelgrassdeal_node/tests/bad_input.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use compio::io::{AsyncReadExt, AsyncWriteExt};
+use compio::BufResult;
+use compio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
 use compio::net::TcpStream;
 use eelgrassdeal_schema::settings::LimitSettings;
 use eelgrassdeal_testkit::{ACCOUNT_KEY, FleetSpec, TestCaller, TestFleet, chat_request};
@@ -236,12 +237,31 @@
     assert_refused(&partial_body, (408, "request_timeout", "not_run"));
     let head = request.head();
     let partial_head = exchange(address, head[..head.len() / 2].to_owned()).await;
-    assert!(!partial_head.contains("200 OK"), "{partial_head}");
+    assert!(partial_head.starts_with("HTTP/1.1 408 "), "{partial_head}");
     exchange(address, String::new()).await;
     assert_eq!(fleet.run_count(), 0, "an incomplete request ran");
     assert_serves(&fleet).await;
 }
 
+/// Guards against callers that reuse a connection which ends: their next request had no response.
+#[compio::test]
+async fn callers_are_told_when_their_connection_ends() {
+    let fleet = start_fleet(LimitSettings::default()).await;
+    let address = fleet.node_addresses[0];
+    let unread =
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: node\r\ncontent-length: 10000\r\n\r\n{";
+    let refusal = exchange(address, unread.to_owned()).await.to_lowercase();
+    assert_eq!(status(&refusal), 401, "{refusal}");
+    assert!(refusal.contains("connection: close"), "{refusal}");
+
+    let mut stream = TcpStream::connect(address).await.expect("the node listens");
+    let text = b"GET /healthz HTTP/1.1\r\nhost: node\r\n\r\n".to_vec();
+    let _ = stream.write_all(text).await;
+    let BufResult(_, head) = stream.read(Vec::with_capacity(4_096)).await;
+    let head = String::from_utf8_lossy(&head).to_lowercase();
+    assert!(head.contains("keep-alive: timeout=8\r\n"), "{head}");
+}
+
 /// Guards against exceeding the limit of open connections when many arrive at the same time.
 #[compio::test]
 async fn connections_over_the_limit_are_closed() {
