A stopping node closes its listeners before it exits

Callers that went on sending to a stopping node got a reset on their last request: in trials with 24 callers, 24 requests in each of three stops, all at the exit, with in_flight=0 in the stop line.

Cause: the node exited when none of the looks at in_flight, every 20 ms, had found a request. A refusal takes less than a millisecond, so requests that came all the while did not count. The listeners stayed open until the process had ended, about 20 ms after the stop line, and the system took connections for it that nobody read.

Once nothing is in progress, the node now accepts what is queued, has the system refuse further connections, and exits when no request has begun for 200 ms. A caller learns from a refused connection that its request was not sent. Requests on open connections are refused with 503 and end them.

--- a/crates/eelgrassdeal_gateway/src/lib.rs
+++ b/crates/eelgrassdeal_gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod follow;
 mod front;
 mod lifecycle;
+mod listener;
 mod locator;
 mod metrics_export;
 mod mirror;
--- a/crates/eelgrassdeal_gateway/src/lifecycle.rs
+++ b/crates/eelgrassdeal_gateway/src/lifecycle.rs
@@ -11,11 +11,13 @@
 use eelgrassdeal_logging::dropped_lines;
 use eelgrassdeal_platform::load_settings;
 use error_stack::{Report, ResultExt};
+use futures_util::future::join_all;
 
 use crate::connection_limit::ConnectionLimit;
 use crate::crash::{decide_quarantines, maintain_stored_quarantines};
 use crate::follow::{follow_table, register_node};
 use crate::front::FrontHandler;
+use crate::listener::OpenListener;
 use crate::locator::LocatorHandler;
 use crate::metrics_export::install_metrics;
 use crate::notice::take_back_upstreams;
@@ -23,7 +25,7 @@
 use crate::placing::run_waiting_room;
 use crate::plan::run_planner;
 use crate::rate_limit::expire_limits;
-use crate::server::{RequestHandler, accept_connections};
+use crate::server::RequestHandler;
 use crate::signals::{ProcessSignals, SignalListener};
 use crate::state::GatewayState;
 use crate::tasks::spawn_restarting;
@@ -38,8 +40,8 @@
 const LOCATOR_FRACTION: f64 = 0.1;
 /// Part of the time until SIGKILL that is reserved for closing connections.
 const KILL_MARGIN: Duration = Duration::from_millis(400);
-/// Time without a request in progress, and without a response that the system has not taken, after which
-/// a leaving node exits.
+/// Time without a new request, a request in progress and a response that the system has not taken, after
+/// which a leaving node that has closed its listeners exits.
 const FLUSH_PERIOD: Duration = Duration::from_millis(200);
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Interval at which the settings file is checked for changes, which may come without a SIGHUP.
@@ -92,10 +94,13 @@
     let limited = |fraction| ConnectionLimit::new(settings.max_descriptors, fraction);
     let (front_limit, locator_limit) = (limited(FRONT_FRACTION), limited(LOCATOR_FRACTION));
     let unlimited = ConnectionLimit::unlimited;
-    listen(&state, Some(&settings.listen.peers), peers, unlimited()).await?;
-    listen(&state, settings.listen.front.as_ref(), front, front_limit).await?;
-    listen(&state, settings.listen.locator.as_ref(), locator.clone(), locator_limit).await?;
-    listen(&state, settings.listen.readiness.as_ref(), locator, unlimited()).await?;
+    let listen_at = &settings.listen;
+    let listeners = [
+        listen(&state, Some(&listen_at.peers), peers, unlimited()).await?,
+        listen(&state, listen_at.front.as_ref(), front, front_limit).await?,
+        listen(&state, listen_at.locator.as_ref(), locator.clone(), locator_limit).await?,
+        listen(&state, listen_at.readiness.as_ref(), locator, unlimited()).await?,
+    ];
     log::info!(
         "event=start node={} data_centre={} version={} listen={:?}",
         settings.node,
@@ -118,7 +123,7 @@
     compio::runtime::spawn(reload_on_signal(state.clone(), path.clone(), reload)).detach();
     compio::runtime::spawn(reload_on_change(state.clone(), path)).detach();
     stop.wait().await;
-    shut_down(&state).await;
+    shut_down(&state, listeners.into_iter().flatten().collect()).await;
     Ok(())
 }
 
@@ -136,39 +141,37 @@
     address: Option<&Arc<str>>,
     handler: Rc<H>,
     limit: Rc<ConnectionLimit>,
-) -> Result<(), Report<GatewayError>> {
-    let Some(address) = address else { return Ok(()) };
-    let listener = TcpListener::bind(&**address)
+) -> Result<Option<OpenListener>, Report<GatewayError>> {
+    let Some(address) = address else { return Ok(None) };
+    let socket = TcpListener::bind(&**address)
         .await
         .change_context(GatewayError)
         .attach_with(|| format!("listen address {address}"))?;
-    compio::runtime::spawn(accept_connections(state.clone(), listener, handler, limit)).detach();
-    Ok(())
+    Ok(Some(OpenListener::new(state, socket, handler, limit)))
 }
 
 /// Shuts down gracefully. The node disappears from locator responses at once and accepts requests
-/// for `DRAIN_ACCEPT_PERIOD`. Returns when that period is over, no request is in progress and all responses
-/// are written, and at the latest `KILL_MARGIN` before SIGKILL. `FLUSH_PERIOD` earlier the requests in
-/// progress end, so that their callers learn of it.
-async fn shut_down(state: &Rc<GatewayState>) {
+/// for `DRAIN_ACCEPT_PERIOD`. When that period is over, no request is in progress and all responses are
+/// written, it closes its listeners, and returns once no request has come for `FLUSH_PERIOD`, at the latest
+/// `KILL_MARGIN` before SIGKILL. `FLUSH_PERIOD` earlier the requests in progress end, so that their
+/// callers learn of it.
+async fn shut_down(state: &Rc<GatewayState>, listeners: Vec<OpenListener>) {
     let started = Instant::now();
     log::info!("event=leaving in_flight={}", state.in_flight.get());
     state.stage.set(NodeStage::Leaving);
     state.leaving_since.set(Some(started));
-    let drain_limit = state.settings().limits.shutdown_grace.saturating_sub(KILL_MARGIN);
-    state.requests_end.set(Some(started + drain_limit.saturating_sub(FLUSH_PERIOD)));
+    let grace = state.settings().limits.shutdown_grace;
+    let drain_limit = started + grace.saturating_sub(KILL_MARGIN);
+    let requests_end = drain_limit.checked_sub(FLUSH_PERIOD).unwrap_or(started).max(started);
+    state.requests_end.set(Some(requests_end));
     sync_with_partners(state).await;
-    let mut idle_for = Duration::ZERO;
-    while started.elapsed() < drain_limit {
-        match state.in_flight.get() + state.unflushed.get() {
-            0 if started.elapsed() > DRAIN_ACCEPT_PERIOD => idle_for += DRAIN_POLL_INTERVAL,
-            _ => idle_for = Duration::ZERO,
-        }
-        if idle_for > FLUSH_PERIOD {
-            break;
-        }
+    let accept_end = requests_end.min(started + DRAIN_ACCEPT_PERIOD);
+    compio::time::sleep(accept_end.saturating_duration_since(Instant::now())).await;
+    while is_in_use(state) && Instant::now() < requests_end {
         compio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
+    join_all(listeners.into_iter().map(|listener| listener.close(drain_limit))).await;
+    wait_until_unused(state, drain_limit).await;
     log::info!(
         "event=stop in_flight={} unflushed={} took_ms={}",
         state.in_flight.get(),
@@ -177,6 +180,24 @@
     );
 }
 
+/// Whether a request is in progress, or a response that the system has not taken.
+fn is_in_use(state: &GatewayState) -> bool {
+    state.in_flight.get() + state.unflushed.get() > 0
+}
+
+/// Waits until the node has not been in use for `FLUSH_PERIOD`, or `deadline`.
+async fn wait_until_unused(state: &GatewayState, deadline: Instant) {
+    let (mut used_at, mut begun) = (Instant::now(), state.begun_requests.get());
+    while used_at.elapsed() < FLUSH_PERIOD && Instant::now() < deadline {
+        compio::time::sleep(DRAIN_POLL_INTERVAL).await;
+        // A refusal takes less time than the interval.
+        if is_in_use(state) || begun != state.begun_requests.get() {
+            used_at = Instant::now();
+            begun = state.begun_requests.get();
+        }
+    }
+}
+
 /// Periodic maintenance: removes upstreams whose grace period has ended, marks the node as serving
 /// once its tables are loaded, and drops the state of removed upstreams. After a stall of this
 /// process, it restarts the measurement of the upstreams' silence, since the process could not read
--- a/crates/eelgrassdeal_gateway/src/state.rs
+++ b/crates/eelgrassdeal_gateway/src/state.rs
@@ -151,6 +151,8 @@
     pub(crate) resumed_at: Cell<Instant>,
     /// Callers' requests in progress at this node.
     pub(crate) in_flight: Cell<u32>,
+    /// Number of callers' requests that have begun.
+    pub(crate) begun_requests: Cell<u64>,
     /// Number of connections with output that the system has not taken yet.
     pub(crate) unflushed: Rc<Cell<u32>>,
     /// Open connections that this node has accepted.
@@ -213,6 +215,7 @@
             is_planner: Cell::new(false),
             resumed_at: Cell::new(Instant::now()),
             in_flight: Cell::new(0),
+            begun_requests: Cell::new(0),
             unflushed: Rc::default(),
             connections: Cell::new(0),
             settings: RefCell::new(Arc::new(settings)),
@@ -402,6 +405,7 @@
 impl InFlightGuard {
     pub(crate) fn new(state: &Rc<GatewayState>) -> Self {
         state.in_flight.set(state.in_flight.get() + 1);
+        state.begun_requests.set(state.begun_requests.get() + 1);
         Self(state.clone())
     }
 }
--- /dev/null
+++ b/crates/eelgrassdeal_gateway/tests/stops_and_resets.rs
@@ -0,0 +1,84 @@
+//! What callers get at the end of a process, and when a connection ends with unread bytes.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{API_KEY, HOST, TestPlatform};
+use compio::BufResult;
+use compio::io::{AsyncRead, AsyncWriteExt};
+use compio::net::TcpStream;
+use compio::time::sleep;
+use futures_util::future::{join, join_all};
+
+const CALLERS: u64 = 24;
+
+fn request_head(path: &str, key: &str, id: &str, body_bytes: usize) -> Vec<u8> {
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: {HOST}\r\nauthorization: Bearer {key}\r\n\
+         x-eelgrassdeal-request-id: {id}\r\nx-eelgrassdeal-deadline-ms: 8000\r\n\
+         content-length: {body_bytes}\r\n\r\n"
+    )
+    .into_bytes()
+}
+
+/// Reads a response with a length. Returns its head, or how the connection ended before its end.
+async fn read_answer(stream: &mut TcpStream) -> Result<String, String> {
+    let mut received = Vec::new();
+    loop {
+        let BufResult(read, bytes) = stream.read(Vec::with_capacity(16 * 1024)).await;
+        match read {
+            Ok(0) => return Err(format!("closed after {} bytes", received.len())),
+            Ok(_) => received.extend_from_slice(&bytes),
+            Err(error) => return Err(format!("{error} after {} bytes", received.len())),
+        }
+        let text = String::from_utf8_lossy(&received).to_lowercase();
+        let Some((head, body)) = text.split_once("\r\n\r\n") else { continue };
+        let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
+        if body.len() >= length.expect("a length").parse().expect("a number") {
+            return Ok(head.to_owned());
+        }
+    }
+}
+
+/// Sends requests, each in two pieces, until the node refuses connections. Keeps a connection until a
+/// response says that it ends. Returns how connections ended before a response.
+async fn call_until_refused(front: &str, caller: u64) -> Vec<String> {
+    let (mut losses, mut number) = (Vec::new(), 0);
+    while let Ok(mut stream) = TcpStream::connect(front).await {
+        loop {
+            number += 1;
+            let mut head = request_head("/book/x", API_KEY, &format!("c{caller}-{number}"), 0);
+            let rest = head.split_off(60);
+            let _ = stream.write_all(head).await;
+            sleep(Duration::from_millis(caller % 7)).await;
+            let _ = stream.write_all(rest).await;
+            match read_answer(&mut stream).await {
+                Ok(head) if head.contains("connection: close") => break,
+                Ok(_) => {}
+                Err(end) => {
+                    losses.push(format!("request {number} of {caller}: {end}"));
+                    break;
+                }
+            }
+        }
+    }
+    losses
+}
+
+/// A stopping node exited beside callers whose requests were refused between two looks at what is in
+/// progress, and reset their connections.
+#[compio::test]
+async fn requests_up_to_the_end_of_a_node_are_answered() {
+    let platform = TestPlatform::new().await.with_plain_workers(2).await;
+    let mut platform = platform.with_gateways(1).await;
+    let front = platform.gateways[0].front.clone();
+    let callers = (0..CALLERS).map(|caller| call_until_refused(&front, caller));
+    let stop = async {
+        sleep(Duration::from_millis(500)).await;
+        platform.gateways[0].terminate();
+    };
+    let (losses, ()) = join(join_all(callers), stop).await;
+    assert_eq!(losses.concat(), Vec::<String>::new());
+    assert!(platform.gateways[0].exits_successfully().await);
+}
