A stopping node takes connections beyond its limit to refuse their requests

A caller with a new connection to a node whose share of descriptors idle connections held, saw no answer until the stop, and then a reset: the node accepts no connection while the share is used up, and its exit resets the system's queue.

The share leaves descriptors for the upstreams of accepted requests. Once a stopping node only refuses requests, it needs none, so the limit is lifted then, and queued requests get 503.

--- a/crates/eelgrassdeal_gateway/src/connection_limit.rs
+++ b/crates/eelgrassdeal_gateway/src/connection_limit.rs
@@ -16,7 +16,7 @@
 /// Bounds the open connections of one listen address.
 #[derive(Debug)]
 pub(crate) struct ConnectionLimit {
-    max: u32,
+    max: Cell<u32>,
     open: Cell<u32>,
     ended: Event,
     full_log: LogLimiter,
@@ -36,15 +36,22 @@
 
     fn with_max(max: u32) -> Rc<Self> {
         let full_log = LogLimiter::new(FULL_LOG_INTERVAL);
-        Rc::new(Self { max, open: Cell::new(0), ended: Event::new(), full_log })
+        Rc::new(Self { max: Cell::new(max), open: Cell::new(0), ended: Event::new(), full_log })
+    }
+
+    /// Permits any number of connections from now on.
+    pub(crate) fn lift(&self) {
+        self.max.set(u32::MAX);
+        self.ended.notify(usize::MAX);
     }
 
     /// Waits until one more connection may be open. It counts until the permit is dropped.
     pub(crate) async fn reserve(self: &Rc<Self>) -> ConnectionPermit {
-        while self.open.get() >= self.max {
+        while self.open.get() >= self.max.get() {
             metrics::counter!("eelgrassdeal_accept_waits_total").increment(1);
             if self.full_log.is_due(Instant::now()) {
-                log::warn!("event=connections_full open={} max={}", self.open.get(), self.max);
+                let (open, max) = (self.open.get(), self.max.get());
+                log::warn!("event=connections_full open={open} max={max}");
             }
             self.ended.listen().await;
         }
--- a/crates/eelgrassdeal_gateway/src/listener.rs
+++ b/crates/eelgrassdeal_gateway/src/listener.rs
@@ -17,6 +17,7 @@
 /// One listen address, whose connections are accepted in the background.
 pub(crate) struct OpenListener {
     socket: TcpListener,
+    limit: Rc<ConnectionLimit>,
     _accept_task: JoinHandle<()>,
 }
 
@@ -28,8 +29,13 @@
         handler: Rc<H>,
         limit: Rc<ConnectionLimit>,
     ) -> Self {
-        let accept = accept_connections(state.clone(), socket.clone(), handler, limit);
-        Self { socket, _accept_task: compio::runtime::spawn(accept) }
+        let accept = accept_connections(state.clone(), socket.clone(), handler, limit.clone());
+        Self { socket, limit, _accept_task: compio::runtime::spawn(accept) }
+    }
+
+    /// Accepts connections from now on also beyond the limit.
+    pub(crate) fn lift_limit(&self) {
+        self.limit.lift();
     }
 
     /// Has the system refuse further connections, once all in its queue are accepted or `deadline` has
--- a/crates/eelgrassdeal_gateway/tests/stops_and_resets.rs
+++ b/crates/eelgrassdeal_gateway/tests/stops_and_resets.rs
@@ -12,6 +12,9 @@
 use futures_util::future::{join, join_all};
 
 const CALLERS: u64 = 24;
+/// Limit of descriptors of a gateway, and more idle connections than it permits callers.
+const MAX_FDS: u64 = 400;
+const IDLE_CONNECTIONS: usize = 150;
 
 fn request_head(path: &str, key: &str, id: &str, body_bytes: usize) -> Vec<u8> {
     format!(
@@ -82,3 +85,20 @@
     assert_eq!(losses.concat(), Vec::<String>::new());
     assert!(platform.gateways[0].exits_successfully().await);
 }
+
+/// Connections beyond the limit waited in the system's queue until the exit reset them.
+#[compio::test]
+async fn request_on_a_connection_beyond_the_limit_is_refused_at_a_stop() {
+    let platform = TestPlatform::new().await.with_max_fds(MAX_FDS).with_plain_workers(1).await;
+    let mut platform = platform.with_gateways(1).await;
+    let front = platform.gateways[0].front.clone();
+    let connect = async || TcpStream::connect(&*front).await.expect("a connection");
+    let idle = join_all((0..IDLE_CONNECTIONS).map(|_| connect())).await;
+    let mut stream = connect().await;
+    stream.write_all(request_head("/book/x", API_KEY, "queued", 0)).await.0.expect("sent");
+    platform.gateways[0].terminate();
+    let answer = read_answer(&mut stream).await;
+    assert!(answer.as_ref().is_ok_and(|head| head.starts_with("http/1.1 503 ")), "{answer:?}");
+    assert!(platform.gateways[0].exits_successfully().await);
+    drop(idle);
+}
