Log the requests that the end of a process cuts

A stop that ended connections in the middle of a head or a request left no event=unanswered line: the log was closed when main returned, and the runtime dropped the tasks of the connections afterwards.

The runtime ends before the log does now. The test failed without the change (no line) and passes with it.

--- a/crates/eelgrassdeal_gateway/src/main.rs
+++ b/crates/eelgrassdeal_gateway/src/main.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+use compio::runtime::Runtime;
 use eelgrassdeal_gateway::{ProcessSignals, log_panics, run_gateway};
 use eelgrassdeal_logging::init_logging;
 use eelgrassdeal_platform::{SETTINGS_VARIABLE, load_settings};
@@ -27,8 +28,7 @@
     log_level: Option<LevelFilter>,
 }
 
-#[compio::main]
-async fn main() -> ExitCode {
+fn main() -> ExitCode {
     let options = GatewayOptions::parse_args_default_or_exit();
     if options.version {
         println!("eelgrassdeal-gateway {}", env!("CARGO_PKG_VERSION"));
@@ -62,7 +62,17 @@
         eprintln!("cannot initialize logging: {error}");
     }
     log_panics();
-    match run_gateway(settings, path, signals).await {
+    let runtime = match Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("cannot start the runtime: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let ended = runtime.block_on(run_gateway(settings, path, signals));
+    // Ends the connections, whose lines `logging` still writes.
+    drop(runtime);
+    match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
             // The gateway failed to start; a graceful shutdown logs its `event=stop` itself.
--- a/crates/eelgrassdeal_gateway/tests/stops_and_resets.rs
+++ b/crates/eelgrassdeal_gateway/tests/stops_and_resets.rs
@@ -102,3 +102,19 @@
     assert!(platform.gateways[0].exits_successfully().await);
     drop(idle);
 }
+
+/// The log ended before the connections.
+#[compio::test]
+async fn request_that_the_end_of_a_process_cuts_has_a_line() {
+    let mut platform = TestPlatform::new().await.with_gateways(1).await;
+    let front = &*platform.gateways[0].front;
+    let mut stream = TcpStream::connect(front).await.expect("a connection");
+    let mut head = request_head("/book/x", API_KEY, "half", 0);
+    head.truncate(60);
+    stream.write_all(head).await.0.expect("sent");
+    platform.gateways[0].terminate();
+    assert!(platform.gateways[0].exits_successfully().await);
+    let log = platform.gateways[0].log();
+    let line = log.lines().find(|line| line.contains("event=unanswered"));
+    assert!(line.is_some_and(|line| line.contains("phase=head")), "{line:?}");
+}
