A panic in the body of a stream cuts the stream like any other fault

A panic while a stream was forwarded ended the task of its connection, which closed the socket. A caller of HTTP/1.0, whose response has neither a length nor chunks, could take that for the end of the response; there was a line that named the request (event=unanswered), but no event=cut, and the number of cut streams did not count it.

No test holds it: no input is known that makes this code panic.

--- a/crates/eelgrassdeal_gateway/src/front/stream.rs
+++ b/crates/eelgrassdeal_gateway/src/front/stream.rs
@@ -2,6 +2,7 @@
 //! interrupted.
 
 use std::io;
+use std::panic::AssertUnwindSafe;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -9,9 +10,9 @@
 use bytes::Bytes;
 use eelgrassdeal_dispatch::{EndSignal, EventAssembler, EventFault, RouteRule, StreamEnd};
 use eelgrassdeal_platform::UpstreamResponse;
-use futures_util::StreamExt;
 use futures_util::future::{Either, select};
 use futures_util::stream::unfold;
+use futures_util::{FutureExt, StreamExt};
 use http_body_util::BodyExt;
 
 use super::attempt::{AttemptRunner, FailedAttempt, RunningAttempt, WaitError, may_be_broken_off};
@@ -155,7 +156,9 @@
         // The stream counts as in progress until the server drops it, also while the caller reads.
         let in_flight = InFlightGuard::new(&self.runner.state);
         unfold((self, in_flight), |(mut relay, in_flight)| async move {
-            let item = relay.next().await;
+            let next = AssertUnwindSafe(relay.next()).catch_unwind().await;
+            // Without an error, a response that ends with its connection would look complete.
+            let item = next.unwrap_or_else(|_| relay.fail("an unexpected error of the node"));
             item.map(|item| (item, (relay, in_flight)))
         })
         .boxed_local()
