A configuration with very long steps no longer makes streams' handlers panic

With engine steps and a pace whose product no duration holds, the silence timeout of each attempt panicked: callers got 500 for every stream, and the log had event=panic without their ids. Each factor is bounded where the configuration is read, their product is not.

The timeout is clamped to its longest value anyway; now a product that is too large is, too. The test failed before (500 and event=panic) and passes.

--- a/crates/eelgrassdeal_gateway/src/front/attempt.rs
+++ b/crates/eelgrassdeal_gateway/src/front/attempt.rs
@@ -604,7 +604,8 @@
                 * f64::from(engine.steps_per_pass)
                 * spec.time_factor
                 * slowdown;
-            Duration::from_secs_f64(full_pass_ms * SILENCE_TIMEOUT_PASSES / 1_000.0)
+            Duration::try_from_secs_f64(full_pass_ms * SILENCE_TIMEOUT_PASSES / 1_000.0)
+                .unwrap_or(MAX_SILENCE_TIMEOUT)
                 .clamp(MIN_SILENCE_TIMEOUT, MAX_SILENCE_TIMEOUT)
         });
         limit.unwrap_or(MAX_SILENCE_TIMEOUT)
--- a/crates/eelgrassdeal_gateway/tests/stops_and_resets.rs
+++ b/crates/eelgrassdeal_gateway/tests/stops_and_resets.rs
@@ -10,6 +10,7 @@
 use compio::net::TcpStream;
 use compio::time::sleep;
 use futures_util::future::{join, join_all};
+use serde_json::{Value, json};
 
 const CALLERS: u64 = 24;
 const MAX_BODY_BYTES: usize = 6_000_000;
@@ -152,3 +153,24 @@
     let ends = [ends.0.0, ends.0.1, ends.1.0, ends.1.1];
     assert_eq!(ends, ["401", "404", "413", "503"]);
 }
+
+/// The silence timeout that follows from such a configuration overflowed, and every stream's handler
+/// panicked.
+#[compio::test]
+async fn streams_are_served_under_a_configuration_with_endless_steps() {
+    let platform = TestPlatform::new().await.with_engines(2, 3).await.with_gateways(1).await;
+    platform.wait_serving(1).await;
+    let rows = platform.store.table_values("op");
+    let mut config: Value = serde_json::from_slice(&rows["config"]).expect("JSON");
+    config["version"] = json!(2);
+    let engine = &mut config["services"][0]["engine"];
+    engine["step_ms"] = json!(1e12);
+    engine["models"][0]["pace"] = json!(1e12);
+    platform.store.put("op", "config", config.to_string().as_bytes());
+    let gateway = &platform.gateways[0];
+    let is_applied = async || gateway.log().contains("event=config revision=2");
+    platform.wait_until("the configuration is applied", is_applied).await;
+    let answer = platform.send_prompt(0, "endless", &["a1"]).await;
+    assert_eq!(answer.expect("a response").status, 200);
+    assert!(!gateway.log().contains("event=panic"));
+}
