Pool: don't reuse a connection on which something has arrived

Callers saw a 502 where an upstream had closed an idle connection that the pool then used: the end of the connection was in the socket, but no task of this process had read it yet, and hyper counts the connection as open until then. The request was written to a closed connection, its failure is MaybeSent, and a request that may not be repeated got no other attempt. The same holds for the store and other nodes. The busier the process, the longer the end stays unread.

Shown by a peer that closes its connection while the thread of the pool is blocked: the next call returned Err(MaybeSent), now 200 on a second connection. The pool looks into the socket (MSG_PEEK) before it hands out a connection, so that an end, a reset or bytes that belong to no request are seen without the task. An end that is still on its way is not.

A second test, which passed before, guards the reuse of connections by advertised timeouts of 0 and 1 s, without one, and with connection: close.

--- a/crates/eelgrassdeal_http/src/pool.rs
+++ b/crates/eelgrassdeal_http/src/pool.rs
@@ -17,6 +17,8 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{CONNECTION, HeaderMap, HeaderName, TRANSFER_ENCODING};
 use hyper::{Request, Response};
+use rustix::io::Errno;
+use rustix::net::{RecvFlags, recv};
 
 use crate::discard::reset_connection;
 use crate::socket::{BoundedSocket, CLIENT_BUFFER_BYTES};
@@ -105,9 +107,19 @@
 /// when it is dropped, it is reset, so that the peer doesn't receive the request later.
 struct PeerConnection {
     sender: SendRequest<Full<Bytes>>,
+    stream: TcpStream,
     is_busy: Rc<Cell<bool>>,
 }
 
+impl PeerConnection {
+    /// Whether nothing has arrived on an idle connection. Its end, and bytes that belong to no request,
+    /// are in the socket before its task has read them.
+    fn is_quiet(&self) -> bool {
+        let flags = RecvFlags::PEEK | RecvFlags::DONTWAIT;
+        matches!(recv(&self.stream, &mut [0_u8], flags), Err(Errno::AGAIN))
+    }
+}
+
 struct PooledConnection {
     connection: PeerConnection,
     idle_since: Instant,
@@ -350,8 +362,13 @@
         let is_usable = |pooled: &PooledConnection| {
             pooled.connection.sender.is_ready() && now.duration_since(pooled.idle_since) < max_idle
         };
-        let position = peer.idle.iter().rposition(is_usable)?;
-        Some(peer.idle.remove(position).connection)
+        while let Some(position) = peer.idle.iter().rposition(is_usable) {
+            let connection = peer.idle.remove(position).connection;
+            if connection.is_quiet() {
+                return Some(connection);
+            }
+        }
+        None
     }
 
     fn put_idle(&self, address: &Arc<str>, connection: PeerConnection, idle_timeout: Duration) {
@@ -401,7 +418,7 @@
             .handshake(socket)
             .await
             .map_err(|_| SendFailure::NotSent)?;
-        let was_busy = is_busy.clone();
+        let (was_busy, kept_stream) = (is_busy.clone(), stream.clone());
         compio::runtime::spawn(async move {
             let _open = open;
             if let Err(error) = connection.await {
@@ -412,7 +429,7 @@
             }
         })
         .detach();
-        Ok(PeerConnection { sender, is_busy })
+        Ok(PeerConnection { sender, stream: kept_stream, is_busy })
     }
 }
 
--- /dev/null
+++ b/crates/eelgrassdeal_http/tests/reused_connections.rs
@@ -0,0 +1,101 @@
+//! Reuse of connections that their peer has closed, or is about to close.
+
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::Duration;
+
+use bytes::Bytes;
+use eelgrassdeal_http::{BufferedResponse, ConnectionPool, SendFailure, SendOptions};
+use http_body_util::Full;
+use hyper::Request;
+
+const TIMEOUT: Duration = Duration::from_secs(2);
+/// Time after which a peer closes an idle connection.
+const IDLE_TIMEOUT: Duration = Duration::from_millis(60);
+
+/// What a peer does with a connection after its first response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum IdleEnd {
+    /// Closes it after [`IDLE_TIMEOUT`].
+    Close,
+    KeepOpen,
+}
+
+/// Starts a peer whose responses have `head_field` in their heads. The first connection ends as
+/// `end` says, which the returned channel tells; later ones stay open.
+fn start_peer(head_field: &'static str, end: IdleEnd) -> (Arc<str>, Receiver<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("a bound address").to_string().into();
+    let (ended, end_signal) = channel();
+    std::thread::spawn(move || {
+        serve(&listener, head_field, end, &ended);
+        while serve(&listener, head_field, IdleEnd::KeepOpen, &ended) {}
+    });
+    (address, end_signal)
+}
+
+/// Serves one connection. Returns whether there was one.
+fn serve(listener: &TcpListener, head_field: &str, end: IdleEnd, ended: &Sender<()>) -> bool {
+    let Ok((mut stream, _)) = listener.accept() else { return false };
+    let response = format!("HTTP/1.1 200 OK\r\n{head_field}content-length: 2\r\n\r\nok");
+    while read_request(&mut stream) {
+        stream.write_all(response.as_bytes()).expect("an open connection");
+        if end == IdleEnd::Close {
+            std::thread::sleep(IDLE_TIMEOUT);
+            break;
+        }
+    }
+    drop(stream);
+    // Without a receiver the test is over.
+    let _ = ended.send(());
+    true
+}
+
+/// Reads a request of one packet. Returns whether there was one.
+fn read_request(stream: &mut TcpStream) -> bool {
+    matches!(stream.read(&mut [0; 4096]), Ok(1..))
+}
+
+async fn call(pool: &ConnectionPool, address: &Arc<str>) -> Result<BufferedResponse, SendFailure> {
+    let request = Request::post("/look").body(Full::new(Bytes::from("body"))).expect("a request");
+    pool.call(address, request, SendOptions::default(), TIMEOUT, 1024).await
+}
+
+#[compio::test]
+async fn request_is_not_sent_on_a_connection_whose_end_has_arrived_unread() {
+    let (address, end_signal) = start_peer("", IdleEnd::Close);
+    let pool = ConnectionPool::new();
+    call(&pool, &address).await.expect("a response");
+    compio::time::sleep(IDLE_TIMEOUT / 3).await;
+    // Blocks the thread, so that no task reads the end of the connection.
+    end_signal.recv().expect("the end of the connection");
+    let answer = call(&pool, &address).await;
+    assert_eq!(answer.map(|answer| answer.status), Ok(200));
+    assert_eq!(pool.opened_count(), 2);
+}
+
+#[compio::test]
+async fn connection_is_not_reused_within_the_margin_of_an_advertised_timeout() {
+    for (head_field, pause_ms, opened_count) in [
+        ("keep-alive: timeout=0\r\n", 0, 2),
+        ("keep-alive: timeout=1\r\n", 100, 1),
+        ("keep-alive: timeout=1\r\n", 600, 2),
+        ("keep-alive: max=5, timeout=1\r\n", 600, 2),
+        ("connection: close\r\n", 0, 2),
+        ("", 100, 1),
+        ("", 500, 2),
+    ] {
+        let (address, _end_signal) = start_peer(head_field, IdleEnd::KeepOpen);
+        let pool = ConnectionPool::new();
+        call(&pool, &address).await.expect("a response");
+        compio::time::sleep(Duration::from_millis(pause_ms)).await;
+        let opened_before = pool.opened_count();
+        assert_eq!(opened_before, 1);
+        let request = call(&pool, &address);
+        // The peer serves one connection after another.
+        let _ = compio::time::timeout(Duration::from_millis(300), request).await;
+        assert_eq!(pool.opened_count(), opened_count, "{head_field:?} {pause_ms}");
+    }
+}
