Pool: count the idle time of a connection from the peer's last byte

A peer that closes idle connections counts from the end of its response; the pool counted from the end of reading. A stream whose caller reads slowly is read as slowly, so its connection was kept and reused up to that much too late, beyond the margin before the timeout, and a request could cross the peer's close and be lost (502). NON_IDEMPOTENT_MAX_IDLE, which keeps requests that may run once off older connections, was exceeded in the same way.

Shown by a response with Keep-Alive: timeout=1 of which the body is read 700 ms after its head, and a request 250 ms later: it was sent on the same connection, 50 ms before the peer's timeout (the number of opened connections stayed 1; now 2).

The response now sums up the time in which its reader asked for nothing, until the reader has waited for data and so has caught up, and the idle time begins that much earlier.

--- a/crates/eelgrassdeal_gateway/src/front/stream.rs
+++ b/crates/eelgrassdeal_gateway/src/front/stream.rs
@@ -12,7 +12,6 @@
 use futures_util::StreamExt;
 use futures_util::future::{Either, select};
 use futures_util::stream::unfold;
-use http_body_util::BodyExt;
 
 use super::attempt::{AttemptRunner, FailedAttempt, RunningAttempt, WaitError, may_be_broken_off};
 use super::buffered;
@@ -226,7 +225,7 @@
             return ReadResult::Failed(StreamFailure::Disconnected);
         };
         let upstream = attempt.load.upstream.clone();
-        let frame = attempt.response.inner.body_mut().frame();
+        let frame = attempt.response.next_frame();
         let silence_timeout = Some(attempt.silence_timeout);
         match self.runner.wait_for_bytes(&upstream, silence_timeout, stalled_at, frame).await {
             Ok(Some(Ok(frame))) => {
@@ -322,8 +321,7 @@
         let state = runner.state.clone();
         let mut start = pin!(runner.start(events.last_event()));
         let loss = loop {
-            let frame = pin!(running.response.inner.body_mut().frame());
-            let frame = match select(start.as_mut(), frame).await {
+            let frame = match select(start.as_mut(), pin!(running.response.next_frame())).await {
                 Either::Left((Ok(attempt), _)) => {
                     return RelocationResult::Started(Box::new(attempt), None);
                 }
--- a/crates/eelgrassdeal_http/src/pool.rs
+++ b/crates/eelgrassdeal_http/src/pool.rs
@@ -13,7 +13,7 @@
 use event_listener::Event;
 use futures_util::future::Either;
 use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Incoming};
+use hyper::body::{Body, Frame, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{CONNECTION, HeaderMap, HeaderName, TRANSFER_ENCODING};
 use hyper::{Request, Response};
@@ -30,6 +30,8 @@
 /// A connection expires this long before its idle timeout, so that a request is not sent while the
 /// peer closes the connection.
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
+/// A wait of this long for a part of a body shows that all that had arrived before was read.
+const CAUGHT_UP_WAIT: Duration = Duration::from_millis(10);
 /// Maximum number of idle connections that are kept for one peer.
 const MAX_IDLE_PER_PEER: usize = 32;
 /// Interval at which expired connections are closed.
@@ -155,15 +157,51 @@
 /// Dropping it before [`Self::release_connection`] resets the connection, which cancels the request at
 /// the peer, or before it gets there.
 pub struct PooledResponse {
-    /// Head of the response, and its body as it arrives.
+    /// Head of the response, and its body, which [`Self::next_frame`] reads.
     pub inner: Response<Incoming>,
     connection: PeerConnection,
+    read_lag: ReadLag,
     is_reusable: bool,
     address: Arc<str>,
     pool: ConnectionPool,
 }
 
+/// How far the reader of a response may be behind its peer, whose idle time begins when it has sent
+/// the last byte and not when that is read.
+struct ReadLag {
+    last_read: Instant,
+    /// Time without a read since the reader last waited for data.
+    unread: Duration,
+}
+
+impl ReadLag {
+    fn new(last_read: Instant) -> Self {
+        Self { last_read, unread: Duration::ZERO }
+    }
+
+    fn record_read(&mut self, asked_at: Instant, read_at: Instant) {
+        self.unread = match read_at.duration_since(asked_at) >= CAUGHT_UP_WAIT {
+            true => Duration::ZERO,
+            false => self.unread + asked_at.duration_since(self.last_read),
+        };
+        self.last_read = read_at;
+    }
+
+    /// Earliest time at which the peer may have sent the last byte that was read.
+    fn earliest_end(&self, now: Instant) -> Instant {
+        self.last_read.checked_sub(self.unread).unwrap_or(now)
+    }
+}
+
 impl PooledResponse {
+    /// Waits for the next part of the body; `None` after the last one.
+    pub async fn next_frame(&mut self) -> Option<Result<Frame<Bytes>, hyper::Error>> {
+        let asked_at = Instant::now();
+        let frame = self.inner.body_mut().frame().await;
+        self.read_lag.record_read(asked_at, Instant::now());
+        frame
+    }
+
     /// Whether the body has neither a length nor chunks, so that only the end of the connection tells
     /// its end.
     pub fn ends_with_connection(&self) -> bool {
@@ -188,7 +226,8 @@
         self.connection.is_busy.set(false);
         if self.is_reusable && !is_closing(headers) {
             let idle_timeout = advertised_idle_timeout(headers).unwrap_or(DEFAULT_IDLE_TIMEOUT);
-            self.pool.put_idle(&self.address, self.connection, idle_timeout);
+            let idle_since = self.read_lag.earliest_end(Instant::now());
+            self.pool.put_idle(&self.address, self.connection, idle_since, idle_timeout);
         }
     }
 
@@ -212,7 +251,7 @@
         mut may_hold: impl FnMut(usize) -> bool,
     ) -> Result<BufferedResponse, SendFailure> {
         let mut body = BytesMut::new();
-        while let Some(frame) = self.inner.body_mut().frame().await {
+        while let Some(frame) = self.next_frame().await {
             let frame = frame.map_err(|error| {
                 log::debug!("peer={} response body could not be read: {error}", self.address);
                 SendFailure::MaybeSent
@@ -302,7 +341,7 @@
         options: SendOptions,
     ) -> Result<(), SendFailure> {
         let connection = self.connect(address, options).await?;
-        self.put_idle(address, connection, DEFAULT_IDLE_TIMEOUT);
+        self.put_idle(address, connection, Instant::now(), DEFAULT_IDLE_TIMEOUT);
         Ok(())
     }
 
@@ -348,6 +387,7 @@
         PooledResponse {
             inner,
             connection,
+            read_lag: ReadLag::new(Instant::now()),
             is_reusable: true,
             address: address.clone(),
             pool: self.clone(),
@@ -371,13 +411,18 @@
         None
     }
 
-    fn put_idle(&self, address: &Arc<str>, connection: PeerConnection, idle_timeout: Duration) {
-        let now = Instant::now();
-        let expires = now + idle_timeout.saturating_sub(IDLE_MARGIN);
+    fn put_idle(
+        &self,
+        address: &Arc<str>,
+        connection: PeerConnection,
+        idle_since: Instant,
+        idle_timeout: Duration,
+    ) {
+        let expires = idle_since + idle_timeout.saturating_sub(IDLE_MARGIN);
         let mut peers = self.peers.borrow_mut();
         let peer = peers.entry(address.clone()).or_default();
         if peer.idle.len() < MAX_IDLE_PER_PEER {
-            peer.idle.push(PooledConnection { connection, idle_since: now, expires });
+            peer.idle.push(PooledConnection { connection, idle_since, expires });
         }
     }
 
--- a/crates/eelgrassdeal_http/tests/reused_connections.rs
+++ b/crates/eelgrassdeal_http/tests/reused_connections.rs
@@ -99,3 +99,17 @@
         assert_eq!(pool.opened_count(), opened_count, "{head_field:?} {pause_ms}");
     }
 }
+
+/// The peer counts the idle time from the end of its response, which the reader can't see.
+#[compio::test]
+async fn slow_reading_does_not_prolong_the_reuse_of_a_connection() {
+    let (address, _end_signal) = start_peer("keep-alive: timeout=1\r\n", IdleEnd::KeepOpen);
+    let pool = ConnectionPool::new();
+    let request = Request::post("/look").body(Full::new(Bytes::new())).expect("a request");
+    let response = pool.send(&address, request, SendOptions::default()).await.expect("a response");
+    compio::time::sleep(Duration::from_millis(700)).await;
+    response.collect(1024).await.expect("a body");
+    compio::time::sleep(Duration::from_millis(250)).await;
+    let _ = compio::time::timeout(Duration::from_millis(300), call(&pool, &address)).await;
+    assert_eq!(pool.opened_count(), 2, "reused 950 ms after the response, of 1000 ms");
+}
