Gateway: repeat a request whose reused connection ended before a response

Callers of an idempotent route with max_attempts 1 got a 502 where the upstream closed an idle connection just as the request was sent on it, although the upstream was sound. On routes with more attempts such an end used one of them.

The pool tells the end of a reused connection (ReusedEnded) from that of a new one. What may be repeated is sent to the same upstream once more, on a new connection and with the time that is left now. No further upstream receives it, so it is the same attempt; it is an arrival, so it takes a share of the retry budget. Nothing is resent for a quarantined request or to an upstream that asked for none.

--- a/crates/eelgrassdeal_gateway/src/front/attempt.rs
+++ b/crates/eelgrassdeal_gateway/src/front/attempt.rs
@@ -104,6 +104,8 @@
     /// does not matter.
     silence_timeout: Option<Duration>,
     sent_at: Instant,
+    /// Whether the request was sent to this upstream before, on a connection that ended.
+    is_resent: bool,
     response: LocalBoxFuture<'static, SendResult>,
 }
 
@@ -285,6 +287,8 @@
                 }
             }
             match self.next_event(last.as_mut(), kept.as_mut()).await {
+                SendEvent::Last(Err(SendFailure::ReusedEnded))
+                    if last.as_mut().is_some_and(|send| self.resend(send, last_event)) => {}
                 SendEvent::Last(result) => {
                     let has_other = kept.is_some();
                     let Some(send) = last.take() else { continue };
@@ -423,17 +427,58 @@
             };
             let is_stream = self.call.route.kind.is_stream();
             let silence_timeout = is_stream.then(|| self.silence_timeout(target.slowdown()));
-            let (state, options) = (self.state.clone(), self.send_options());
-            let address = record.address.clone();
-            let response =
-                async move { state.upstream_pool.send(&address, request, options).await };
-            let response = response.boxed_local();
+            let response = self.send(&record, request, self.send_options());
             limit_share.use_up(self.arrivals > 0);
             self.count_attempt();
-            return Ok(PendingSend { record, load, silence_timeout, sent_at: now, response });
+            return Ok(PendingSend {
+                record,
+                load,
+                silence_timeout,
+                sent_at: now,
+                is_resent: false,
+                response,
+            });
         }
     }
 
+    fn send(
+        &self,
+        record: &UpstreamRecord,
+        request: Request<Full<bytes::Bytes>>,
+        options: SendOptions,
+    ) -> LocalBoxFuture<'static, SendResult> {
+        let (state, address) = (self.state.clone(), record.address.clone());
+        async move { state.upstream_pool.send(&address, request, options).await }.boxed_local()
+    }
+
+    /// Sends a request that may be repeated to the same upstream again, on a new connection. It is the
+    /// same attempt, as no further upstream receives the request. Returns whether it was sent.
+    fn resend(&mut self, send: &mut PendingSend, last_event: Option<u64>) -> bool {
+        let now = Instant::now();
+        let time_left = self.call.time_left(now);
+        let may_resend = self.call.route.kind.may_repeat()
+            && !time_left.is_zero()
+            && self.call.check_quarantine(&self.state).is_none()
+            && self.state.notices.borrow().may_send(&send.record, now);
+        let request = may_resend.then(|| self.build_request(&send.record, time_left, last_event));
+        let Some(request) = request.flatten() else { return false };
+        if !self.state.try_take_retry(&self.call.service, now) {
+            return false;
+        }
+        log::info!(
+            "event=resent request_id={} upstream={} took_ms={}",
+            self.call.request_id,
+            send.record.upstream,
+            send.sent_at.elapsed().as_millis()
+        );
+        self.arrivals += 1;
+        let options = self.send_options().with_max_idle(Duration::ZERO);
+        send.response = self.send(&send.record, request, options);
+        send.sent_at = now;
+        send.is_resent = true;
+        true
+    }
+
     /// Concludes the attempt that was kept. See [`Self::conclude_send`].
     fn conclude_kept(
         &mut self,
@@ -464,14 +509,14 @@
         );
         match result {
             Ok(response) => self.evaluate_response(send, response, has_other),
-            Err(failure) if failure.is_unsent() => {
+            Err(failure) if failure.is_unsent() && !send.is_resent => {
                 self.arrivals -= 1;
                 self.discount_attempt();
                 self.handle_unsent(&send.record, failure);
                 None
             }
             Err(failure) => {
-                let is_disconnected = failure == SendFailure::MaybeSent;
+                let is_disconnected = failure != SendFailure::TimedOut;
                 self.handle_failed_attempt(&send.record, is_disconnected, &format!("{failure:?}"));
                 None
             }
@@ -656,7 +701,7 @@
         response: PooledResponse,
         has_other: bool,
     ) -> Option<RunningAttempt> {
-        let PendingSend { record, load, silence_timeout, .. } = send;
+        let PendingSend { record, load, silence_timeout, is_resent, .. } = send;
         let mut response = response;
         let response_info = UpstreamResponse::from_headers(response.inner.headers());
         let status = response.inner.status();
@@ -677,7 +722,10 @@
             }
         }
         if response_info.is_not_run || status.as_u16() == 421 {
-            self.discount_attempt();
+            // The rejection says nothing of the first send.
+            if !is_resent {
+                self.discount_attempt();
+            }
             // `at_fault` is the upstream that caused the failure, if it is not the responding one.
             log::info!(
                 "event=rejected request_id={} upstream={} status={} at_fault={:?}",
--- a/crates/eelgrassdeal_gateway/tests/common/mod.rs
+++ b/crates/eelgrassdeal_gateway/tests/common/mod.rs
@@ -29,9 +29,9 @@
 pub const API_KEY: &str = "key-1";
 pub const MODEL: &str = "model-1";
 pub const ENGINE_SERVICE: &str = "engines";
-/// Service without an engine, to which three routes lead: `/book/` for requests that are not
-/// idempotent, `/look/` for idempotent requests, and `/feed/` for streams. Its workers are called `i-desk0`, `i-desk1`
-/// and so on.
+/// Service without an engine, to which four routes lead: `/book/` for requests that are not
+/// idempotent, `/look/` for idempotent requests, `/once/` for those with a single attempt, and `/feed/`
+/// for streams. Its workers are called `i-desk0`, `i-desk1` and so on.
 pub const PLAIN_SERVICE: &str = "desk";
 
 /// Time from SIGTERM to SIGKILL; equals `grace_s` in the settings that `start_gateway` writes.
@@ -318,6 +318,7 @@
                 route("stream", "/stream/", "stream", ENGINE_SERVICE, 2),
                 route("book", "/book/", "non_idempotent", PLAIN_SERVICE, 1),
                 route("look", "/look/", "idempotent", PLAIN_SERVICE, 2),
+                route("once", "/once/", "idempotent", PLAIN_SERVICE, 1),
                 route("feed", "/feed/", "stream", PLAIN_SERVICE, 2),
             ],
             "services": [
--- a/crates/eelgrassdeal_http/src/pool.rs
+++ b/crates/eelgrassdeal_http/src/pool.rs
@@ -2,6 +2,8 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::error::Error;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -52,6 +54,9 @@
     /// The peer may have received the request, but no usable response was read: the connection
     /// failed, or the response is larger than the limit.
     MaybeSent,
+    /// A connection that had served earlier requests ended before the head of a response. Its peer may
+    /// have received the request, or have closed the connection as idle.
+    ReusedEnded,
     /// The response did not arrive in time; the peer may have received the request.
     TimedOut,
 }
@@ -303,8 +308,14 @@
                     // The connection closed before the request was written.
                     Some(unsent) => request = unsent,
                     None => {
-                        log::debug!("peer={address} request failed: {}", error.error());
-                        return Err(SendFailure::MaybeSent);
+                        let error = error.error();
+                        log::debug!(
+                            "peer={address} request failed on a reused connection: {error}"
+                        );
+                        return Err(match is_connection_end(error) {
+                            true => SendFailure::ReusedEnded,
+                            false => SendFailure::MaybeSent,
+                        });
                     }
                 },
             }
@@ -520,6 +531,15 @@
     }
 }
 
+/// Whether an error is the end of a connection, and not a response that can't be read.
+fn is_connection_end(error: &hyper::Error) -> bool {
+    let source = error.source().and_then(|source| source.downcast_ref::<io::Error>());
+    error.is_incomplete_message()
+        || source.is_some_and(|source| {
+            matches!(source.kind(), io::ErrorKind::ConnectionReset | io::ErrorKind::BrokenPipe)
+        })
+}
+
 /// Whether the peer closes the connection after this response.
 fn is_closing(headers: &HeaderMap) -> bool {
     has_token(headers, CONNECTION, "close")
--- a/crates/eelgrassdeal_http/tests/reused_connections.rs
+++ b/crates/eelgrassdeal_http/tests/reused_connections.rs
@@ -20,6 +20,8 @@
 enum IdleEnd {
     /// Closes it after [`IDLE_TIMEOUT`].
     Close,
+    /// Reads the next request, and closes the connection without a response to it.
+    CloseAtRequest,
     KeepOpen,
 }
 
@@ -40,12 +42,14 @@
 fn serve(listener: &TcpListener, head_field: &str, end: IdleEnd, ended: &Sender<()>) -> bool {
     let Ok((mut stream, _)) = listener.accept() else { return false };
     let response = format!("HTTP/1.1 200 OK\r\n{head_field}content-length: 2\r\n\r\nok");
-    while read_request(&mut stream) {
+    let mut is_first = true;
+    while read_request(&mut stream) && (is_first || end != IdleEnd::CloseAtRequest) {
         stream.write_all(response.as_bytes()).expect("an open connection");
         if end == IdleEnd::Close {
             std::thread::sleep(IDLE_TIMEOUT);
             break;
         }
+        is_first = false;
     }
     drop(stream);
     // Without a receiver the test is over.
@@ -113,3 +117,12 @@
     let _ = compio::time::timeout(Duration::from_millis(300), call(&pool, &address)).await;
     assert_eq!(pool.opened_count(), 2, "reused 950 ms after the response, of 1000 ms");
 }
+
+#[compio::test]
+async fn end_of_a_reused_connection_is_told_from_that_of_a_new_one() {
+    let (address, _end_signal) = start_peer("", IdleEnd::CloseAtRequest);
+    let pool = ConnectionPool::new();
+    call(&pool, &address).await.expect("a response");
+    let answer = call(&pool, &address).await;
+    assert_eq!(answer.map(|answer| answer.status), Err(SendFailure::ReusedEnded));
+}
