Pool: close a connection at once that is too old to be reused

It held one of the upstream's connections and of this node's share of them.

Shown by a peer with Keep-Alive: timeout=0, which saw no end of the connection 60 ms after its response; now it does. The test of ReusedEnded now also shows that the ended connection leaves room for its replacement at a limit of one.

--- a/crates/eelgrassdeal_http/src/pool.rs
+++ b/crates/eelgrassdeal_http/src/pool.rs
@@ -432,7 +432,7 @@
         let expires = idle_since + idle_timeout.saturating_sub(IDLE_MARGIN);
         let mut peers = self.peers.borrow_mut();
         let peer = peers.entry(address.clone()).or_default();
-        if peer.idle.len() < MAX_IDLE_PER_PEER {
+        if Instant::now() < expires && peer.idle.len() < MAX_IDLE_PER_PEER {
             peer.idle.push(PooledConnection { connection, idle_since, expires });
         }
     }
--- a/crates/eelgrassdeal_http/tests/reused_connections.rs
+++ b/crates/eelgrassdeal_http/tests/reused_connections.rs
@@ -125,4 +125,18 @@
     call(&pool, &address).await.expect("a response");
     let answer = call(&pool, &address).await;
     assert_eq!(answer.map(|answer| answer.status), Err(SendFailure::ReusedEnded));
+    // It no longer counts as open, so that a new one may replace it.
+    let options = SendOptions::default().with_max_idle(Duration::ZERO).with_max_connections(1);
+    let request = Request::post("/look").body(Full::new(Bytes::new())).expect("a request");
+    let answer = pool.call(&address, request, options, TIMEOUT, 1024).await;
+    assert_eq!(answer.map(|answer| answer.status), Ok(200));
+}
+
+#[compio::test]
+async fn connection_that_will_not_be_reused_is_not_kept_open() {
+    let (address, end_signal) = start_peer("keep-alive: timeout=0\r\n", IdleEnd::KeepOpen);
+    let pool = ConnectionPool::new();
+    call(&pool, &address).await.expect("a response");
+    compio::time::sleep(IDLE_TIMEOUT).await;
+    end_signal.try_recv().expect("the peer saw the end of the connection");
 }
