--- a/crates/eelgrassdeal_http/src/pool.rs
+++ b/crates/eelgrassdeal_http/src/pool.rs
@@ -2,6 +2,8 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::error::Error;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -13,10 +15,12 @@
 use event_listener::Event;
 use futures_util::future::Either;
 use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Incoming};
+use hyper::body::{Body, Frame, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{CONNECTION, HeaderMap, HeaderName, TRANSFER_ENCODING};
 use hyper::{Request, Response};
+use rustix::io::Errno;
+use rustix::net::{RecvFlags, recv};
 
 use crate::discard::reset_connection;
 use crate::socket::{BoundedSocket, CLIENT_BUFFER_BYTES};
@@ -28,6 +32,8 @@
 /// A connection expires this long before its idle timeout, so that a request is not sent while the
 /// peer closes the connection.
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
+/// A wait of this long for a part of a body shows that all that had arrived before was read.
+const CAUGHT_UP_WAIT: Duration = Duration::from_millis(10);
 /// Maximum number of idle connections that are kept for one peer.
 const MAX_IDLE_PER_PEER: usize = 32;
 /// Interval at which expired connections are closed.
@@ -48,6 +54,9 @@
     /// The peer may have received the request, but no usable response was read: the connection
     /// failed, or the response is larger than the limit.
     MaybeSent,
+    /// A connection that had served earlier requests ended before the head of a response. Its peer may
+    /// have received the request, or have closed the connection as idle.
+    ReusedEnded,
     /// The response did not arrive in time; the peer may have received the request.
     TimedOut,
 }
@@ -105,9 +114,19 @@
 /// when it is dropped, it is reset, so that the peer doesn't receive the request later.
 struct PeerConnection {
     sender: SendRequest<Full<Bytes>>,
+    stream: TcpStream,
     is_busy: Rc<Cell<bool>>,
 }
 
+impl PeerConnection {
+    /// Whether nothing has arrived on an idle connection. Its end, and bytes that belong to no request,
+    /// are in the socket before its task has read them.
+    fn is_quiet(&self) -> bool {
+        let flags = RecvFlags::PEEK | RecvFlags::DONTWAIT;
+        matches!(recv(&self.stream, &mut [0_u8], flags), Err(Errno::AGAIN))
+    }
+}
+
 struct PooledConnection {
     connection: PeerConnection,
     idle_since: Instant,
@@ -143,15 +162,51 @@
 /// Dropping it before [`Self::release_connection`] resets the connection, which cancels the request at
 /// the peer, or before it gets there.
 pub struct PooledResponse {
-    /// Head of the response, and its body as it arrives.
+    /// Head of the response, and its body, which [`Self::next_frame`] reads.
     pub inner: Response<Incoming>,
     connection: PeerConnection,
+    read_lag: ReadLag,
     is_reusable: bool,
     address: Arc<str>,
     pool: ConnectionPool,
 }
 
+/// How far the reader of a response may be behind its peer, whose idle time begins when it has sent
+/// the last byte and not when that is read.
+struct ReadLag {
+    last_read: Instant,
+    /// Time without a read since the reader last waited for data.
+    unread: Duration,
+}
+
+impl ReadLag {
+    fn new(last_read: Instant) -> Self {
+        Self { last_read, unread: Duration::ZERO }
+    }
+
+    fn record_read(&mut self, asked_at: Instant, read_at: Instant) {
+        self.unread = match read_at.duration_since(asked_at) >= CAUGHT_UP_WAIT {
+            true => Duration::ZERO,
+            false => self.unread + asked_at.duration_since(self.last_read),
+        };
+        self.last_read = read_at;
+    }
+
+    /// Earliest time at which the peer may have sent the last byte that was read.
+    fn earliest_end(&self, now: Instant) -> Instant {
+        self.last_read.checked_sub(self.unread).unwrap_or(now)
+    }
+}
+
 impl PooledResponse {
+    /// Waits for the next part of the body; `None` after the last one.
+    pub async fn next_frame(&mut self) -> Option<Result<Frame<Bytes>, hyper::Error>> {
+        let asked_at = Instant::now();
+        let frame = self.inner.body_mut().frame().await;
+        self.read_lag.record_read(asked_at, Instant::now());
+        frame
+    }
+
     /// Whether the body has neither a length nor chunks, so that only the end of the connection tells
     /// its end.
     pub fn ends_with_connection(&self) -> bool {
@@ -176,7 +231,8 @@
         self.connection.is_busy.set(false);
         if self.is_reusable && !is_closing(headers) {
             let idle_timeout = advertised_idle_timeout(headers).unwrap_or(DEFAULT_IDLE_TIMEOUT);
-            self.pool.put_idle(&self.address, self.connection, idle_timeout);
+            let idle_since = self.read_lag.earliest_end(Instant::now());
+            self.pool.put_idle(&self.address, self.connection, idle_since, idle_timeout);
         }
     }
 
@@ -200,7 +256,7 @@
         mut may_hold: impl FnMut(usize) -> bool,
     ) -> Result<BufferedResponse, SendFailure> {
         let mut body = BytesMut::new();
-        while let Some(frame) = self.inner.body_mut().frame().await {
+        while let Some(frame) = self.next_frame().await {
             let frame = frame.map_err(|error| {
                 log::debug!("peer={} response body could not be read: {error}", self.address);
                 SendFailure::MaybeSent
@@ -252,8 +308,14 @@
                     // The connection closed before the request was written.
                     Some(unsent) => request = unsent,
                     None => {
-                        log::debug!("peer={address} request failed: {}", error.error());
-                        return Err(SendFailure::MaybeSent);
+                        let error = error.error();
+                        log::debug!(
+                            "peer={address} request failed on a reused connection: {error}"
+                        );
+                        return Err(match is_connection_end(error) {
+                            true => SendFailure::ReusedEnded,
+                            false => SendFailure::MaybeSent,
+                        });
                     }
                 },
             }
@@ -290,7 +352,7 @@
         options: SendOptions,
     ) -> Result<(), SendFailure> {
         let connection = self.connect(address, options).await?;
-        self.put_idle(address, connection, DEFAULT_IDLE_TIMEOUT);
+        self.put_idle(address, connection, Instant::now(), DEFAULT_IDLE_TIMEOUT);
         Ok(())
     }
 
@@ -336,6 +398,7 @@
         PooledResponse {
             inner,
             connection,
+            read_lag: ReadLag::new(Instant::now()),
             is_reusable: true,
             address: address.clone(),
             pool: self.clone(),
@@ -350,17 +413,27 @@
         let is_usable = |pooled: &PooledConnection| {
             pooled.connection.sender.is_ready() && now.duration_since(pooled.idle_since) < max_idle
         };
-        let position = peer.idle.iter().rposition(is_usable)?;
-        Some(peer.idle.remove(position).connection)
+        while let Some(position) = peer.idle.iter().rposition(is_usable) {
+            let connection = peer.idle.remove(position).connection;
+            if connection.is_quiet() {
+                return Some(connection);
+            }
+        }
+        None
     }
 
-    fn put_idle(&self, address: &Arc<str>, connection: PeerConnection, idle_timeout: Duration) {
-        let now = Instant::now();
-        let expires = now + idle_timeout.saturating_sub(IDLE_MARGIN);
+    fn put_idle(
+        &self,
+        address: &Arc<str>,
+        connection: PeerConnection,
+        idle_since: Instant,
+        idle_timeout: Duration,
+    ) {
+        let expires = idle_since + idle_timeout.saturating_sub(IDLE_MARGIN);
         let mut peers = self.peers.borrow_mut();
         let peer = peers.entry(address.clone()).or_default();
-        if peer.idle.len() < MAX_IDLE_PER_PEER {
-            peer.idle.push(PooledConnection { connection, idle_since: now, expires });
+        if Instant::now() < expires && peer.idle.len() < MAX_IDLE_PER_PEER {
+            peer.idle.push(PooledConnection { connection, idle_since, expires });
         }
     }
 
@@ -401,7 +474,7 @@
             .handshake(socket)
             .await
             .map_err(|_| SendFailure::NotSent)?;
-        let was_busy = is_busy.clone();
+        let (was_busy, kept_stream) = (is_busy.clone(), stream.clone());
         compio::runtime::spawn(async move {
             let _open = open;
             if let Err(error) = connection.await {
@@ -412,7 +485,7 @@
             }
         })
         .detach();
-        Ok(PeerConnection { sender, is_busy })
+        Ok(PeerConnection { sender, stream: kept_stream, is_busy })
     }
 }
 
@@ -458,6 +531,15 @@
     }
 }
 
+/// Whether an error is the end of a connection, and not a response that can't be read.
+fn is_connection_end(error: &hyper::Error) -> bool {
+    let source = error.source().and_then(|source| source.downcast_ref::<io::Error>());
+    error.is_incomplete_message()
+        || source.is_some_and(|source| {
+            matches!(source.kind(), io::ErrorKind::ConnectionReset | io::ErrorKind::BrokenPipe)
+        })
+}
+
 /// Whether the peer closes the connection after this response.
 fn is_closing(headers: &HeaderMap) -> bool {
     has_token(headers, CONNECTION, "close")
