Ask an upstream that can't be reached again before its response counts as broken off

Callers got 502 for a whole response without a length, or a stream that was cut after its last event, if the upstream then stood still for a moment or reset further connections as at its limit.

The check took every failure to connect within 100 ms for a crash. Only a refused connection shows one; a timeout shows nothing, and a reset shows that something accepts connections.

may_be_broken_off now repeats connections without a result, until the deadline or as long as another attempt can wait. As the check can last longer, a new process under the upstream's id counts as a crash. A relocation polls the other attempt during the check.

--- a/crates/eelgrassdeal_gateway/src/front/attempt.rs
+++ b/crates/eelgrassdeal_gateway/src/front/attempt.rs
@@ -66,8 +66,9 @@
 const SILENT_BACKOFF: Duration = Duration::from_secs(2);
 /// Interval at which a request that waits for a silent upstream looks for another one again.
 const RELOCATION_INTERVAL: Duration = Duration::from_millis(500);
-/// Timeout of the check whether a response that ended with its connection may be broken off.
-const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
+/// Timeout of a connection that shows whether a response that ended with its connection may be broken
+/// off. It is that of connections for requests, so that the upstream answers in it if it can be used.
+const END_CHECK_TIMEOUT: Duration = Duration::from_millis(300);
 /// Assumed maximum number of prompt tokens that an engine processes in one step. The configuration
 /// of an engine does not state it.
 const PREFILL_CHUNK_TOKENS: f64 = 2_048.0;
@@ -558,6 +559,15 @@
         }
     }
 
+    /// Time until which the request may wait for a sign whether its response is complete. If another
+    /// attempt `may_follow`, enough time is left for it.
+    pub(super) fn end_check_deadline(&self, may_follow: bool) -> Instant {
+        match may_follow {
+            true => self.placement_deadline(),
+            false => self.call.deadline,
+        }
+    }
+
     /// Time until which the request may wait for an upstream with free capacity.
     fn placement_deadline(&self) -> Instant {
         let now = Instant::now();
@@ -751,16 +761,47 @@
     }
 }
 
-/// Whether a response of which only the end of its connection tells the end may be incomplete: the
-/// upstream at `address` accepts no further connection, so that its process may have crashed. What
-/// its record says does not matter, as upstreams that leave or pause can crash too.
+/// Whether a response of which only the end of its connection tells the end may be incomplete.
+///
+/// A new connection to the upstream shows it. If its host refuses one, the process may have crashed.
+/// If it is accepted, even if the upstream then closes it as at its limit of connections, the process
+/// goes on. No result, as of an upstream that stands still or is far away, shows neither, so the
+/// upstream is asked again until `until`, and the response counts as incomplete if that has no result
+/// either. A new process under the upstream's id can't vouch for the response. What the record says
+/// of the upstream's state does not matter, as upstreams that leave or pause can crash too.
 ///
 /// It can't tell a part from the whole if the upstream goes on after it has closed the connection
-/// early, or if another process has taken the address. It takes the whole for a part if the
-/// upstream ended right after it, or can't be reached.
-pub(super) async fn may_be_broken_off(state: &GatewayState, address: &Arc<str>) -> bool {
-    let options = SendOptions::default().with_connect_timeout(CRASH_CHECK_TIMEOUT);
-    state.upstream_pool.open_idle(address, options).await.is_err()
+/// early, or if another process has taken the address and the record does not show it yet. It takes
+/// the whole for a part if the upstream ended right after it, or can't be reached until `until`.
+pub(super) async fn may_be_broken_off(
+    state: &GatewayState,
+    call: &GatewayCall,
+    upstream: &UpstreamId,
+    address: &Arc<str>,
+    until: Instant,
+) -> bool {
+    let start_time = || state.view().upstreams.get(upstream).map(|record| record.start_time_ms);
+    let responder = start_time();
+    loop {
+        let started = Instant::now();
+        let left = call.time_left(started).min(until.saturating_duration_since(started));
+        if left.is_zero() {
+            return true;
+        }
+        let timeout = END_CHECK_TIMEOUT.min(left);
+        let options = SendOptions::default().with_connect_timeout(timeout);
+        match state.upstream_pool.open_idle(address, options).await {
+            Ok(()) | Err(SendFailure::Closed) => return start_time() != responder,
+            Err(SendFailure::Refused) => return true,
+            Err(failure) => log::debug!(
+                "event=end_unknown request_id={} upstream={upstream} took_ms={} reason={failure:?}",
+                call.request_id,
+                started.elapsed().as_millis()
+            ),
+        }
+        // A failure at this node, such as a lack of descriptors, comes at once.
+        compio::time::sleep(timeout.saturating_sub(started.elapsed())).await;
+    }
 }
 
 /// Waits for the result of a send; forever without one.
--- a/crates/eelgrassdeal_gateway/src/front/buffered.rs
+++ b/crates/eelgrassdeal_gateway/src/front/buffered.rs
@@ -53,8 +53,13 @@
     let address = response.address().clone();
     let response = response.collect_while(may_hold);
     let collected = match runner.wait_for_bytes(&upstream, None, None, response).await {
-        Ok(Ok(_)) if ends_with_connection && may_be_broken_off(&runner.state, &address).await => {
-            Ok(Err(SendFailure::MaybeSent))
+        Ok(Ok(response)) if ends_with_connection => {
+            let (state, call) = (&runner.state, &runner.call);
+            let until = runner.end_check_deadline(runner.may_run_again());
+            match may_be_broken_off(state, call, &upstream, &address, until).await {
+                true => Ok(Err(SendFailure::MaybeSent)),
+                false => Ok(Ok(response)),
+            }
         }
         collected => collected,
     };
--- a/crates/eelgrassdeal_gateway/src/front/stream.rs
+++ b/crates/eelgrassdeal_gateway/src/front/stream.rs
@@ -238,7 +238,11 @@
                 ReadResult::Bytes(frame.into_data().unwrap_or_default())
             }
             Ok(Some(Err(_))) => ReadResult::Failed(StreamFailure::Disconnected),
-            Ok(None) => ReadResult::End(end_signal(&self.runner.state, attempt).await),
+            Ok(None) => {
+                let until = self.runner.end_check_deadline(may_move);
+                let (state, call) = (&self.runner.state, &self.runner.call);
+                ReadResult::End(end_signal(state, call, attempt, until).await)
+            }
             Err(WaitError::Silent) => {
                 self.runner.report_silent(&upstream);
                 match may_move {
@@ -319,7 +323,7 @@
 
     async fn await_relocation(&mut self, running: &mut RunningAttempt) -> RelocationResult {
         let Self { runner, events, hold, .. } = self;
-        let state = runner.state.clone();
+        let (state, call) = (runner.state.clone(), runner.call.clone());
         let mut start = pin!(runner.start(events.last_event()));
         let loss = loop {
             let frame = pin!(running.response.inner.body_mut().frame());
@@ -343,10 +347,21 @@
                     }
                 }
                 Some(Err(_)) => break StreamFailure::Disconnected,
-                None => match events.end(end_signal(&state, running).await) {
-                    StreamEnd::Complete(rest) => return RelocationResult::Completed(rest),
-                    StreamEnd::BrokenOff => break StreamFailure::BrokenOff,
-                },
+                None => {
+                    let end = pin!(end_signal(&state, &call, running, call.deadline));
+                    let signal = match select(start.as_mut(), end).await {
+                        Either::Left((Ok(attempt), _)) => {
+                            return RelocationResult::Started(Box::new(attempt), None);
+                        }
+                        // The end is read again, and checked, without another attempt.
+                        Either::Left((Err(_), _)) => return RelocationResult::Refused,
+                        Either::Right((signal, _)) => signal,
+                    };
+                    match events.end(signal) {
+                        StreamEnd::Complete(rest) => return RelocationResult::Completed(rest),
+                        StreamEnd::BrokenOff => break StreamFailure::BrokenOff,
+                    }
+                }
             }
         };
         match start.await {
@@ -463,11 +478,17 @@
     patience.mul_f64(STALL_FRACTION)
 }
 
-/// What the end of a response without an error shows.
-async fn end_signal(state: &GatewayState, attempt: &RunningAttempt) -> EndSignal {
+/// What the end of a response without an error shows, as far as it can be found out by `until`.
+async fn end_signal(
+    state: &GatewayState,
+    call: &GatewayCall,
+    attempt: &RunningAttempt,
+    until: Instant,
+) -> EndSignal {
+    let (upstream, address) = (&attempt.load.upstream, attempt.response.address());
     match attempt.response.ends_with_connection() {
         false => EndSignal::Framing,
-        true => match may_be_broken_off(state, attempt.response.address()).await {
+        true => match may_be_broken_off(state, call, upstream, address, until).await {
             true => EndSignal::Crash,
             false => EndSignal::Disconnection,
         },
--- a/crates/eelgrassdeal_http/src/pool.rs
+++ b/crates/eelgrassdeal_http/src/pool.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -40,6 +41,9 @@
 pub enum SendFailure {
     /// The peer's host refused the connection: no process listens on the port.
     Refused,
+    /// The peer closed a new connection at once, as one does that has too many; no byte of the request
+    /// was sent.
+    Closed,
     /// No connection could be used; no byte of the request was sent.
     NotSent,
     /// The number of connections to this peer has reached its limit; no byte of the request was
@@ -55,7 +59,7 @@
 impl SendFailure {
     /// Whether it is certain that no byte of the request was sent.
     pub fn is_unsent(self) -> bool {
-        matches!(self, Self::Refused | Self::NotSent | Self::TooManyConnections)
+        matches!(self, Self::Refused | Self::Closed | Self::NotSent | Self::TooManyConnections)
     }
 }
 
@@ -381,12 +385,13 @@
         let connect = TcpStream::connect(socket_address);
         let stream = match compio::time::timeout(options.connect_timeout, connect).await {
             Ok(Ok(stream)) => stream,
-            Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
-                return Err(SendFailure::Refused);
-            }
             Ok(Err(error)) => {
                 log::debug!("peer={address} connect failed: {error}");
-                return Err(SendFailure::NotSent);
+                return Err(match error.kind() {
+                    ErrorKind::ConnectionRefused => SendFailure::Refused,
+                    ErrorKind::ConnectionReset => SendFailure::Closed,
+                    _ => SendFailure::NotSent,
+                });
             }
             Err(_) => return Err(SendFailure::NotSent),
         };
