Take a connection as a sign that an upstream goes on only if it stays open

A part of a response without a length was forwarded as whole, with status 200 or as a complete stream, if the upstream's process closed its listener shortly after the connection of the response.

may_be_broken_off asks the upstream at once. The system accepts a connection for a listener that nobody serves any more, and resets it with the listener. The check for crashes already allows for that delay.

A new connection now has to stay open for that delay. One that is closed earlier is repeated once: a host without the process refuses it, and an upstream at its limit closes it, too. A response without a length ends 60 ms later for it.

response_of_a_worker_whose_listener_ends_later forwarded the part on /book/, /look/ and /feed/ before, with a listener that ends 20 ms after the response, and passes now.

--- a/crates/eelgrassdeal_gateway/src/crash.rs
+++ b/crates/eelgrassdeal_gateway/src/crash.rs
@@ -28,10 +28,10 @@
 
 /// A response that began longer ago than this does not crash its upstream any more.
 const CRASH_ONSET: Duration = Duration::from_millis(500);
-/// Number of checks whether the process of an upstream has ended, and the delay between two. The
-/// listener may be closed shortly after the connections.
+/// Number of checks whether the process of an upstream has ended.
 const CRASH_CHECKS: u32 = 2;
-const CRASH_CHECK_INTERVAL: Duration = Duration::from_millis(60);
+/// Delay between two checks. The listener may be closed shortly after the connections.
+pub(crate) const CRASH_CHECK_INTERVAL: Duration = Duration::from_millis(60);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Nodes that decide on the same quarantine wait for a random part of this time, so that mostly one
 /// of them stores it.
--- a/crates/eelgrassdeal_gateway/src/front/attempt.rs
+++ b/crates/eelgrassdeal_gateway/src/front/attempt.rs
@@ -17,7 +17,7 @@
 
 use super::call::GatewayCall;
 use super::refusal::CallRefusal;
-use crate::crash::{check_for_crash, is_crash_onset};
+use crate::crash::{CRASH_CHECK_INTERVAL, check_for_crash, is_crash_onset};
 use crate::notice::record_notice;
 use crate::placing::{LoadGuard, Placement, PlacementNeed, RoomForecast, place};
 use crate::rate_limit::record_limit;
@@ -764,8 +764,9 @@
 /// Whether a response of which only the end of its connection tells the end may be incomplete.
 ///
 /// A new connection to the upstream shows it. If its host refuses one, the process may have crashed.
-/// If it is accepted, even if the upstream then closes it as at its limit of connections, the process
-/// goes on. No result, as of an upstream that stands still or is far away, shows neither, so the
+/// If it stays open, the process goes on. If it is closed soon, either the listener ends, and its host
+/// refuses the next connection, or the upstream is at its limit of connections, and closes the next
+/// one, too. No result, as of an upstream that stands still or is far away, shows neither, so the
 /// upstream is asked again until `until`, and the response counts as incomplete if that has no result
 /// either. A new process under the upstream's id can't vouch for the response. What the record says
 /// of the upstream's state does not matter, as upstreams that leave or pause can crash too.
@@ -782,6 +783,7 @@
 ) -> bool {
     let start_time = || state.view().upstreams.get(upstream).map(|record| record.start_time_ms);
     let responder = start_time();
+    let mut was_closed = false;
     loop {
         let started = Instant::now();
         let left = call.time_left(started).min(until.saturating_duration_since(started));
@@ -790,8 +792,14 @@
         }
         let timeout = END_CHECK_TIMEOUT.min(left);
         let options = SendOptions::default().with_connect_timeout(timeout);
-        match state.upstream_pool.open_idle(address, options).await {
-            Ok(()) | Err(SendFailure::Closed) => return start_time() != responder,
+        match state.upstream_pool.open_idle(address, options, CRASH_CHECK_INTERVAL).await {
+            Ok(()) => return start_time() != responder,
+            Err(SendFailure::Closed) if was_closed => return start_time() != responder,
+            Err(SendFailure::Closed) => {
+                was_closed = true;
+                compio::time::sleep(CRASH_CHECK_INTERVAL).await;
+                continue;
+            }
             Err(SendFailure::Refused) => return true,
             Err(failure) => log::debug!(
                 "event=end_unknown request_id={} upstream={upstream} took_ms={} reason={failure:?}",
--- a/crates/eelgrassdeal_gateway/tests/response_ends.rs
+++ b/crates/eelgrassdeal_gateway/tests/response_ends.rs
@@ -41,6 +41,8 @@
     Pause(Duration),
     /// Accepts and resets them, as at its limit of connections.
     Reset,
+    /// Closes its listener after this time, as at the end of a process.
+    Exit(Duration),
 }
 
 /// Starts a worker of the plain service that writes `answer` to each request and closes the
@@ -64,6 +66,11 @@
                     std::thread::sleep(pause);
                     drop(queued);
                 }
+                AfterResponse::Exit(delay) => {
+                    drop(stream);
+                    std::thread::sleep(delay);
+                    return;
+                }
                 AfterResponse::Reset => {
                     drop(stream);
                     while let Ok((stream, _)) = listener.accept() {
@@ -135,6 +142,25 @@
     assert_whole_responses_are_forwarded(AfterResponse::Reset).await;
 }
 
+/// A connection that waits in the queue of a listener is accepted by nobody.
+#[compio::test]
+async fn response_of_a_worker_whose_listener_ends_later_is_not_taken_for_whole() {
+    let parts =
+        [("/book/x", &BODY[..4]), ("/look/x", &BODY[..4]), ("/feed/x", &complete_stream(1))];
+    let mut taken_for_whole = Vec::new();
+    for (path, part) in parts {
+        let platform = TestPlatform::new().await;
+        let after = AfterResponse::Exit(Duration::from_millis(20));
+        start_worker(&platform, response_without_length("one", part), after);
+        let platform = platform.with_gateways(1).await;
+        let answer = platform.send_request(0, path, "one", API_KEY).await;
+        if answer.is_ok_and(|answer| answer.status == 200) {
+            taken_for_whole.push(path);
+        }
+    }
+    assert!(taken_for_whole.is_empty(), "{taken_for_whole:?}");
+}
+
 /// A host that answers nothing may be gone with its worker.
 #[compio::test]
 async fn response_of_a_worker_that_never_answers_again_is_not_taken_for_whole() {
--- a/crates/eelgrassdeal_http/src/pool.rs
+++ b/crates/eelgrassdeal_http/src/pool.rs
@@ -282,18 +282,24 @@
         }
     }
 
-    /// Opens a connection, and keeps it for a later request. This shows whether the peer still accepts
-    /// connections.
+    /// Opens a connection, and keeps it for a later request if it is still open after `min_age`. This
+    /// shows whether the peer still accepts connections: the system closes those that wait in the queue
+    /// of a listener with it.
     ///
     /// # Errors
     ///
-    /// [`SendFailure`] if there is no new connection.
+    /// [`SendFailure`] if there is no new connection, [`SendFailure::Closed`] if the peer closed it.
     pub async fn open_idle(
         &self,
         address: &Arc<str>,
         options: SendOptions,
+        min_age: Duration,
     ) -> Result<(), SendFailure> {
         let connection = self.connect(address, options).await?;
+        compio::time::sleep(min_age).await;
+        if connection.sender.is_closed() {
+            return Err(SendFailure::Closed);
+        }
         self.put_idle(address, connection, DEFAULT_IDLE_TIMEOUT);
         Ok(())
     }
