Small responses wait for memory of the node

Callers got 502 for a response of 20 KiB, or a cut stream, if other responses held the node's memory for responses at that moment.

A response without room was given up at once and its upstream recorded as failed. Streams then used up their attempts at other upstreams, whose responses need the same memory: the log of the new test had attempt_failed, resumed, attempt_failed and cut within 8 ms, all for "no room for an incomplete event".

A response of up to 64 KiB now keeps what it holds and waits until its deadline; its upstream is not read meanwhile. Larger ones are given up as before, as they could hold up each other.

response_that_finds_no_room_for_a_moment failed before with 502 on /book/, and in a trial without that path with a cut on /feed/. It passes now.

--- a/crates/eelgrassdeal_dispatch/src/buffer_budget.rs
+++ b/crates/eelgrassdeal_dispatch/src/buffer_budget.rs
@@ -27,6 +27,12 @@
         self.held
     }
 
+    /// Whether a response of `bytes` that finds no room may keep what it holds until there is some.
+    /// Larger ones could hold up each other.
+    pub fn may_wait(bytes: usize) -> bool {
+        bytes <= SMALL_RESPONSE_BYTES
+    }
+
     /// Changes the bytes of one response from `current` to `wanted`. Returns false, and changes
     /// nothing, if there is no room for them.
     pub fn try_resize(&mut self, current: usize, wanted: usize) -> bool {
--- a/crates/eelgrassdeal_gateway/src/front/buffered.rs
+++ b/crates/eelgrassdeal_gateway/src/front/buffered.rs
@@ -48,7 +48,7 @@
     let RunningAttempt { response, load, response_began, .. } = attempt;
     let upstream = load.upstream.clone();
     let mut hold = BufferHold::new(&runner.state.response_budget);
-    let may_hold = |bytes| bytes <= MAX_RESPONSE_BYTES && hold.try_resize(bytes);
+    let may_hold = async |bytes| bytes <= MAX_RESPONSE_BYTES && hold.resize(bytes).await;
     let ends_with_connection = response.ends_with_connection();
     let address = response.address().clone();
     let response = response.collect_while(may_hold);
--- a/crates/eelgrassdeal_gateway/src/front/hold.rs
+++ b/crates/eelgrassdeal_gateway/src/front/hold.rs
@@ -2,10 +2,14 @@
 //! upstreams until they are forwarded.
 
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use bytes::Bytes;
 use eelgrassdeal_dispatch::BufferBudget;
 
+/// Interval at which a small response that waits for memory checks whether there is some.
+const ROOM_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Bytes that one body holds of a [`BufferBudget`] of the node. Dropping it gives them back.
 pub(super) struct BufferHold {
     // Shared with bodies, which hyper requires to be `Send`.
@@ -29,6 +33,19 @@
         is_allowed
     }
 
+    /// Changes the number of bytes that the body holds, as soon as there is room for a small one. Returns
+    /// false, and changes nothing, if there is no room for a large one.
+    pub(super) async fn resize(&mut self, bytes: usize) -> bool {
+        loop {
+            match self.try_resize(bytes) {
+                false if BufferBudget::may_wait(bytes) => {
+                    compio::time::sleep(ROOM_CHECK_INTERVAL).await;
+                }
+                is_allowed => return is_allowed,
+            }
+        }
+    }
+
     /// Returns a body that holds its bytes until it is dropped.
     pub(super) fn attach_to(self, body: Bytes) -> Bytes {
         Bytes::from_owner(HeldBody { body, _hold: self })
--- a/crates/eelgrassdeal_gateway/src/front/stream.rs
+++ b/crates/eelgrassdeal_gateway/src/front/stream.rs
@@ -169,13 +169,14 @@
                 Ok(Some(events)) => return Some(Ok(events)),
                 Ok(None) if self.is_stalled() => StreamFailure::Stalled,
                 Ok(None) => match self.read().await {
-                    ReadResult::Bytes(bytes) => {
-                        if self.hold.try_resize(self.events.pending_bytes() + bytes.len()) {
+                    ReadResult::Bytes(bytes) => match self.hold_bytes(bytes.len()).await {
+                        Ok(true) => {
                             self.events.push(&bytes);
                             continue;
                         }
-                        StreamFailure::NoRoom
-                    }
+                        Ok(false) => StreamFailure::NoRoom,
+                        Err(_) => return self.fail(self.runner.call.end_reason(Instant::now())),
+                    },
                     ReadResult::End(signal) => match self.events.end(signal) {
                         StreamEnd::Complete(rest) => return self.finish(rest),
                         StreamEnd::BrokenOff => StreamFailure::BrokenOff,
@@ -255,6 +256,23 @@
         }
     }
 
+    /// Holds memory for `count` further bytes of an event. Waits for it if the event is small: another
+    /// upstream would not help, and the upstream can't send more meanwhile. Returns false if there is none
+    /// for a large event.
+    async fn hold_bytes(&mut self, count: usize) -> Result<bool, WaitError> {
+        let bytes = self.events.pending_bytes() + count;
+        if self.hold.try_resize(bytes) {
+            return Ok(true);
+        }
+        let Some(attempt) = &self.attempt else { return Ok(false) };
+        let upstream = attempt.load.upstream.clone();
+        let resize = self.hold.resize(bytes);
+        let is_held = self.runner.wait_for_bytes(&upstream, None, None, resize).await?;
+        // The wait is no stall of the upstream.
+        self.waiting_since = Instant::now();
+        Ok(is_held)
+    }
+
     /// Starts another attempt beside the running one, whose upstream is silent or sends no complete
     /// event, and uses the one that goes on first. Without another one, the running attempt goes on.
     /// Returns the rest of the stream if it is complete.
--- a/crates/eelgrassdeal_gateway/tests/response_ends.rs
+++ b/crates/eelgrassdeal_gateway/tests/response_ends.rs
@@ -6,6 +6,7 @@
 use std::net::{TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
+use common::scripted_worker::{AnswerEnd, ScriptedAnswer, ScriptedRequest, start_scripted_worker};
 use common::{API_KEY, PLAIN_SERVICE, TestPlatform, caller_request, complete_stream};
 use eelgrassdeal_http::{BufferedResponse, SendFailure};
 use rustix::net::listen;
@@ -195,3 +196,59 @@
     let (answer, ()) = futures_util::future::join(send, replace).await;
     assert_eq!(answer.expect("a response").status, 502);
 }
+
+/// Memory limit of a node whose memory for responses is full with [`HELD_RESPONSES`].
+const MEMORY_MB: u32 = 4;
+const HELD_RESPONSES: usize = 12;
+/// Bytes that each of them holds at the node.
+const HELD_BYTES: usize = 64 * 1024;
+/// Time after which their callers leave.
+const HOLD_TIME: Duration = Duration::from_millis(1_000);
+/// Body that needs more memory than they leave.
+const BODY_BYTES: usize = 20 * 1024;
+
+/// Answers `held` requests with a part of a body, streams with events of `BODY_BYTES`, and others with
+/// a body of that size.
+fn answer_in_full_node(request: &ScriptedRequest) -> ScriptedAnswer {
+    let data = "x".repeat(BODY_BYTES);
+    let (length, body) = match (request.id.starts_with("held"), request.path.starts_with("/feed/"))
+    {
+        (true, _) => (HELD_BYTES + 1, "x".repeat(HELD_BYTES)),
+        (false, true) => {
+            let events = (1..=EVENTS).map(|id| format!("id: {id}\ndata: {data}\n\n"));
+            let body: String = events.collect();
+            (body.len(), body)
+        }
+        (false, false) => (data.len(), data),
+    };
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nx-eelgrassdeal-request-id: {}\r\n\
+         x-eelgrassdeal-response-seal: seal\r\ncontent-length: {length}\r\n\r\n",
+        request.id
+    );
+    ScriptedAnswer::new(head + &body, AnswerEnd::KeepOpen)
+}
+
+#[compio::test]
+async fn response_that_finds_no_room_for_a_moment_is_not_given_up() {
+    let platform = TestPlatform::new().await.with_memory_mb(MEMORY_MB);
+    for index in 0..4 {
+        let id = format!("i-desk{index}");
+        start_scripted_worker(&platform.store, &id, answer_in_full_node).await;
+    }
+    let platform = platform.with_gateways(1).await;
+    for (path, length) in [("/book/x", BODY_BYTES), ("/feed/x", BODY_BYTES * EVENTS as usize)] {
+        let ids: Vec<_> = (0..HELD_RESPONSES).map(|index| format!("held-{index}")).collect();
+        let held = ids.iter().map(|id| platform.send_request(0, "/look/x", id, API_KEY));
+        let held = compio::time::timeout(HOLD_TIME, futures_util::future::join_all(held));
+        let send = async {
+            compio::time::sleep(HOLD_TIME / 2).await;
+            platform.send_request(0, path, "one", API_KEY).await
+        };
+        let (held, answer) = futures_util::future::join(held, send).await;
+        assert!(held.is_err(), "{path}: the memory is held: {held:?}");
+        let answer = answer.unwrap_or_else(|failure| panic!("{path}: {failure:?}"));
+        assert_eq!(answer.status, 200, "{path}");
+        assert!(answer.body.len() >= length, "{path}: {} bytes", answer.body.len());
+    }
+}
--- a/crates/eelgrassdeal_http/src/pool.rs
+++ b/crates/eelgrassdeal_http/src/pool.rs
@@ -190,18 +190,18 @@
     ///
     /// [`SendFailure::MaybeSent`] when the body is incomplete or too large.
     pub async fn collect(self, max_bytes: usize) -> Result<BufferedResponse, SendFailure> {
-        self.collect_while(|bytes| bytes <= max_bytes).await
+        self.collect_while(async |bytes| bytes <= max_bytes).await
     }
 
     /// Reads the complete body and returns the connection to the pool. `may_hold` is asked, with the
-    /// size that the body then has, before bytes are added to it.
+    /// size that the body then has, before bytes are added to it. No more is read until it has decided.
     ///
     /// # Errors
     ///
     /// [`SendFailure::MaybeSent`] when the body is incomplete, or `may_hold` refused its bytes.
     pub async fn collect_while(
         mut self,
-        mut may_hold: impl FnMut(usize) -> bool,
+        mut may_hold: impl AsyncFnMut(usize) -> bool,
     ) -> Result<BufferedResponse, SendFailure> {
         let mut body = BytesMut::new();
         while let Some(frame) = self.inner.body_mut().frame().await {
@@ -210,7 +210,7 @@
                 SendFailure::MaybeSent
             })?;
             let Ok(data) = frame.into_data() else { continue };
-            if !may_hold(body.len() + data.len()) {
+            if !may_hold(body.len() + data.len()).await {
                 log::debug!("peer={} no room for a response body", self.address);
                 return Err(SendFailure::MaybeSent);
             }
