--- a/crates/eelgrassdeal_gateway/src/front/stream.rs
+++ b/crates/eelgrassdeal_gateway/src/front/stream.rs
@@ -171,13 +171,14 @@
                 Ok(Some(events)) => return Some(Ok(events)),
                 Ok(None) if self.is_stalled() => StreamFailure::Stalled,
                 Ok(None) => match self.read().await {
-                    ReadResult::Bytes(bytes) => {
-                        if self.hold.try_resize(self.events.pending_bytes() + bytes.len()) {
+                    ReadResult::Bytes(bytes) => match self.hold_bytes(bytes.len()).await {
+                        Ok(true) => {
                             self.events.push(&bytes);
                             continue;
                         }
-                        StreamFailure::NoRoom
-                    }
+                        Ok(false) => StreamFailure::NoRoom,
+                        Err(_) => return self.fail(self.runner.call.end_reason(Instant::now())),
+                    },
                     ReadResult::End(signal) => match self.events.end(signal) {
                         StreamEnd::Complete(rest) => return self.finish(rest),
                         StreamEnd::BrokenOff => StreamFailure::BrokenOff,
@@ -240,7 +241,11 @@
                 ReadResult::Bytes(frame.into_data().unwrap_or_default())
             }
             Ok(Some(Err(_))) => ReadResult::Failed(StreamFailure::Disconnected),
-            Ok(None) => ReadResult::End(end_signal(&self.runner.state, attempt).await),
+            Ok(None) => {
+                let until = self.runner.end_check_deadline(may_move);
+                let (state, call) = (&self.runner.state, &self.runner.call);
+                ReadResult::End(end_signal(state, call, attempt, until).await)
+            }
             Err(WaitError::Silent) => {
                 self.runner.report_silent(&upstream);
                 match may_move {
@@ -253,6 +258,23 @@
         }
     }
 
+    /// Holds memory for `count` further bytes of an event. Waits for it if the event is small: another
+    /// upstream would not help, and the upstream can't send more meanwhile. Returns false if there is none
+    /// for a large event.
+    async fn hold_bytes(&mut self, count: usize) -> Result<bool, WaitError> {
+        let bytes = self.events.pending_bytes() + count;
+        if self.hold.try_resize(bytes) {
+            return Ok(true);
+        }
+        let Some(attempt) = &self.attempt else { return Ok(false) };
+        let upstream = attempt.load.upstream.clone();
+        let resize = self.hold.resize(bytes);
+        let is_held = self.runner.wait_for_bytes(&upstream, None, None, resize).await?;
+        // The wait is no stall of the upstream.
+        self.waiting_since = Instant::now();
+        Ok(is_held)
+    }
+
     /// Starts another attempt beside the running one, whose upstream is silent or sends no complete
     /// event, and uses the one that goes on first. Without another one, the running attempt goes on.
     /// Returns the rest of the stream if it is complete.
@@ -321,7 +343,7 @@
 
     async fn await_relocation(&mut self, running: &mut RunningAttempt) -> RelocationResult {
         let Self { runner, events, hold, .. } = self;
-        let state = runner.state.clone();
+        let (state, call) = (runner.state.clone(), runner.call.clone());
         let mut start = pin!(runner.start(events.last_event()));
         let loss = loop {
             let frame = match select(start.as_mut(), pin!(running.response.next_frame())).await {
@@ -344,10 +366,21 @@
                     }
                 }
                 Some(Err(_)) => break StreamFailure::Disconnected,
-                None => match events.end(end_signal(&state, running).await) {
-                    StreamEnd::Complete(rest) => return RelocationResult::Completed(rest),
-                    StreamEnd::BrokenOff => break StreamFailure::BrokenOff,
-                },
+                None => {
+                    let end = pin!(end_signal(&state, &call, running, call.deadline));
+                    let signal = match select(start.as_mut(), end).await {
+                        Either::Left((Ok(attempt), _)) => {
+                            return RelocationResult::Started(Box::new(attempt), None);
+                        }
+                        // The end is read again, and checked, without another attempt.
+                        Either::Left((Err(_), _)) => return RelocationResult::Refused,
+                        Either::Right((signal, _)) => signal,
+                    };
+                    match events.end(signal) {
+                        StreamEnd::Complete(rest) => return RelocationResult::Completed(rest),
+                        StreamEnd::BrokenOff => break StreamFailure::BrokenOff,
+                    }
+                }
             }
         };
         match start.await {
@@ -464,11 +497,17 @@
     patience.mul_f64(STALL_FRACTION)
 }
 
-/// What the end of a response without an error shows.
-async fn end_signal(state: &GatewayState, attempt: &RunningAttempt) -> EndSignal {
+/// What the end of a response without an error shows, as far as it can be found out by `until`.
+async fn end_signal(
+    state: &GatewayState,
+    call: &GatewayCall,
+    attempt: &RunningAttempt,
+    until: Instant,
+) -> EndSignal {
+    let (upstream, address) = (&attempt.load.upstream, attempt.response.address());
     match attempt.response.ends_with_connection() {
         false => EndSignal::Framing,
-        true => match may_be_broken_off(state, attempt.response.address()).await {
+        true => match may_be_broken_off(state, call, upstream, address, until).await {
             true => EndSignal::Crash,
             false => EndSignal::Disconnection,
         },
--- a/crates/eelgrassdeal_http/src/pool.rs
+++ b/crates/eelgrassdeal_http/src/pool.rs
@@ -3,7 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::error::Error;
-use std::io;
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -46,6 +46,9 @@
 pub enum SendFailure {
     /// The peer's host refused the connection: no process listens on the port.
     Refused,
+    /// The peer closed a new connection at once, as one does that has too many; no byte of the request
+    /// was sent.
+    Closed,
     /// No connection could be used; no byte of the request was sent.
     NotSent,
     /// The number of connections to this peer has reached its limit; no byte of the request was
@@ -64,7 +67,7 @@
 impl SendFailure {
     /// Whether it is certain that no byte of the request was sent.
     pub fn is_unsent(self) -> bool {
-        matches!(self, Self::Refused | Self::NotSent | Self::TooManyConnections)
+        matches!(self, Self::Refused | Self::Closed | Self::NotSent | Self::TooManyConnections)
     }
 }
 
@@ -242,18 +245,18 @@
     ///
     /// [`SendFailure::MaybeSent`] when the body is incomplete or too large.
     pub async fn collect(self, max_bytes: usize) -> Result<BufferedResponse, SendFailure> {
-        self.collect_while(|bytes| bytes <= max_bytes).await
+        self.collect_while(async |bytes| bytes <= max_bytes).await
     }
 
     /// Reads the complete body and returns the connection to the pool. `may_hold` is asked, with the
-    /// size that the body then has, before bytes are added to it.
+    /// size that the body then has, before bytes are added to it. No more is read until it has decided.
     ///
     /// # Errors
     ///
     /// [`SendFailure::MaybeSent`] when the body is incomplete, or `may_hold` refused its bytes.
     pub async fn collect_while(
         mut self,
-        mut may_hold: impl FnMut(usize) -> bool,
+        mut may_hold: impl AsyncFnMut(usize) -> bool,
     ) -> Result<BufferedResponse, SendFailure> {
         let mut body = BytesMut::new();
         while let Some(frame) = self.next_frame().await {
@@ -262,7 +265,7 @@
                 SendFailure::MaybeSent
             })?;
             let Ok(data) = frame.into_data() else { continue };
-            if !may_hold(body.len() + data.len()) {
+            if !may_hold(body.len() + data.len()).await {
                 log::debug!("peer={} no room for a response body", self.address);
                 return Err(SendFailure::MaybeSent);
             }
@@ -340,18 +343,24 @@
         }
     }
 
-    /// Opens a connection, and keeps it for a later request. This shows whether the peer still accepts
-    /// connections.
+    /// Opens a connection, and keeps it for a later request if it is still open after `min_age`. This
+    /// shows whether the peer still accepts connections: the system closes those that wait in the queue
+    /// of a listener with it.
     ///
     /// # Errors
     ///
-    /// [`SendFailure`] if there is no new connection.
+    /// [`SendFailure`] if there is no new connection, [`SendFailure::Closed`] if the peer closed it.
     pub async fn open_idle(
         &self,
         address: &Arc<str>,
         options: SendOptions,
+        min_age: Duration,
     ) -> Result<(), SendFailure> {
         let connection = self.connect(address, options).await?;
+        compio::time::sleep(min_age).await;
+        if connection.sender.is_closed() {
+            return Err(SendFailure::Closed);
+        }
         self.put_idle(address, connection, Instant::now(), DEFAULT_IDLE_TIMEOUT);
         Ok(())
     }
@@ -454,12 +463,13 @@
         let connect = TcpStream::connect(socket_address);
         let stream = match compio::time::timeout(options.connect_timeout, connect).await {
             Ok(Ok(stream)) => stream,
-            Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
-                return Err(SendFailure::Refused);
-            }
             Ok(Err(error)) => {
                 log::debug!("peer={address} connect failed: {error}");
-                return Err(SendFailure::NotSent);
+                return Err(match error.kind() {
+                    ErrorKind::ConnectionRefused => SendFailure::Refused,
+                    ErrorKind::ConnectionReset => SendFailure::Closed,
+                    _ => SendFailure::NotSent,
+                });
             }
             Err(_) => return Err(SendFailure::NotSent),
         };
