Load a settings file again that was read half written

A SIGHUP may come while the settings file is being written. If the part that is there is valid, which it is when the bounds come last, its defaults replaced the limits that the file names, such as the grace of a stop and the retry budget. The poll for changes compared the file with the text that it had seen itself, not with the text that was loaded: a file that was written again without a change kept the limits of the part until its next change. The poll also read the file twice, once to compare and once to load.

The text that was loaded is now kept in one place, for the signal and the poll, and the poll compares with it and loads the text that it has compared.

settings_that_were_read_half_written_are_loaded_again failed before: 20 s after the whole file was back, the log had one reload with a change, that of the part.

--- a/crates/eelgrassdeal_gateway/src/lifecycle.rs
+++ b/crates/eelgrassdeal_gateway/src/lifecycle.rs
@@ -1,7 +1,8 @@
 //! Startup, settings reload and graceful shutdown of a gateway.
 
+use std::cell::RefCell;
 use std::fmt;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -9,7 +10,7 @@
 use compio::net::TcpListener;
 use eelgrassdeal_dispatch::{GatewaySettings, NodeStage, SharedTable};
 use eelgrassdeal_logging::dropped_lines;
-use eelgrassdeal_platform::load_settings;
+use eelgrassdeal_platform::{parse_settings, read_settings};
 use error_stack::{Report, ResultExt};
 
 use crate::connection_limit::ConnectionLimit;
@@ -115,8 +116,9 @@
     spawn_with_state(&state, "sweep_upstreams", |state| state.upstream_pool.clone().sweep());
     spawn_with_state(&state, "sweep_control", |state| state.control_pool.clone().sweep());
     let (mut stop, reload) = signals.into_listeners().change_context(GatewayError)?;
-    compio::runtime::spawn(reload_on_signal(state.clone(), path.clone(), reload)).detach();
-    compio::runtime::spawn(reload_on_change(state.clone(), path)).detach();
+    let file = Rc::new(SettingsFile::new(path));
+    compio::runtime::spawn(reload_on_signal(state.clone(), file.clone(), reload)).detach();
+    compio::runtime::spawn(reload_on_change(state.clone(), file)).detach();
     stop.wait().await;
     shut_down(&state).await;
     Ok(())
@@ -229,36 +231,68 @@
     logged.seen = dropped;
 }
 
-async fn reload_on_signal(state: Rc<GatewayState>, path: PathBuf, mut signals: SignalListener) {
+async fn reload_on_signal(
+    state: Rc<GatewayState>,
+    file: Rc<SettingsFile>,
+    mut signals: SignalListener,
+) {
     loop {
         signals.wait().await;
-        reload(&state, &path);
+        file.reload(&state);
     }
 }
 
-async fn reload_on_change(state: Rc<GatewayState>, path: PathBuf) {
-    let mut last_read = std::fs::read(&path).ok();
+async fn reload_on_change(state: Rc<GatewayState>, file: Rc<SettingsFile>) {
     loop {
         compio::time::sleep(SETTINGS_POLL_INTERVAL).await;
-        let current = std::fs::read(&path).ok();
-        if current.is_some() && current != last_read {
-            reload(&state, &path);
-            last_read = current;
-        }
+        file.reload_if_changed(&state);
     }
 }
 
-/// Loads the settings file and applies it. Listen addresses that are already bound do not change.
-fn reload(state: &GatewayState, path: &Path) {
-    match load_settings(path) {
-        Ok(settings) => {
-            log::info!(
-                "event=reload file={} changed={}",
-                path.display(),
-                settings != *state.settings()
-            );
-            state.set_settings(settings);
+/// The settings file, and its text when it was last loaded.
+///
+/// A load may find a part of a file that is being written, and the part may be valid. The file is loaded
+/// again whenever its text differs from the one that was loaded, so that the part doesn't stay.
+struct SettingsFile {
+    path: PathBuf,
+    loaded: RefCell<Option<String>>,
+}
+
+impl SettingsFile {
+    fn new(path: PathBuf) -> Self {
+        let loaded = RefCell::new(read_settings(&path).ok());
+        Self { path, loaded }
+    }
+
+    /// Loads the file and applies it.
+    fn reload(&self, state: &GatewayState) {
+        match read_settings(&self.path) {
+            Ok(text) => self.apply(state, text),
+            Err(report) => log::error!("event=reload_failed reason=\"{report:?}\""),
+        }
+    }
+
+    fn reload_if_changed(&self, state: &GatewayState) {
+        match read_settings(&self.path) {
+            Ok(text) if self.loaded.borrow().as_ref() != Some(&text) => self.apply(state, text),
+            // A file that is missing for a moment is being replaced.
+            Ok(_) | Err(_) => {}
+        }
+    }
+
+    /// Applies the text of the file. Listen addresses that are already bound do not change.
+    fn apply(&self, state: &GatewayState, text: String) {
+        match parse_settings(&self.path, &text) {
+            Ok(settings) => {
+                log::info!(
+                    "event=reload file={} changed={}",
+                    self.path.display(),
+                    settings != *state.settings()
+                );
+                state.set_settings(settings);
+            }
+            Err(report) => log::error!("event=reload_failed reason=\"{report:?}\""),
         }
-        Err(report) => log::error!("event=reload_failed reason=\"{report:?}\""),
+        *self.loaded.borrow_mut() = Some(text);
     }
 }
--- a/crates/eelgrassdeal_gateway/tests/common/mod.rs
+++ b/crates/eelgrassdeal_gateway/tests/common/mod.rs
@@ -61,6 +61,11 @@
         }
     }
 
+    /// The settings file, which the process may load again at any time.
+    pub fn settings_path(&self) -> &Path {
+        &self.settings
+    }
+
     /// Kills the process without a graceful shutdown.
     pub fn kill(&mut self) {
         self.child = None;
--- a/crates/eelgrassdeal_gateway/tests/signals.rs
+++ b/crates/eelgrassdeal_gateway/tests/signals.rs
@@ -35,3 +35,28 @@
     assert_eq!(answer.status, 200);
     assert!(platform.gateways[0].log().contains("event=reload"));
 }
+
+/// The limits of a settings file that was read while it was written stayed if it had been written
+/// without a change.
+#[compio::test]
+async fn settings_that_were_read_half_written_are_loaded_again() {
+    let platform = TestPlatform::new().await.with_gateways(1).await;
+    let gateway = &platform.gateways[0];
+    let path = gateway.settings_path();
+    let text = std::fs::read_to_string(path).expect("a settings file");
+    let bounds_at = text.find("[bounds]").expect("bounds");
+    let limits_at = text.find("[limits]").expect("limits");
+    // A part of the file is valid if the bounds come last.
+    let half = format!("{}{}", &text[..bounds_at], &text[limits_at..]);
+    let whole = format!("{half}{}", &text[bounds_at..limits_at]);
+    let changes = || gateway.log().matches(" changed=true").count();
+    let reloads = || gateway.log().matches("event=reload ").count();
+    std::fs::write(path, &whole).expect("the settings file can be written");
+    platform.wait_until("the file is loaded", async || reloads() == 1).await;
+    assert_eq!(changes(), 0, "only the order differs");
+    std::fs::write(path, &half).expect("the settings file can be written");
+    gateway.hang_up();
+    platform.wait_until("a part of the file is loaded", async || changes() == 1).await;
+    std::fs::write(path, &whole).expect("the settings file can be written");
+    platform.wait_until("the whole file is loaded", async || changes() == 2).await;
+}
