A pause at the end of a response without a length is not a crash

Beside a reload, a stream whose upstream had sent all its events and ended the connection, as it must without a length, was cut; a plain response became a 502.

The end of such a connection is checked by another one, and the upstream counted as crashed when that one wasn't established within 100 ms. A pause of the upstream or of the gateway's own process takes longer. The resumed streams then had no events left, so that their ends counted as broken off, until no attempt was left.

Now a refused connection still shows a crash at once, but one that isn't established in time is followed by others, up to the deadline of the request and for at most 1.2 s of work. A pause of this process uses up one of them only.

response_without_length_of_a_worker_that_then_pauses_is_complete failed before: `cut`, with last_event=3 of 3. A machine that is gone without refusing connections is recognized after 1.2 s instead of 0.1 s.

--- a/crates/eelgrassdeal_gateway/src/front/attempt.rs
+++ b/crates/eelgrassdeal_gateway/src/front/attempt.rs
@@ -66,8 +66,12 @@
 const SILENT_BACKOFF: Duration = Duration::from_secs(2);
 /// Interval at which a request that waits for a silent upstream looks for another one again.
 const RELOCATION_INTERVAL: Duration = Duration::from_millis(500);
-/// Timeout of the check whether a response that ended with its connection may be broken off.
-const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
+/// Number of connections by which it is checked whether a response that ended with its connection may
+/// be broken off. A sound upstream may stand still for a second and accept none. A pause of this process,
+/// however long, takes up the time of only one.
+const CRASH_CHECKS: u32 = 8;
+/// Timeout of each of these connections.
+const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(150);
 /// Assumed maximum number of prompt tokens that an engine processes in one step. The configuration
 /// of an engine does not state it.
 const PREFILL_CHUNK_TOKENS: f64 = 2_048.0;
@@ -752,15 +756,31 @@
 }
 
 /// Whether a response of which only the end of its connection tells the end may be incomplete: the
-/// upstream at `address` accepts no further connection, so that its process may have crashed. What
-/// its record says does not matter, as upstreams that leave or pause can crash too.
+/// upstream at `address` refuses a further connection, so that its process may have crashed, or accepts
+/// none of [`CRASH_CHECKS`], or of those for which `time_left` is enough. What its record says does not
+/// matter, as upstreams that leave or pause can crash too.
 ///
 /// It can't tell a part from the whole if the upstream goes on after it has closed the connection
 /// early, or if another process has taken the address. It takes the whole for a part if the
 /// upstream ended right after it, or can't be reached.
-pub(super) async fn may_be_broken_off(state: &GatewayState, address: &Arc<str>) -> bool {
+pub(super) async fn may_be_broken_off(
+    state: &GatewayState,
+    address: &Arc<str>,
+    time_left: Duration,
+) -> bool {
     let options = SendOptions::default().with_connect_timeout(CRASH_CHECK_TIMEOUT);
-    state.upstream_pool.open_idle(address, options).await.is_err()
+    let until = Instant::now() + time_left;
+    for _ in 0..CRASH_CHECKS {
+        let began = Instant::now();
+        match state.upstream_pool.open_idle(address, options).await {
+            Ok(()) => return false,
+            Err(SendFailure::Refused) => return true,
+            Err(_) if Instant::now() >= until => return true,
+            // Other errors than a timeout may come at once.
+            Err(_) => compio::time::sleep_until(began + CRASH_CHECK_TIMEOUT).await,
+        }
+    }
+    true
 }
 
 /// Waits for the result of a send; forever without one.
--- a/crates/eelgrassdeal_gateway/src/front/buffered.rs
+++ b/crates/eelgrassdeal_gateway/src/front/buffered.rs
@@ -53,8 +53,12 @@
     let address = response.address().clone();
     let response = response.collect_while(may_hold);
     let collected = match runner.wait_for_bytes(&upstream, None, None, response).await {
-        Ok(Ok(_)) if ends_with_connection && may_be_broken_off(&runner.state, &address).await => {
-            Ok(Err(SendFailure::MaybeSent))
+        Ok(Ok(whole)) if ends_with_connection => {
+            let time_left = runner.call.time_left(Instant::now());
+            match may_be_broken_off(&runner.state, &address, time_left).await {
+                true => Ok(Err(SendFailure::MaybeSent)),
+                false => Ok(Ok(whole)),
+            }
         }
         collected => collected,
     };
--- a/crates/eelgrassdeal_gateway/src/front/stream.rs
+++ b/crates/eelgrassdeal_gateway/src/front/stream.rs
@@ -238,7 +238,9 @@
                 ReadResult::Bytes(frame.into_data().unwrap_or_default())
             }
             Ok(Some(Err(_))) => ReadResult::Failed(StreamFailure::Disconnected),
-            Ok(None) => ReadResult::End(end_signal(&self.runner.state, attempt).await),
+            Ok(None) => {
+                ReadResult::End(end_signal(&self.runner.state, &self.runner.call, attempt).await)
+            }
             Err(WaitError::Silent) => {
                 self.runner.report_silent(&upstream);
                 match may_move {
@@ -319,7 +321,7 @@
 
     async fn await_relocation(&mut self, running: &mut RunningAttempt) -> RelocationResult {
         let Self { runner, events, hold, .. } = self;
-        let state = runner.state.clone();
+        let (state, call) = (runner.state.clone(), runner.call.clone());
         let mut start = pin!(runner.start(events.last_event()));
         let loss = loop {
             let frame = pin!(running.response.inner.body_mut().frame());
@@ -343,7 +345,7 @@
                     }
                 }
                 Some(Err(_)) => break StreamFailure::Disconnected,
-                None => match events.end(end_signal(&state, running).await) {
+                None => match events.end(end_signal(&state, &call, running).await) {
                     StreamEnd::Complete(rest) => return RelocationResult::Completed(rest),
                     StreamEnd::BrokenOff => break StreamFailure::BrokenOff,
                 },
@@ -464,12 +466,17 @@
 }
 
 /// What the end of a response without an error shows.
-async fn end_signal(state: &GatewayState, attempt: &RunningAttempt) -> EndSignal {
-    match attempt.response.ends_with_connection() {
-        false => EndSignal::Framing,
-        true => match may_be_broken_off(state, attempt.response.address()).await {
-            true => EndSignal::Crash,
-            false => EndSignal::Disconnection,
-        },
+async fn end_signal(
+    state: &GatewayState,
+    call: &GatewayCall,
+    attempt: &RunningAttempt,
+) -> EndSignal {
+    if !attempt.response.ends_with_connection() {
+        return EndSignal::Framing;
+    }
+    let time_left = call.time_left(Instant::now());
+    match may_be_broken_off(state, attempt.response.address(), time_left).await {
+        true => EndSignal::Crash,
+        false => EndSignal::Disconnection,
     }
 }
--- a/crates/eelgrassdeal_gateway/tests/broken_off_responses.rs
+++ b/crates/eelgrassdeal_gateway/tests/broken_off_responses.rs
@@ -4,14 +4,18 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
+use std::io::{Read, Write};
+use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use common::scripted_worker::{AnswerEnd, ScriptedAnswer, ScriptedRequest, start_scripted_worker};
-use common::{API_KEY, HOST, TestPlatform, complete_stream};
+use common::{API_KEY, HOST, PLAIN_SERVICE, TestPlatform, complete_stream};
 use compio::BufResult;
 use compio::io::{AsyncRead, AsyncWriteExt};
 use compio::net::TcpStream;
 use eelgrassdeal_http::{BufferedResponse, SendFailure};
+use rustix::net::{AddressFamily, SocketType};
 
 /// Events of a stream.
 const EVENTS: u64 = 3;
@@ -443,3 +447,50 @@
     assert!(text.contains("data: event 2"), "the stream began: {text}");
     assert_eq!(ended, Err(std::io::ErrorKind::ConnectionReset), "after {text}");
 }
+
+/// A worker whose answer ends with its connection, and which then takes no connection for `pause`, as
+/// if its process stood still.
+fn start_pausing_worker(platform: &TestPlatform, pause: Duration) {
+    let socket = rustix::net::socket(AddressFamily::INET, SocketType::STREAM, None);
+    let socket = socket.expect("a socket");
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    rustix::net::bind(&socket, &any).expect("a free port");
+    // One connection fills the queue of those that are not accepted.
+    rustix::net::listen(&socket, 0).expect("a listening socket");
+    let listener = std::net::TcpListener::from(socket);
+    let address = listener.local_addr().expect("a bound address");
+    let row = serde_json::json!({ "service": PLAIN_SERVICE, "address": address.to_string(),
+        "zone": "zone-a", "version": "1", "slots": 6, "state": "ready", "cold_left_ms": 0,
+        "seq": 1, "born": 1 });
+    platform.store.put("servers", "i-desk0", row.to_string().as_bytes());
+    std::thread::spawn(move || {
+        while let Ok((mut stream, _)) = listener.accept() {
+            let mut head = [0; 8 * 1024];
+            let count = stream.read(&mut head).unwrap_or(0);
+            if count == 0 {
+                continue;
+            }
+            let is_stream = head[..count].starts_with(b"POST /feed/");
+            let pieces = if is_stream { events_after(0) } else { vec!["0123456789".to_owned()] };
+            let whole = response("one", BodyFraming::ConnectionEnd, &pieces);
+            let waiting = std::net::TcpStream::connect(address);
+            let _ = stream.write_all(&whole);
+            drop(stream);
+            std::thread::sleep(pause);
+            drop(waiting);
+        }
+    });
+}
+
+/// A worker that stands still, or a pause of the gateway itself, was taken for a crash after 100 ms.
+#[compio::test]
+async fn response_without_length_of_a_worker_that_then_pauses_is_complete() {
+    for (path, body) in [("/feed/x", complete_stream(EVENTS)), ("/book/x", "0123456789".into())] {
+        let platform = TestPlatform::new().await;
+        start_pausing_worker(&platform, Duration::from_millis(700));
+        let platform = platform.with_gateways(1).await;
+        let answer = platform.send_request(0, path, "one", API_KEY).await;
+        let answer = answer.expect("a complete response");
+        assert_eq!((answer.status, &answer.body[..]), (200, body.as_bytes()), "{path}");
+    }
+}
