Log a failed reload in one line

A reload that met a half-written settings file held up all requests of the node, for 0.26 s in a debug build with RUST_BACKTRACE=1 beside other work (123 lines of the log), and 0.19 s in the new test. The log line had the debug output of the error's report, with its backtrace, whose symbols are looked up as it is written, and colour codes.

The line now has the file and the chain of errors, escaped. In a release build without RUST_BACKTRACE there was no backtrace; the lines were still several for one event.

failed_reload_is_logged_in_one_line failed before.

--- a/crates/eelgrassdeal_gateway/src/lifecycle.rs
+++ b/crates/eelgrassdeal_gateway/src/lifecycle.rs
@@ -10,7 +10,7 @@
 use compio::net::TcpListener;
 use eelgrassdeal_dispatch::{GatewaySettings, NodeStage, SharedTable};
 use eelgrassdeal_logging::dropped_lines;
-use eelgrassdeal_platform::{parse_settings, read_settings};
+use eelgrassdeal_platform::{SettingsError, parse_settings, read_settings};
 use error_stack::{Report, ResultExt};
 
 use crate::connection_limit::ConnectionLimit;
@@ -268,7 +268,7 @@
     fn reload(&self, state: &GatewayState) {
         match read_settings(&self.path) {
             Ok(text) => self.apply(state, text),
-            Err(report) => log::error!("event=reload_failed reason=\"{report:?}\""),
+            Err(report) => self.log_failure(&report),
         }
     }
 
@@ -291,8 +291,15 @@
                 );
                 state.set_settings(settings);
             }
-            Err(report) => log::error!("event=reload_failed reason=\"{report:?}\""),
+            Err(report) => self.log_failure(&report),
         }
         *self.loaded.borrow_mut() = Some(text);
     }
+
+    /// Logs a failed load in one line. The `Debug` output of a report has many, with a backtrace whose
+    /// symbols take long to find.
+    fn log_failure(&self, report: &Report<SettingsError>) {
+        let reason = format!("{report:#}");
+        log::error!("event=reload_failed file={} reason={reason:?}", self.path.display());
+    }
 }
--- a/crates/eelgrassdeal_gateway/tests/signals.rs
+++ b/crates/eelgrassdeal_gateway/tests/signals.rs
@@ -60,3 +60,24 @@
     std::fs::write(path, &whole).expect("the settings file can be written");
     platform.wait_until("the whole file is loaded", async || changes() == 2).await;
 }
+
+/// The report on a settings file that can't be read had up to hundreds of lines, whose writing took the
+/// time of requests.
+#[compio::test]
+async fn failed_reload_is_logged_in_one_line() {
+    let platform = TestPlatform::new().await.with_gateways(1).await;
+    let gateway = &platform.gateways[0];
+    for text in ["node_name = ", "node_name = \"node-0\"\nip = 4\n", ""] {
+        let failures = || gateway.log().matches("event=reload_failed").count();
+        let earlier = failures();
+        std::fs::write(gateway.settings_path(), text).expect("the settings file can be written");
+        gateway.hang_up();
+        platform.wait_until("the reload fails", async || failures() > earlier).await;
+    }
+    let log = gateway.log();
+    let path = gateway.settings_path().display().to_string();
+    let lines: Vec<_> = log.lines().filter(|line| line.contains("event=reload_failed")).collect();
+    assert!(lines.iter().all(|line| line.contains(&path)), "{lines:#?}");
+    let rest: Vec<_> = log.lines().filter(|line| !line.contains(" event=")).collect();
+    assert!(rest.is_empty(), "{rest:#?}");
+}
