A stopping node waits for the rest of requests whose heads have begun

A caller whose request arrived in two parts around the end of a stop found its connection closed: no handler had seen the request, so that it counted nowhere, and the node exited 200 ms after the last one that counted.

The wait is bounded by the time that a head has, and by the grace.

request_whose_head_is_in_two_parts_is_answered_by_a_stopping_node failed without the count (closed after 0 bytes in place of 503). The test of the line for a request that the end of the process cuts needs a head that outlasts the stop now, as shorter ones are waited for; what it checks is unchanged.

--- a/crates/eelgrassdeal_gateway/src/connection.rs
+++ b/crates/eelgrassdeal_gateway/src/connection.rs
@@ -23,6 +23,7 @@
 use hyper::{Request, StatusCode, Version};
 
 use crate::server::{Reply, RequestHandler, full_reply};
+use crate::state::GatewayState;
 
 /// A connection whose other side accepts no byte for this long is closed.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -115,7 +116,7 @@
     stream: TcpStream,
     caller: SocketAddr,
     handler: Rc<H>,
-    unflushed: Rc<Cell<u32>>,
+    state: Rc<GatewayState>,
 ) {
     // Without Nagle's algorithm an event of a stream is sent before the previous one is
     // acknowledged.
@@ -124,7 +125,7 @@
     let max_head_bytes = handler.max_head_bytes();
     let has_chunks = Rc::new(Cell::new(true));
     let version_seen = has_chunks.clone();
-    let mut watch = ServerWatch::new(stream.clone());
+    let mut watch = ServerWatch::new(stream.clone()).with_head_count(state.heads.clone());
     let report = ConnectionReport::new(caller, watch.phase_clock());
     let (service_report, service_handler) = (report.clone(), handler.clone());
     let service = service_fn(move |request: Request<Incoming>| {
@@ -142,7 +143,7 @@
         }
     });
     let socket = BoundedSocket::new_plain(stream, WRITE_TIMEOUT)
-        .with_unflushed_count(unflushed)
+        .with_unflushed_count(state.unflushed.clone())
         .with_phase_clock(watch.phase_clock());
     let end = {
         let connection = http1::Builder::new()
--- a/crates/eelgrassdeal_gateway/src/lifecycle.rs
+++ b/crates/eelgrassdeal_gateway/src/lifecycle.rs
@@ -184,9 +184,9 @@
     );
 }
 
-/// Whether a request is in progress, or a response that the system has not taken.
+/// Whether a request is being received or in progress, or a response that the system has not taken.
 fn is_in_use(state: &GatewayState) -> bool {
-    state.in_flight.get() + state.unflushed.get() > 0
+    state.heads.get() + state.in_flight.get() + state.unflushed.get() > 0
 }
 
 /// Waits until the node has not been in use for `FLUSH_PERIOD`, or `deadline`.
--- a/crates/eelgrassdeal_gateway/src/server.rs
+++ b/crates/eelgrassdeal_gateway/src/server.rs
@@ -75,7 +75,7 @@
                 compio::runtime::spawn(async move {
                     let _permit = permit;
                     let _open = CountGuard::new(&state.connections);
-                    serve_connection(stream, caller, handler, state.unflushed.clone()).await;
+                    serve_connection(stream, caller, handler, state.clone()).await;
                 })
                 .detach();
             }
--- a/crates/eelgrassdeal_gateway/src/state.rs
+++ b/crates/eelgrassdeal_gateway/src/state.rs
@@ -155,6 +155,8 @@
     pub(crate) begun_requests: Cell<u64>,
     /// Number of connections with output that the system has not taken yet.
     pub(crate) unflushed: Rc<Cell<u32>>,
+    /// Number of connections on which a part of a request's head has been received.
+    pub(crate) heads: Rc<Cell<u32>>,
     /// Open connections that this node has accepted.
     pub(crate) connections: Cell<u32>,
 }
@@ -217,6 +219,7 @@
             in_flight: Cell::new(0),
             begun_requests: Cell::new(0),
             unflushed: Rc::default(),
+            heads: Rc::default(),
             connections: Cell::new(0),
             settings: RefCell::new(Arc::new(settings)),
         }
--- a/crates/eelgrassdeal_gateway/tests/stops_and_resets.rs
+++ b/crates/eelgrassdeal_gateway/tests/stops_and_resets.rs
@@ -108,10 +108,33 @@
     drop(idle);
 }
 
+/// A stopping node exited in the middle of a head, which no handler had seen.
+#[compio::test]
+async fn request_whose_head_is_in_two_parts_is_answered_by_a_stopping_node() {
+    let mut platform = TestPlatform::new().await.with_gateways(1).await;
+    let front = &*platform.gateways[0].front;
+    let mut stream = TcpStream::connect(front).await.expect("a connection");
+    platform.gateways[0].terminate();
+    sleep(Duration::from_millis(1_500)).await;
+    let mut head = request_head("/book/x", API_KEY, "parts", 0);
+    let rest = head.split_off(60);
+    stream.write_all(head).await.0.expect("sent");
+    sleep(Duration::from_millis(2_000)).await;
+    let _ = stream.write_all(rest).await;
+    let answer = read_answer(&mut stream).await;
+    assert!(answer.as_ref().is_ok_and(|head| head.starts_with("http/1.1 503 ")), "{answer:?}");
+    assert!(platform.gateways[0].exits_successfully().await);
+}
+
 /// The log ended before the connections.
 #[compio::test]
 async fn request_that_the_end_of_a_process_cuts_has_a_line() {
     let mut platform = TestPlatform::new().await.with_gateways(1).await;
+    // Longer than the time that a stopping node has, which waits for the rest of a head.
+    let limits = json!({ "max_header_bytes": 16384, "max_body_bytes": MAX_BODY_BYTES,
+        "header_timeout_ms": 60_000, "idle_timeout_ms": 15_000 });
+    platform.write_config_with_limits(50, &[API_KEY], limits);
+    sleep(Duration::from_secs(1)).await;
     let front = &*platform.gateways[0].front;
     let mut stream = TcpStream::connect(front).await.expect("a connection");
     let mut head = request_head("/book/x", API_KEY, "half", 0);
--- a/crates/eelgrassdeal_http/src/phase.rs
+++ b/crates/eelgrassdeal_http/src/phase.rs
@@ -51,18 +51,22 @@
     requests: Cell<u64>,
     /// Idle timeout at the last response, which told the caller a part of it.
     told_idle: Cell<Duration>,
+    /// Counts the connections in [`ConnectionPhase::Head`].
+    head_count: Rc<Cell<u32>>,
     /// Whether the response to the current request has no body, whatever its headers say.
     is_head_request: Cell<bool>,
 }
 
 impl PhaseClock {
-    /// Creates the clock of a connection that has just been accepted.
-    pub fn new() -> Rc<Self> {
+    /// Creates the clock of a connection that has just been accepted, which is counted in `head_count`
+    /// while it is in [`ConnectionPhase::Head`].
+    pub fn new(head_count: Rc<Cell<u32>>) -> Rc<Self> {
         Rc::new(Self {
             phase: Cell::new(ConnectionPhase::Idle),
             since: Cell::new(Instant::now()),
             requests: Cell::new(0),
             told_idle: Cell::new(Duration::ZERO),
+            head_count,
             is_head_request: Cell::new(false),
         })
     }
@@ -122,11 +126,23 @@
     }
 
     fn enter(&self, phase: ConnectionPhase) {
-        self.phase.set(phase);
+        let count = self.head_count.get();
+        match (self.phase.replace(phase), phase) {
+            (ConnectionPhase::Head, ConnectionPhase::Head) => {}
+            (ConnectionPhase::Head, _) => self.head_count.set(count - 1),
+            (_, ConnectionPhase::Head) => self.head_count.set(count + 1),
+            _ => {}
+        }
         self.since.set(Instant::now());
     }
 }
 
+impl Drop for PhaseClock {
+    fn drop(&mut self) {
+        self.enter(ConnectionPhase::Idle);
+    }
+}
+
 /// Body of a request that knows whether it has been read to its end. A server connection ends after the
 /// response to a request whose body was not.
 #[derive(Debug)]
--- a/crates/eelgrassdeal_http/src/server.rs
+++ b/crates/eelgrassdeal_http/src/server.rs
@@ -1,5 +1,6 @@
 //! Time limits of server connections, and what callers are told of them.
 
+use std::cell::Cell;
 use std::future::poll_fn;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -63,7 +64,14 @@
 impl ServerWatch {
     /// Watches a connection on `stream`.
     pub fn new(stream: TcpStream) -> Self {
-        Self { phase_clock: PhaseClock::new(), stream, timer: None, delayed_until: None }
+        let phase_clock = PhaseClock::new(Rc::default());
+        Self { phase_clock, stream, timer: None, delayed_until: None }
+    }
+
+    /// Counts the connection in `count` while a part of a request's head has been received.
+    pub fn with_head_count(mut self, count: Rc<Cell<u32>>) -> Self {
+        self.phase_clock = PhaseClock::new(count);
+        self
     }
 
     /// The clock that the connection's socket, requests and responses share.
