Pool: idle connections don't use up the limit of connections to a peer

A request got TooManyConnections, and its upstream was excluded, although the connections that filled the limit were idle: one whose idle time was over was dropped, but counted until its task had ended; one that was idle for too long for a request that may run once, or for one that needs a new connection, counted as long as it was kept. With one upstream the caller gets a refusal.

Shown in the pool at a limit of one: TooManyConnections on for an expired connection and for a request with max_idle 0; since the pool looks for unread ends, also for one of these (MaybeSent before). Now all three get 200.

Idle connections are closed where there is no room for the one that a request needs, and the request waits, for its connect timeout at most, until the sockets that were given up are closed. So there are never more open sockets than the limit. A limit that is filled by connections in use fails at once, as before.

--- a/crates/eelgrassdeal_http/src/pool.rs
+++ b/crates/eelgrassdeal_http/src/pool.rs
@@ -119,6 +119,7 @@
     sender: SendRequest<Full<Bytes>>,
     stream: TcpStream,
     is_busy: Rc<Cell<bool>>,
+    _held: CountGuard,
 }
 
 impl PeerConnection {
@@ -139,7 +140,26 @@
 #[derive(Default)]
 struct PeerConnections {
     idle: Vec<PooledConnection>,
+    counts: Rc<ConnectionCounts>,
+}
+
+/// Numbers of connections to one peer.
+#[derive(Default)]
+struct ConnectionCounts {
+    /// Connections that are being opened, carry a request or are idle.
+    held: Rc<Cell<usize>>,
+    /// Connections whose sockets are open, which includes those that are being closed.
     open: Rc<Cell<usize>>,
+    closed: Event,
+}
+
+impl ConnectionCounts {
+    async fn wait_for_room(&self, max_connections: usize) {
+        while self.open.get() >= max_connections {
+            // Nothing runs between the check and the listener, as the counts are of one thread.
+            self.closed.listen().await;
+        }
+    }
 }
 
 /// Pool of connections by address of the peer. Clones share the same pool.
@@ -393,7 +413,7 @@
             self.peers.borrow_mut().retain(|_, peer| {
                 peer.idle
                     .retain(|pooled| now < pooled.expires && !pooled.connection.sender.is_closed());
-                !peer.idle.is_empty() || peer.open.get() > 0
+                !peer.idle.is_empty() || peer.counts.held.get() > 0 || peer.counts.open.get() > 0
             });
         }
     }
@@ -446,16 +466,37 @@
         }
     }
 
+    /// Closes the idle connections that leave no room for one more connection, which are of no use to
+    /// the request that needs it.
+    fn close_excess_idle(
+        &self,
+        address: &Arc<str>,
+        max_connections: usize,
+    ) -> Result<Rc<ConnectionCounts>, SendFailure> {
+        let mut peers = self.peers.borrow_mut();
+        let peer = peers.entry(address.clone()).or_default();
+        while peer.counts.held.get() >= max_connections {
+            if peer.idle.is_empty() {
+                return Err(SendFailure::TooManyConnections);
+            }
+            peer.idle.remove(0);
+        }
+        Ok(peer.counts.clone())
+    }
+
     async fn connect(
         &self,
         address: &Arc<str>,
         options: SendOptions,
     ) -> Result<PeerConnection, SendFailure> {
-        let open = self.peers.borrow_mut().entry(address.clone()).or_default().open.clone();
-        if open.get() >= options.max_connections {
+        let counts = self.close_excess_idle(address, options.max_connections)?;
+        let held = CountGuard::new(&counts.held);
+        // Connections that were given up close within the next turns of their tasks.
+        let room = counts.wait_for_room(options.max_connections);
+        if compio::time::timeout(options.connect_timeout, room).await.is_err() {
             return Err(SendFailure::TooManyConnections);
         }
-        let open = OpenConnection::new(open);
+        let open = CountGuard::new(&counts.open);
         let Ok(socket_address) = address.parse::<SocketAddr>() else {
             log::warn!("peer={address} is not a socket address");
             return Err(SendFailure::NotSent);
@@ -486,16 +527,17 @@
             .map_err(|_| SendFailure::NotSent)?;
         let (was_busy, kept_stream) = (is_busy.clone(), stream.clone());
         compio::runtime::spawn(async move {
-            let _open = open;
             if let Err(error) = connection.await {
                 log::debug!("connection to a peer ended: {error}");
             }
             if was_busy.get() {
                 reset_connection(stream);
             }
+            drop(open);
+            counts.closed.notify(usize::MAX);
         })
         .detach();
-        Ok(PeerConnection { sender, stream: kept_stream, is_busy })
+        Ok(PeerConnection { sender, stream: kept_stream, is_busy, _held: held })
     }
 }
 
@@ -525,17 +567,17 @@
     }
 }
 
-/// Guard that counts a connection as open until it is dropped.
-struct OpenConnection(Rc<Cell<usize>>);
+/// Guard that counts a connection until it is dropped.
+struct CountGuard(Rc<Cell<usize>>);
 
-impl OpenConnection {
-    fn new(open: Rc<Cell<usize>>) -> Self {
-        open.set(open.get() + 1);
-        Self(open)
+impl CountGuard {
+    fn new(count: &Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Self(count.clone())
     }
 }
 
-impl Drop for OpenConnection {
+impl Drop for CountGuard {
     fn drop(&mut self) {
         self.0.set(self.0.get().saturating_sub(1));
     }
--- a/crates/eelgrassdeal_http/tests/reused_connections.rs
+++ b/crates/eelgrassdeal_http/tests/reused_connections.rs
@@ -63,8 +63,16 @@
 }
 
 async fn call(pool: &ConnectionPool, address: &Arc<str>) -> Result<BufferedResponse, SendFailure> {
+    call_with(pool, address, SendOptions::default()).await
+}
+
+async fn call_with(
+    pool: &ConnectionPool,
+    address: &Arc<str>,
+    options: SendOptions,
+) -> Result<BufferedResponse, SendFailure> {
     let request = Request::post("/look").body(Full::new(Bytes::from("body"))).expect("a request");
-    pool.call(address, request, SendOptions::default(), TIMEOUT, 1024).await
+    pool.call(address, request, options, TIMEOUT, 1024).await
 }
 
 #[compio::test]
@@ -127,8 +135,7 @@
     assert_eq!(answer.map(|answer| answer.status), Err(SendFailure::ReusedEnded));
     // It no longer counts as open, so that a new one may replace it.
     let options = SendOptions::default().with_max_idle(Duration::ZERO).with_max_connections(1);
-    let request = Request::post("/look").body(Full::new(Bytes::new())).expect("a request");
-    let answer = pool.call(&address, request, options, TIMEOUT, 1024).await;
+    let answer = call_with(&pool, &address, options).await;
     assert_eq!(answer.map(|answer| answer.status), Ok(200));
 }
 
@@ -140,3 +147,24 @@
     compio::time::sleep(IDLE_TIMEOUT).await;
     end_signal.try_recv().expect("the peer saw the end of the connection");
 }
+
+#[compio::test]
+async fn idle_connections_that_cannot_be_used_do_not_exhaust_the_connection_limit() {
+    let options = SendOptions::default().with_max_connections(1);
+    for (head_field, end, max_idle) in [
+        ("", IdleEnd::Close, options.max_idle),
+        ("keep-alive: timeout=0\r\n", IdleEnd::KeepOpen, options.max_idle),
+        ("", IdleEnd::KeepOpen, Duration::ZERO),
+    ] {
+        let (address, end_signal) = start_peer(head_field, end);
+        let pool = ConnectionPool::new();
+        call_with(&pool, &address, options).await.expect("a response");
+        compio::time::sleep(IDLE_TIMEOUT / 3).await;
+        if end == IdleEnd::Close {
+            // Blocks the thread, so that the pool finds the end of the connection.
+            end_signal.recv().expect("the end of the connection");
+        }
+        let answer = call_with(&pool, &address, options.with_max_idle(max_idle)).await;
+        assert_eq!(answer.map(|answer| answer.status), Ok(200), "{head_field:?} {end:?}");
+    }
+}
