--- a/crates/eelgrassdeal_gateway/tests/common/scripted_worker.rs
+++ b/crates/eelgrassdeal_gateway/tests/common/scripted_worker.rs
@@ -43,12 +43,20 @@
 #[derive(Clone, Debug)]
 pub struct ScriptedAnswer {
     pub bytes: Vec<u8>,
+    /// Position in the bytes at which the worker pauses, and the time for which it does.
+    pub pause: (usize, Duration),
     pub end: AnswerEnd,
 }
 
 impl ScriptedAnswer {
     pub fn new(bytes: impl Into<Vec<u8>>, end: AnswerEnd) -> Self {
-        Self { bytes: bytes.into(), end }
+        Self { bytes: bytes.into(), pause: (0, Duration::ZERO), end }
+    }
+
+    /// Pauses once for this time after the first `count` bytes.
+    pub fn with_pause(mut self, count: usize, pause: Duration) -> Self {
+        self.pause = (count.min(self.bytes.len()), pause);
+        self
     }
 }
 
@@ -59,10 +67,20 @@
     store: &MetadataStoreFake,
     id: &str,
     script: impl Fn(&ScriptedRequest) -> ScriptedAnswer + 'static,
+) {
+    start_scripted_worker_of(PLAIN_SERVICE, store, id, script).await;
+}
+
+/// Like [`start_scripted_worker`], for a worker of any service without an engine.
+pub async fn start_scripted_worker_of(
+    service: &str,
+    store: &MetadataStoreFake,
+    id: &str,
+    script: impl Fn(&ScriptedRequest) -> ScriptedAnswer + 'static,
 ) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("a bound address");
-    let row = serde_json::json!({ "service": PLAIN_SERVICE, "address": address.to_string(),
+    let row = serde_json::json!({ "service": service, "address": address.to_string(),
         "zone": "zone-a", "version": "1", "slots": 6, "state": "ready", "cold_left_ms": 0,
         "seq": 1, "born": 1 });
     store.put("servers", id, row.to_string().as_bytes());
@@ -92,7 +110,13 @@
         let worker = worker.to_owned();
         let answer = script(&ScriptedRequest { worker, earlier_requests, ..request });
         earlier_requests += 1;
-        if stream.write_all(answer.bytes).await.0.is_err() {
+        let (position, pause) = answer.pause;
+        let (first, rest) = answer.bytes.split_at(position);
+        if stream.write_all(first.to_vec()).await.0.is_err() {
+            return;
+        }
+        compio::time::sleep(pause).await;
+        if stream.write_all(rest.to_vec()).await.0.is_err() {
             return;
         }
         match answer.end {
