Empty lines and unsent responses don't start the time of a head

A stray empty line after a request counted as the first byte of a head, and its connection got an unasked 408 although its caller was told a longer time. A 408 could also get into a response that the system hadn't taken yet, if its caller sent the next request without reading it. Found in the review of the change.

No test covers the unsent response.

--- a/crates/eelgrassdeal_http/src/phase.rs
+++ b/crates/eelgrassdeal_http/src/phase.rs
@@ -51,6 +51,7 @@
     requests: Cell<u64>,
     /// Idle timeout at the last response, which told the caller a part of it.
     told_idle: Cell<Duration>,
+    has_unsent: Cell<bool>,
     /// Counts the connections in [`ConnectionPhase::Head`].
     head_count: Rc<Cell<u32>>,
     /// Whether the response to the current request has no body, whatever its headers say.
@@ -66,6 +67,7 @@
             since: Cell::new(Instant::now()),
             requests: Cell::new(0),
             told_idle: Cell::new(Duration::ZERO),
+            has_unsent: Cell::new(false),
             head_count,
             is_head_request: Cell::new(false),
         })
@@ -111,20 +113,31 @@
         TrackedBody { body, is_whole, clock: self.clone() }
     }
 
-    /// Records that bytes have been received.
-    pub(crate) fn record_read(&self) {
-        if matches!(self.phase.get(), ConnectionPhase::Idle | ConnectionPhase::Flush) {
+    /// Records that `bytes` have been received. Empty lines before a request belong to none.
+    pub(crate) fn record_read(&self, bytes: &[u8]) {
+        let is_empty = bytes.iter().all(|byte| matches!(byte, b'\r' | b'\n'));
+        let is_waiting = matches!(self.phase.get(), ConnectionPhase::Idle | ConnectionPhase::Flush);
+        if is_waiting && !is_empty {
             self.enter(ConnectionPhase::Head);
         }
     }
 
     /// Records that the system has taken all output.
     pub(crate) fn record_flush(&self) {
-        if self.phase.get() == ConnectionPhase::Flush {
-            self.enter(ConnectionPhase::Idle);
+        let was_unsent = self.has_unsent.replace(false);
+        match self.phase.get() {
+            ConnectionPhase::Flush => self.enter(ConnectionPhase::Idle),
+            // The caller has its next request in time if it sends it after it has read the response.
+            ConnectionPhase::Head if was_unsent => self.enter(ConnectionPhase::Head),
+            _ => {}
         }
     }
 
+    /// Whether the system has not taken all of a response that is complete.
+    pub(crate) fn has_unsent(&self) -> bool {
+        self.has_unsent.get()
+    }
+
     fn enter(&self, phase: ConnectionPhase) {
         let count = self.head_count.get();
         match (self.phase.replace(phase), phase) {
@@ -224,6 +237,7 @@
 impl<B> Drop for TrackedBody<B> {
     fn drop(&mut self) {
         if self.is_whole {
+            self.clock.has_unsent.set(true);
             self.clock.enter(ConnectionPhase::Flush);
         }
     }
--- a/crates/eelgrassdeal_http/src/server.rs
+++ b/crates/eelgrassdeal_http/src/server.rs
@@ -110,7 +110,10 @@
                     let told = self.phase_clock.told_idle();
                     (since + timeouts().idle.max(told), ConnectionEnd::Idle)
                 }
-                ConnectionPhase::Head => (since + timeouts().head, ConnectionEnd::LateHead),
+                // Until a response is sent, the write timeout of the socket applies.
+                ConnectionPhase::Head if !self.phase_clock.has_unsent() => {
+                    (since + timeouts().head, ConnectionEnd::LateHead)
+                }
                 _ => return Poll::Pending,
             };
             let deadline = self.delayed_until.map_or(deadline, |until| until.max(deadline));
--- a/crates/eelgrassdeal_http/src/socket.rs
+++ b/crates/eelgrassdeal_http/src/socket.rs
@@ -156,8 +156,8 @@
         let result = Pin::new(&mut this.stream).poll_read(context, &mut bytes[..max_count]);
         this.reads_in_turn = if result.is_ready() { this.reads_in_turn + 1 } else { 0 };
         let count = ready!(result)?;
-        if let Some(clock) = this.phase_clock.as_ref().filter(|_| count > 0) {
-            clock.record_read();
+        if let Some(clock) = &this.phase_clock {
+            clock.record_read(&bytes[..count]);
         }
         cursor.put_slice(&bytes[..count]);
         Poll::Ready(Ok(()))
