Check the upstream again before a resend, and whose response has ended

A request whose reused connection ended was sent again to an upstream that may have begun to leave, be evacuated, become cold or name a limit since it was placed. And the process that could vouch for the end of a response without a length was read from the fleet at that end, so that one which had replaced the sender before was taken for it. Both found in the review, by reading; the record of the send decides now. No test of its own.

--- a/crates/eelgrassdeal_dispatch/src/rate_limit.rs
+++ b/crates/eelgrassdeal_dispatch/src/rate_limit.rs
@@ -332,6 +332,12 @@
         available.is_none_or(|available| available >= 1.0)
     }
 
+    /// Whether the process of `record` has named a limit that still holds.
+    pub fn is_limited(&self, record: &UpstreamRecord) -> bool {
+        let entry = self.entries.get(&record.upstream);
+        entry.is_some_and(|entry| entry.process.has_written(record))
+    }
+
     /// Takes one request of this node's share, after [`Self::may_send`].
     pub fn take(&mut self, record: &UpstreamRecord) {
         if let Some(entry) = self.entry(record) {
--- a/crates/eelgrassdeal_gateway/src/front/attempt.rs
+++ b/crates/eelgrassdeal_gateway/src/front/attempt.rs
@@ -77,6 +77,8 @@
 /// upstream.
 pub(super) struct RunningAttempt {
     pub(super) response: PooledResponse,
+    /// The upstream as it was when the request was sent.
+    pub(super) record: Arc<UpstreamRecord>,
     /// What the response headers say about the request.
     pub(super) response_info: UpstreamResponse,
     pub(super) load: LoadGuard,
@@ -460,7 +462,7 @@
         let may_resend = self.call.route.kind.may_repeat()
             && !time_left.is_zero()
             && self.call.check_quarantine(&self.state).is_none()
-            && self.state.notices.borrow().may_send(&send.record, now);
+            && self.is_sendable_again(&send.record, now);
         let request = may_resend.then(|| self.build_request(&send.record, time_left, last_event));
         let Some(request) = request.flatten() else { return false };
         if !self.state.try_take_retry(&self.call.service, now) {
@@ -480,6 +482,18 @@
         true
     }
 
+    /// Whether the upstream of `record`, to which a request was sent, may get it again: it has neither left
+    /// nor asked for fewer requests meanwhile.
+    fn is_sendable_again(&self, record: &UpstreamRecord, now: Instant) -> bool {
+        let view = self.state.view();
+        let is_same = |current: &UpstreamRecord| current.start_time_ms == record.start_time_ms;
+        let is_limited = self.state.rate_limits.borrow().is_limited(record);
+        view.upstreams.get(&record.upstream).is_some_and(|current| {
+            is_same(current) && view.may_place(current) && !current.is_cold(now)
+        }) && !is_limited
+            && self.state.notices.borrow().may_send(record, now)
+    }
+
     /// Concludes the attempt that was kept. See [`Self::conclude_send`].
     fn conclude_kept(
         &mut self,
@@ -762,7 +776,14 @@
         }
         let silence_timeout = silence_timeout.unwrap_or(MAX_SILENCE_TIMEOUT);
         let response_began = Instant::now();
-        Some(RunningAttempt { response, response_info, load, response_began, silence_timeout })
+        Some(RunningAttempt {
+            response,
+            record,
+            response_info,
+            load,
+            response_began,
+            silence_timeout,
+        })
     }
 
     /// Connection limits for a send: this node's share of the connections that the upstream accepts
@@ -810,7 +831,8 @@
     }
 }
 
-/// Whether a response of which only the end of its connection tells the end may be incomplete.
+/// Whether a response of which only the end of its connection tells the end may be incomplete. `record`
+/// is that of the upstream when the request was sent.
 ///
 /// A new connection to the upstream shows it. If its host refuses one, the process may have crashed.
 /// If it stays open, the process goes on. If it is closed soon, either the listener ends, and its host
@@ -826,12 +848,14 @@
 pub(super) async fn may_be_broken_off(
     state: &GatewayState,
     call: &GatewayCall,
-    upstream: &UpstreamId,
-    address: &Arc<str>,
+    record: &UpstreamRecord,
     until: Instant,
 ) -> bool {
-    let start_time = || state.view().upstreams.get(upstream).map(|record| record.start_time_ms);
-    let responder = start_time();
+    let is_replaced = || {
+        let view = state.view();
+        let current = view.upstreams.get(&record.upstream);
+        current.is_some_and(|current| current.start_time_ms != record.start_time_ms)
+    };
     let mut was_closed = false;
     loop {
         let started = Instant::now();
@@ -841,9 +865,9 @@
         }
         let timeout = END_CHECK_TIMEOUT.min(left);
         let options = SendOptions::default().with_connect_timeout(timeout);
-        match state.upstream_pool.open_idle(address, options, CRASH_CHECK_INTERVAL).await {
-            Ok(()) => return start_time() != responder,
-            Err(SendFailure::Closed) if was_closed => return start_time() != responder,
+        match state.upstream_pool.open_idle(&record.address, options, CRASH_CHECK_INTERVAL).await {
+            Ok(()) => return is_replaced(),
+            Err(SendFailure::Closed) if was_closed => return is_replaced(),
             Err(SendFailure::Closed) => {
                 was_closed = true;
                 compio::time::sleep(CRASH_CHECK_INTERVAL).await;
@@ -851,8 +875,9 @@
             }
             Err(SendFailure::Refused) => return true,
             Err(failure) => log::debug!(
-                "event=end_unknown request_id={} upstream={upstream} took_ms={} reason={failure:?}",
+                "event=end_unknown request_id={} upstream={} took_ms={} reason={failure:?}",
                 call.request_id,
+                record.upstream,
                 started.elapsed().as_millis()
             ),
         }
--- a/crates/eelgrassdeal_gateway/src/front/buffered.rs
+++ b/crates/eelgrassdeal_gateway/src/front/buffered.rs
@@ -45,18 +45,17 @@
     runner: &mut AttemptRunner,
     attempt: RunningAttempt,
 ) -> Result<Option<BufferedResponse>, CallRefusal> {
-    let RunningAttempt { response, load, response_began, .. } = attempt;
+    let RunningAttempt { response, record, load, response_began, .. } = attempt;
     let upstream = load.upstream.clone();
     let mut hold = BufferHold::new(&runner.state.response_budget);
     let may_hold = async |bytes| bytes <= MAX_RESPONSE_BYTES && hold.resize(bytes).await;
     let ends_with_connection = response.ends_with_connection();
-    let address = response.address().clone();
     let response = response.collect_while(may_hold);
     let collected = match runner.wait_for_bytes(&upstream, None, None, response).await {
         Ok(Ok(response)) if ends_with_connection => {
             let (state, call) = (&runner.state, &runner.call);
             let until = runner.end_check_deadline(runner.may_run_again());
-            match may_be_broken_off(state, call, &upstream, &address, until).await {
+            match may_be_broken_off(state, call, &record, until).await {
                 true => Ok(Err(SendFailure::MaybeSent)),
                 false => Ok(Ok(response)),
             }
--- a/crates/eelgrassdeal_gateway/src/front/stream.rs
+++ b/crates/eelgrassdeal_gateway/src/front/stream.rs
@@ -504,10 +504,9 @@
     attempt: &RunningAttempt,
     until: Instant,
 ) -> EndSignal {
-    let (upstream, address) = (&attempt.load.upstream, attempt.response.address());
     match attempt.response.ends_with_connection() {
         false => EndSignal::Framing,
-        true => match may_be_broken_off(state, call, upstream, address, until).await {
+        true => match may_be_broken_off(state, call, &attempt.record, until).await {
             true => EndSignal::Crash,
             false => EndSignal::Disconnection,
         },
