Bound waits for memory, idle times that peers name, and the use of peer connections

Found in the review, by reading, without tests of their own: small responses that each wait for more memory could hold up each other until their deadlines (1.5 s now); an enormous Keep-Alive timeout of a peer overflowed a time; the nodes' own listeners named 48 s, so that connections to a lost node were used for much longer than before; the limit of connections was lifted at a stop while running requests may still need descriptors.

--- a/crates/eelgrassdeal_gateway/src/front/hold.rs
+++ b/crates/eelgrassdeal_gateway/src/front/hold.rs
@@ -2,11 +2,13 @@
 //! upstreams until they are forwarded.
 
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use eelgrassdeal_dispatch::BufferBudget;
 
+/// Longest wait of a small response for memory. Responses that all wait for more hold up each other.
+const MAX_ROOM_WAIT: Duration = Duration::from_millis(1_500);
 /// Interval at which a small response that waits for memory checks whether there is some.
 const ROOM_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -34,11 +36,12 @@
     }
 
     /// Changes the number of bytes that the body holds, as soon as there is room for a small one. Returns
-    /// false, and changes nothing, if there is no room for a large one.
+    /// false, and changes nothing, if there is no room for a large one, or for a small one in time.
     pub(super) async fn resize(&mut self, bytes: usize) -> bool {
+        let until = Instant::now() + MAX_ROOM_WAIT;
         loop {
             match self.try_resize(bytes) {
-                false if BufferBudget::may_wait(bytes) => {
+                false if BufferBudget::may_wait(bytes) && Instant::now() < until => {
                     compio::time::sleep(ROOM_CHECK_INTERVAL).await;
                 }
                 is_allowed => return is_allowed,
--- a/crates/eelgrassdeal_gateway/src/lifecycle.rs
+++ b/crates/eelgrassdeal_gateway/src/lifecycle.rs
@@ -169,11 +169,11 @@
     sync_with_partners(state).await;
     let accept_end = requests_end.min(started + DRAIN_ACCEPT_PERIOD);
     compio::time::sleep(accept_end.saturating_duration_since(Instant::now())).await;
-    // Requests are only refused from now on, and need no descriptors for upstreams.
-    listeners.iter().for_each(OpenListener::lift_limit);
     while is_in_use(state) && Instant::now() < requests_end {
         compio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
+    // Requests are only refused from now on, and need no descriptors for upstreams.
+    listeners.iter().for_each(OpenListener::lift_limit);
     join_all(listeners.into_iter().map(|listener| listener.close(drain_limit))).await;
     wait_until_unused(state, drain_limit).await;
     log::info!(
--- a/crates/eelgrassdeal_gateway/src/peers/serve.rs
+++ b/crates/eelgrassdeal_gateway/src/peers/serve.rs
@@ -19,8 +19,9 @@
 
 const METRICS_PATH: &str = "/metrics";
 const MAX_HEADER_BYTES: usize = 8 * 1024;
-/// Time after which another node's connection without a request is closed.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// Time after which another node's connection without a request is closed. Nodes exchange messages several
+/// times a second, so that a connection which is idle for longer may lead to a node that is lost.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Timeout for the headers of a request.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
 const PROTOBUF_CONTENT_TYPE: &str = "application/x-protobuf";
--- a/crates/eelgrassdeal_http/src/pool.rs
+++ b/crates/eelgrassdeal_http/src/pool.rs
@@ -29,6 +29,8 @@
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Idle timeout of a connection whose peer sends no `Keep-Alive: timeout`.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(900);
+/// Longest idle timeout that is taken from a peer.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(3_600);
 /// A connection expires this long before its idle timeout, so that a request is not sent while the
 /// peer closes the connection.
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
@@ -611,5 +613,5 @@
 fn advertised_idle_timeout(headers: &HeaderMap) -> Option<Duration> {
     let value = headers.get("keep-alive")?.to_str().ok()?;
     let seconds = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
-    Some(Duration::from_secs(seconds.trim().parse().ok()?))
+    Some(Duration::from_secs(seconds.trim().parse().ok()?).min(MAX_IDLE_TIMEOUT))
 }
