--- a/crates/eelgrassdeal_http/src/pool.rs
+++ b/crates/eelgrassdeal_http/src/pool.rs
@@ -239,11 +239,6 @@
         !is_chunked && self.inner.body().size_hint().exact().is_none()
     }
 
-    /// Address of the peer that responds.
-    pub fn address(&self) -> &Arc<str> {
-        &self.address
-    }
-
     /// Closes the connection after the response.
     pub fn close_after(&mut self) {
         self.is_reusable = false;
