--- a/review/harness-2/src/bin/kept_connections.rs
+++ b/review/harness-2/src/bin/kept_connections.rs
@@ -68,7 +68,8 @@
         openers.into_iter().flat_map(|opener| opener.join().unwrap_or_default()).collect();
     let answered = kept.len();
     let took = started.elapsed().as_millis();
-    record.line(&format!("{answered} of {count} answered in {took} ms, and keep their connections"));
+    record
+        .line(&format!("{answered} of {count} answered in {took} ms, and keep their connections"));
     // New clients, each with its own connection, while the machine says that it is ready.
     let begun = Instant::now();
     let (sender, receiver) = mpsc::channel();
--- a/review/harness-2/src/cold.rs
+++ b/review/harness-2/src/cold.rs
@@ -154,10 +154,8 @@
         let sent = self.sent.lock().unwrap();
         let arrivals = deployment.arrivals.lock().unwrap();
         let at_cold: Vec<&Arrival> = arrivals.iter().filter(|one| one.is_cold).collect();
-        let times: Vec<(Instant, Instant)> = at_cold
-            .iter()
-            .filter_map(|one| Some((sent.get(&one.id)?.0, one.at)))
-            .collect();
+        let times: Vec<(Instant, Instant)> =
+            at_cold.iter().filter_map(|one| Some((sent.get(&one.id)?.0, one.at))).collect();
         let starts = times.iter().flat_map(|(sent, arrived)| [*sent, *arrived]);
         let in_second = |from: Instant| {
             times.iter().filter(|(sent, at)| *sent >= from && *at < from + SECOND).count()
--- a/review/harness-2/src/process.rs
+++ b/review/harness-2/src/process.rs
@@ -86,12 +86,7 @@
 
 impl Ports {
     pub fn free() -> Self {
-        Self {
-            front: free_port(),
-            ready: free_port(),
-            directory: free_port(),
-            peers: free_port(),
-        }
+        Self { front: free_port(), ready: free_port(), directory: free_port(), peers: free_port() }
     }
 }
 
@@ -115,8 +110,7 @@
         store: &str,
         bounds: &[(&str, &str)],
     ) -> Self {
-        let seeds: Vec<String> =
-            seeds.iter().map(|port| format!("\"127.0.0.1:{port}\"")).collect();
+        let seeds: Vec<String> = seeds.iter().map(|port| format!("\"127.0.0.1:{port}\"")).collect();
         let mut known = vec![
             ("seed_lag_s", "3"),
             ("addr_reuse_s", "2"),
@@ -152,7 +146,8 @@
                 None => known.push((key, value)),
             }
         }
-        let bounds: String = known.iter().map(|(key, value)| format!("{key} = {value}\n")).collect();
+        let bounds: String =
+            known.iter().map(|(key, value)| format!("{key} = {value}\n")).collect();
         let text = format!(
             "node_name = \"{name}\"\nrole = \"gateway\"\nmachine_class = \"front\"\n\
              serves = [\"front\",\"directory\"]\nip = \"127.0.0.1\"\nzone = \"{zone}\"\n\
--- a/review/harness-2/src/worker.rs
+++ b/review/harness-2/src/worker.rs
@@ -186,10 +186,8 @@
 
     fn answer(&self, stream: &mut TcpStream, request: &HttpRequest) -> io::Result<()> {
         let id = request.header("x-eelgrassdeal-request-id").to_owned();
-        let mut headers = vec![
-            format!("x-eelgrassdeal-request-id: {id}"),
-            "keep-alive: timeout=20".to_owned(),
-        ];
+        let mut headers =
+            vec![format!("x-eelgrassdeal-request-id: {id}"), "keep-alive: timeout=20".to_owned()];
         if self.is_leaving.load(Ordering::SeqCst) {
             headers.push("server-leaving: 1".to_owned());
         }
