--- a/review/harness-2/src/bin/cold_cut.rs
+++ b/review/harness-2/src/bin/cold_cut.rs
@@ -15,7 +15,8 @@
 
 fn main() -> ExitCode {
     let deployment = Deployment::start(&record_path(), 3);
-    let workers = ["i-desk-1", "i-desk-2"].map(|id| deployment.worker(id, 0, Duration::ZERO, true));
+    let workers = ["i-desk-1", "i-desk-2", "i-desk-3"]
+        .map(|id| deployment.worker(id, 0, Duration::ZERO, true));
     if !deployment.wait_ready() {
         return ExitCode::from(2);
     }
--- a/review/harness-2/src/bin/leaving_drill.rs
+++ b/review/harness-2/src/bin/leaving_drill.rs
@@ -28,7 +28,7 @@
 fn main() -> ExitCode {
     let deployment = Deployment::start(&record_path(), GATEWAYS);
     let first = deployment.worker("i-desk-1", 0, Duration::ZERO, true);
-    let other = deployment.worker("i-desk-2", 0, Duration::ZERO, true);
+    let others = ["i-desk-2", "i-desk-3"].map(|id| deployment.worker(id, 0, Duration::ZERO, true));
     if !deployment.wait_ready() {
         return ExitCode::from(2);
     }
@@ -93,7 +93,7 @@
     }
     // What the workers wrote is written again. The one that leaves ends before it would.
     thread::sleep(Duration::from_millis(500));
-    other.register("ready");
+    others.iter().for_each(|other| other.register("ready"));
     thread::sleep(Duration::from_millis(700));
     second.stop();
     second.unregister();
--- a/review/harness-2/src/cold.rs
+++ b/review/harness-2/src/cold.rs
@@ -22,8 +22,8 @@
 pub const BOUND: usize = 62;
 /// Requests in a second above which a cold worker crashes: more than twice its rate, and above the bound.
 const CRASH_BOUND: usize = 76;
-const CLIENTS: usize = 50;
-/// Each client sends a request in this time: 250 a second in all.
+const CLIENTS: usize = 57;
+/// Each client sends a request in this time: 285 a second in all.
 const PERIOD: Duration = Duration::from_millis(200);
 const SECOND: Duration = Duration::from_secs(1);
 
