--- a/review/harness-2/src/bin/cold_roll.rs
+++ b/review/harness-2/src/bin/cold_roll.rs
@@ -5,6 +5,7 @@
 use std::thread;
 use std::time::Duration;
 
+use review_harness_2::client::get_answer;
 use review_harness_2::cold::{COLD_S, Clients, Deployment, record_path};
 use review_harness_2::process::SIGTERM;
 use review_harness_2::record::is_calm;
@@ -37,6 +38,12 @@
         record.line(&format!("ready {}", gateway.name));
     }
     thread::sleep(Duration::from_secs(2));
+    for gateway in &deployment.gateways {
+        let path = "/resolve?name=h.example&region=r&zone=zone-a";
+        let answer = get_answer(gateway.ports.directory, path, Duration::from_secs(1));
+        let named = answer.map_or(0, |answer| answer.text().matches("127.0.0.1:").count());
+        record.line(&format!("{} names {named} machines", gateway.name));
+    }
     warm.stop();
     warm.unregister();
     let clients = Clients::start(&deployment);
--- a/review/harness-2/src/client.rs
+++ b/review/harness-2/src/client.rs
@@ -38,10 +38,15 @@
 
 /// Status of a GET on a new connection.
 pub fn get(port: u16, path: &str, limit: Duration) -> Option<u16> {
+    get_answer(port, path, limit).map(|answer| answer.status)
+}
+
+/// Answer to a GET on a new connection.
+pub fn get_answer(port: u16, path: &str, limit: Duration) -> Option<Answer> {
     let mut stream = connect(port, limit).ok()?;
     let head = format!("GET {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n");
     stream.write_all(head.as_bytes()).ok()?;
-    Some(read_answer(&mut stream, &mut Vec::new(), limit).status).filter(|status| *status != 0)
+    Some(read_answer(&mut stream, &mut Vec::new(), limit)).filter(|answer| answer.status != 0)
 }
 
 /// A request to send.
