A line each second for queues whose requests wait

Cause: no log or metric told whether a request was placed in an own slot, in one of another node or had to wait, nor what a node owned and knew at that moment. Change: event=queue once a second for each queue in which requests waited, counters of placements by slot and timing, and of waits. No decision changes.

--- a/crates/eelgrassdeal_dispatch/src/lib.rs
+++ b/crates/eelgrassdeal_dispatch/src/lib.rs
@@ -68,7 +68,9 @@
 };
 pub use limit::{ColdLimit, ColdShare, RetryLimits, RetryShare};
 pub use notice::{LeavingHint, MAX_PAUSE, NoticeCause, NoticeTracker, PauseEnd, TakenBack};
-pub use placement::{LoadTracker, PlacementConstraints, PlacementRefusal, PlacementTarget};
+pub use placement::{
+    LoadTracker, PlacementConstraints, PlacementRefusal, PlacementTarget, SlotUse,
+};
 pub use planner::{
     GroupPlanner, GroupWrite, OrderKind, OrderOutcome, PlanStep, PlannerSettings, ProbeOutcome,
     ProbeTarget, TrafficSummary, UpstreamOrder, WriteOutcome,
--- a/crates/eelgrassdeal_dispatch/src/placement.rs
+++ b/crates/eelgrassdeal_dispatch/src/placement.rs
@@ -89,6 +89,25 @@
     pub is_on_time: bool,
 }
 
+/// Use of the slots that are divided among the nodes, as far as this node knows, summed over upstreams.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct SlotUse {
+    /// Slots of this node.
+    pub owned: u32,
+    /// Slots of this node that its own requests use.
+    pub own_in_use: u32,
+    /// Requests of this node, including those in slots of others.
+    pub own_requests: u32,
+    /// Requests that this node may still send to slots of others.
+    pub allowance: f64,
+    /// Requests of all nodes.
+    pub known: u32,
+    /// Slots at normal speed.
+    pub slots: f64,
+    /// Time since the last message with counts; `None` before the first.
+    pub counts_age: Option<Duration>,
+}
+
 /// Why no upstream was selected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PlacementRefusal {
@@ -320,6 +339,25 @@
         (sum > 0.0).then(|| highest * slots / sum)
     }
 
+    /// Use of the slots of `targets`, for logs.
+    pub fn slot_use(&self, targets: &[PlacementTarget], now: Instant) -> SlotUse {
+        let counted_at = self.others.counted_at();
+        let counts_age = counted_at.map(|at| now.saturating_duration_since(at));
+        let mut sum = SlotUse { counts_age, ..SlotUse::default() };
+        for target in targets {
+            let upstream = &target.record.upstream;
+            let own_requests = self.loads.get(upstream).map_or(0, |load| load.own_requests);
+            let owned = target.owned_slots.unwrap_or(0);
+            sum.owned += owned;
+            sum.own_in_use += owned.min(own_requests);
+            sum.own_requests += own_requests;
+            sum.allowance += self.allowances.get(upstream).map_or(0.0, SlotAllowance::slots);
+            sum.known += self.total_requests(upstream, now);
+            sum.slots += target.slots;
+        }
+        sum
+    }
+
     /// Selects an upstream. In a small fleet this is at random, weighted by free capacity: the fullest
     /// upstreams get the fewest requests, and nodes with outdated counts do not all send to the same few
     /// upstreams. In a large fleet, whose counts pass hubs, a node that knows its position keeps its own requests
@@ -483,7 +521,7 @@
     }
 
     /// Whether a slot of the target that belongs to this node is unused.
-    fn has_own_slot(&self, target: &PlacementTarget) -> bool {
+    pub fn has_own_slot(&self, target: &PlacementTarget) -> bool {
         let own = self.loads.get(&target.record.upstream).map_or(0, |load| load.own_requests);
         target.owned_slots.is_none_or(|owned| own < owned)
     }
--- a/crates/eelgrassdeal_dispatch/src/slot_share.rs
+++ b/crates/eelgrassdeal_dispatch/src/slot_share.rs
@@ -66,6 +66,10 @@
         self.slots = (self.slots + ALLOWANCE_PART * room.max(0.0)).min(1.0);
     }
 
+    pub(crate) fn slots(&self) -> f64 {
+        self.slots
+    }
+
     pub(crate) fn has_slot(&self) -> bool {
         self.slots >= 1.0
     }
--- a/crates/eelgrassdeal_gateway/src/lib.rs
+++ b/crates/eelgrassdeal_gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod peers;
 mod placing;
 mod plan;
+mod queue_log;
 mod rate_limit;
 mod server;
 mod signals;
--- a/crates/eelgrassdeal_gateway/src/placing.rs
+++ b/crates/eelgrassdeal_gateway/src/placing.rs
@@ -17,6 +17,7 @@
 use eelgrassdeal_types::{ClientAccountId, ModelId, ServiceId, UpstreamId};
 use event_listener::Event;
 
+use crate::queue_log::{QueueLog, SlotOwnership, log_queues};
 use crate::rate_limit::LimitShare;
 use crate::state::GatewayState;
 
@@ -84,7 +85,19 @@
 }
 
 impl Placement {
-    fn new(state: &Rc<GatewayState>, target: PlacementTarget) -> Self {
+    fn new(
+        state: &Rc<GatewayState>,
+        target: PlacementTarget,
+        queue: &QueueId,
+        is_on_time: bool,
+    ) -> Self {
+        let has_own_slot = state.loads.borrow().has_own_slot(&target);
+        let ownership = match (target.owned_slots, has_own_slot) {
+            (None, _) => SlotOwnership::Undivided,
+            (Some(_), true) => SlotOwnership::Own,
+            (Some(_), false) => SlotOwnership::Borrowed,
+        };
+        state.waiting.log.borrow_mut().record_placement(queue, ownership, is_on_time);
         let load = LoadGuard::new(state, &target.record.upstream);
         let limit_share = LimitShare::take(state, &target.record);
         Self { target, load, limit_share }
@@ -216,6 +229,7 @@
     seats: RefCell<HashMap<WaitingKey, WaitingSeat>>,
     /// Notified when capacity may have become free.
     room_changed: Event,
+    pub(crate) log: RefCell<QueueLog>,
 }
 
 impl WaitingRoom {
@@ -226,6 +240,11 @@
         }
     }
 
+    /// Whether many requests of a queue that could be in time have to wait at this node.
+    pub(crate) fn is_overloaded(&self, queue: &QueueId, now: Instant) -> bool {
+        self.queue.borrow().is_overloaded(queue, now)
+    }
+
     /// Turns of the client accounts over all nodes.
     pub(crate) fn fleet_turns(&self) -> RefMut<'_, AccountTurns> {
         RefMut::map(self.queue.borrow_mut(), RequestQueue::fleet_turns_mut)
@@ -275,6 +294,7 @@
     let request = need.waiting_request(queue.clone(), until);
     if need.excluded.is_empty() && !need.is_rerun {
         room.queue.borrow_mut().record_arrival(&request, now);
+        room.log.borrow_mut().record_arrival(&queue, now < need.target_at);
     }
     if let Some(failure) = paused_failure(state, need, &queue, until, now) {
         return Err(failure);
@@ -285,7 +305,7 @@
         false => match choose_upstream(state, need, &queue, &candidates(state, &queue), now) {
             Ok(target) => {
                 room.queue.borrow_mut().record_placement(&request, now);
-                return Ok(Placement::new(state, target));
+                return Ok(Placement::new(state, target, &queue, now < need.target_at));
             }
             Err(refusal) => refusal,
         },
@@ -300,10 +320,14 @@
             return Err(failure);
         }
     }
+    room.log.borrow_mut().record_wait(&queue);
     let pushed = room.queue.borrow_mut().push(request, now);
-    let key = pushed.map_err(|room_in| PlacementFailure {
-        reason: "every upstream is at capacity, and the queue is too long",
-        room: RoomForecast::AtLeast(room_in),
+    let key = pushed.map_err(|room_in| {
+        room.log.borrow_mut().record_refusal(&queue);
+        PlacementFailure {
+            reason: "every upstream is at capacity, and the queue is too long",
+            room: RoomForecast::AtLeast(room_in),
+        }
     })?;
     let granted = Rc::new(Event::new());
     let seat = WaitingSeat {
@@ -326,6 +350,7 @@
         }
         let left = until.saturating_duration_since(Instant::now());
         if left.is_zero() {
+            room.log.borrow_mut().record_refusal(&queue);
             let reason = match refusal {
                 PlacementRefusal::NoneServing => "no upstream is available for the request",
                 PlacementRefusal::AllFull => "every upstream is at capacity",
@@ -346,6 +371,7 @@
         if !state.waiting.queue.borrow().is_empty() {
             assign_waiting(&state);
         }
+        log_queues(&state, |queue| serving_targets(&state, queue));
     }
 }
 
@@ -387,7 +413,7 @@
                 }
                 continue;
             };
-            let placement = Placement::new(state, target);
+            let placement = Placement::new(state, target, &queue, now < need.target_at);
             state.waiting.queue.borrow_mut().take(key, now);
             if let Some(seat) = state.waiting.seats.borrow_mut().get_mut(&key) {
                 seat.placement = Some(placement);
