The locator names 64 nodes, those of the caller's data centre first

What callers saw: on a fleet of 295 nodes 60 to 64 of them, all in one data centre, answered nearly all requests, and rejected or delayed two in three, while the slots of the other nodes were unused. Cause: callers keep at most 64 addresses of a locator's response. It named all nodes by the order of their names, so that everyone kept the same ones. Slots are divided among all nodes. Evidence: event=queue at 58 to 62 nodes only, with 240 of 300 own slots in use beside 1,000 free ones. Why it works: a response holds the nodes of the caller's data centre, filled up from others, in an order that continues from the answering node. All responses together name each node about equally often. Fleets of up to 64 nodes are named whole, as before.

--- a/crates/eelgrassdeal_dispatch/src/directory.rs
+++ b/crates/eelgrassdeal_dispatch/src/directory.rs
@@ -37,6 +37,9 @@
 /// Time for which a leaf does not select a hub that did not answer.
 const HUB_AVOID_PERIOD: Duration = Duration::from_millis(2_000);
 
+/// Name by which the nodes are put in the order in which locators name them.
+const LOCATOR_ORDER: &str = "locator";
+
 /// Lifecycle stage of a node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NodeStage {
@@ -323,15 +326,28 @@
         self.other_sharing_nodes(now).filter(|node| hash(node) < own).count()
     }
 
-    /// Front addresses of the live nodes that accept requests of callers.
-    pub fn serving_front_addresses(&self, now: Instant) -> Vec<Arc<str>> {
-        std::iter::once(&self.own)
+    /// Front addresses of at most `max` live nodes that accept requests of callers, for a caller in
+    /// `data_centre`. Nodes of that data centre come first. The selections of all nodes together contain
+    /// each node about equally often, so that requests reach all nodes of a large fleet.
+    pub fn located_front_addresses(
+        &self,
+        data_centre: &str,
+        max: usize,
+        now: Instant,
+    ) -> Vec<Arc<str>> {
+        let hash = |node: &str| stable_hash_of(&[LOCATOR_ORDER, "/", node]);
+        let own = hash(&self.own.node);
+        // Each node continues the order of all nodes from its own position.
+        let mut serving: Vec<_> = std::iter::once(&self.own)
             .chain(self.live_others(now))
-            .filter(|heartbeat| {
-                heartbeat.stage == NodeStage::Serving && !heartbeat.front_address.is_empty()
+            .filter(|node| node.stage == NodeStage::Serving && !node.front_address.is_empty())
+            .map(|node| {
+                let is_far = *node.data_centre != *data_centre;
+                (is_far, hash(&node.node).wrapping_sub(own), &node.front_address)
             })
-            .map(|heartbeat| heartbeat.front_address.clone())
-            .collect()
+            .collect();
+        serving.sort_unstable();
+        serving.into_iter().take(max).map(|(.., address)| address.clone()).collect()
     }
 
     /// When a node last appeared or changed its [`NodeCondition`]; `None` if there has
--- a/crates/eelgrassdeal_dispatch/tests/directory.rs
+++ b/crates/eelgrassdeal_dispatch/tests/directory.rs
@@ -1,5 +1,6 @@
 //! The node directory follows the heartbeats that nodes forward to each other.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -34,11 +35,11 @@
     let now = Instant::now();
     let mut directory = directory("b");
     directory.merge(heartbeat("a", 5, NodeStage::Serving), now);
-    assert_eq!(directory.serving_front_addresses(now).len(), 2);
+    assert_eq!(directory.located_front_addresses("dc", 64, now).len(), 2);
     let later = now + Duration::from_secs(3);
     // The same heartbeat, forwarded by another node, does not keep the node alive.
     directory.merge(heartbeat("a", 5, NodeStage::Serving), later);
-    assert_eq!(directory.serving_front_addresses(later).len(), 1);
+    assert_eq!(directory.located_front_addresses("dc", 64, later).len(), 1);
     assert_eq!(directory.sharing_node_count(later), 2, "it may be partitioned from this node only");
 }
 
@@ -47,7 +48,7 @@
     let now = Instant::now();
     let mut directory = directory("b");
     directory.merge(heartbeat("a", 5, NodeStage::Leaving), now);
-    assert_eq!(directory.serving_front_addresses(now).len(), 1);
+    assert_eq!(directory.located_front_addresses("dc", 64, now).len(), 1);
     let later = now + Duration::from_secs(3);
     assert_eq!(directory.sharing_node_count(later), 1);
 }
@@ -230,3 +231,41 @@
     assert_eq!(forwarded.len(), 41, "all that it knows, not only its own");
     assert_eq!(former_hub.heartbeats_for(NodeRole::Hub, now).len(), 1);
 }
+
+/// Guards against callers who reach only the nodes of one data centre, the first 64 by their names.
+#[test]
+fn callers_of_a_large_fleet_reach_all_nodes_about_equally() {
+    const NODES: usize = 295;
+    const DATA_CENTRES: usize = 5;
+    let now = Instant::now();
+    let data_centre = |index: usize| Arc::from(format!("dc-{}", index % DATA_CENTRES));
+    let beat = |index: usize| NodeHeartbeat {
+        data_centre: data_centre(index),
+        ..heartbeat(&format!("node-{}-{index:03}", index % DATA_CENTRES), 1, NodeStage::Serving)
+    };
+    let mut shares: HashMap<Arc<str>, f64> = HashMap::new();
+    for index in 0..NODES {
+        let mut directory = NodeDirectory::new(beat(index));
+        (0..NODES)
+            .filter(|other| *other != index)
+            .for_each(|other| directory.merge(beat(other), now));
+        let located = directory.located_front_addresses(&data_centre(index), 64, now);
+        assert_eq!(located.len(), 64);
+        for address in &located {
+            *shares.entry(address.clone()).or_default() += 1.0 / located.len() as f64;
+        }
+    }
+    assert_eq!(shares.len(), NODES);
+    let (least, most) = shares
+        .values()
+        .fold((f64::MAX, 0.0_f64), |(least, most), share| (least.min(*share), most.max(*share)));
+    assert!(least > 0.5 && most < 1.5, "{least:.2} to {most:.2} of an even share");
+}
+
+#[test]
+fn callers_whose_data_centre_has_no_nodes_are_sent_to_others() {
+    let now = Instant::now();
+    let mut directory = directory("b");
+    directory.merge(heartbeat("a", 5, NodeStage::Serving), now);
+    assert_eq!(directory.located_front_addresses("elsewhere", 64, now).len(), 2);
+}
--- a/crates/eelgrassdeal_dispatch/tests/load_play/mod.rs
+++ b/crates/eelgrassdeal_dispatch/tests/load_play/mod.rs
@@ -157,9 +157,9 @@
     let located: Vec<Vec<usize>> = directories
         .iter()
         .map(|directory| {
-            let fronts = directory.serving_front_addresses(start);
-            let kept = fronts.iter().take(KEPT_ADDRESSES);
-            kept.map(|front| front.parse().expect("the index of a node")).collect()
+            let data_centre = &directory.own_heartbeat().data_centre;
+            let fronts = directory.located_front_addresses(data_centre, KEPT_ADDRESSES, start);
+            fronts.iter().map(|front| front.parse().expect("the index of a node")).collect()
         })
         .collect();
     let mut play = LoadPlay::new(spec, &directories, loads.len(), seed, start);
--- a/crates/eelgrassdeal_gateway/src/locator.rs
+++ b/crates/eelgrassdeal_gateway/src/locator.rs
@@ -9,7 +9,9 @@
 use bytes::Bytes;
 use eelgrassdeal_dispatch::NodeStage;
 use eelgrassdeal_http::{RequestBody, ServerTimeouts};
-use eelgrassdeal_platform::{LOCATOR_CONTENT_TYPE, LocatorEndpoint, locator_body};
+use eelgrassdeal_platform::{
+    LOCATOR_CONTENT_TYPE, LocatorEndpoint, MAX_LOCATED_ADDRESSES, caller_data_centre, locator_body,
+};
 use hyper::{Request, StatusCode};
 
 use crate::server::{Reply, RequestHandler, full_reply};
@@ -39,13 +41,19 @@
         Self { state }
     }
 
-    fn locate(&self) -> Reply {
-        let fronts = self.state.directory.borrow().serving_front_addresses(Instant::now());
+    fn locate(&self, query: Option<&str>) -> Reply {
+        let settings = self.state.settings();
+        let data_centre = caller_data_centre(query).unwrap_or(&settings.data_centre);
+        let fronts = self.state.directory.borrow().located_front_addresses(
+            data_centre,
+            MAX_LOCATED_ADDRESSES,
+            Instant::now(),
+        );
         if fronts.is_empty() {
             let body = Bytes::from_static(b"no node is accepting requests");
             return full_reply(StatusCode::SERVICE_UNAVAILABLE, TEXT, body);
         }
-        let ttl = LOCATOR_TTL.min(self.state.settings().limits.max_locator_ttl);
+        let ttl = LOCATOR_TTL.min(settings.limits.max_locator_ttl);
         let body = Bytes::from(locator_body(&fronts, ttl));
         full_reply(StatusCode::OK, LOCATOR_CONTENT_TYPE, body)
     }
@@ -63,7 +71,7 @@
 impl RequestHandler for LocatorHandler {
     async fn handle(self: Rc<Self>, request: Request<RequestBody>) -> Reply {
         match LocatorEndpoint::for_request(request.method(), request.uri().path()) {
-            LocatorEndpoint::Locate => self.locate(),
+            LocatorEndpoint::Locate => self.locate(request.uri().query()),
             LocatorEndpoint::Readiness => self.readiness(),
             LocatorEndpoint::Unknown => {
                 full_reply(StatusCode::NOT_FOUND, TEXT, Bytes::from_static(b"not found"))
