A request that needn't wait is not late on arrival

What callers saw: on a deployment with 11 tokens an event every streamed request counted as late when it arrived; late requests use less of the replicas' limits, wait behind others and can't set the sign of overload. Cause: the time until the first event is estimated as 4.7 passes at the limit, 263 and 438 ms there, beyond the targets of 250 and 400 ms. The first event comes after 109 ms at the usual load. Evidence: on_time=0 in each event=queue line before. Test a_request_is_not_late_when_it_arrives (the estimate alone is beyond its target at 11 steps a pass). On the grown fleets 311 and 324 ms stand against 300 ms, so that their requests to the larger model were late on arrival, too. Why it works: at most seven eighths of what is left until the target are set aside for the first event. Estimates below that, as on the deployments whose overload they answer, stay as they are; the figures of admission don't change.

--- a/crates/eelgrassdeal_dispatch/src/admission.rs
+++ b/crates/eelgrassdeal_dispatch/src/admission.rs
@@ -5,7 +5,7 @@
 //! request waits longer for its first event. Requests beyond the limit wait at the nodes, which
 //! prefer those that can still be in time.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::config::{EngineSpec, ModelSpec};
 
@@ -15,6 +15,10 @@
 /// that read its prompt beside others, and the one that writes.
 const FIRST_EVENT_PASSES: f64 = 4.7;
 
+/// Largest part of the time until the target that is set aside for the first event. A request that needn't
+/// wait is not late, whatever the estimate of that time.
+const MAX_LEAD_FRACTION: f64 = 0.875;
+
 /// Expected load and speed of the replicas of one model.
 #[derive(Clone, Copy, Debug)]
 pub struct ReplicaSpeed<'a> {
@@ -70,6 +74,13 @@
         Duration::try_from_secs_f64(pass * FIRST_EVENT_PASSES).unwrap_or_default()
     }
 
+    /// When a request that arrives at `now` counts as late, if its first event is due at `target_at`.
+    pub fn late_at(&self, target_at: Instant, now: Instant) -> Instant {
+        let left = target_at.saturating_duration_since(now);
+        let lead = self.first_event_time().min(left.mul_f64(MAX_LEAD_FRACTION));
+        target_at.checked_sub(lead).unwrap_or(target_at)
+    }
+
     /// Time that an engine takes to read a prompt of mean length.
     fn prompt_seconds(&self) -> f64 {
         self.engine.mean_prompt_tokens / self.engine.prompt_tokens_per_s.max(1.0)
--- a/crates/eelgrassdeal_dispatch/tests/admission.rs
+++ b/crates/eelgrassdeal_dispatch/tests/admission.rs
@@ -3,7 +3,7 @@
 mod common;
 mod load_play;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use eelgrassdeal_dispatch::{EngineSpec, ModelSpec, ReplicaSpeed};
 
@@ -84,6 +84,22 @@
     assert!(first_event < TARGET, "a request that needn't wait is in time: {first_event:?}");
 }
 
+/// Guards against an estimate of the first event beyond the target, with which every request would be late
+/// on arrival.
+#[test]
+fn a_request_is_not_late_when_it_arrives() {
+    let now = Instant::now();
+    for steps_per_pass in [5, 11, 40] {
+        let engine = EngineSpec { steps_per_pass, ..engine() };
+        let model = model();
+        let late_at = ReplicaSpeed::new(&engine, &model).late_at(now + TARGET, now);
+        assert!(late_at > now && late_at < now + TARGET, "{steps_per_pass} steps");
+    }
+    let (engine, model) = (engine(), model());
+    let speed = ReplicaSpeed::new(&engine, &model);
+    assert_eq!(speed.late_at(now, now + TARGET), now, "its target has passed");
+}
+
 #[test]
 fn an_engine_without_stated_times_is_used_fully() {
     let engine = EngineSpec {
--- a/crates/eelgrassdeal_dispatch/tests/load_play/mod.rs
+++ b/crates/eelgrassdeal_dispatch/tests/load_play/mod.rs
@@ -70,6 +70,10 @@
         self.engine.mean_answer_tokens / f64::from(self.engine.steps_per_pass)
     }
 
+    fn speed(&self) -> ReplicaSpeed<'_> {
+        ReplicaSpeed::new(&self.engine, &self.model)
+    }
+
     /// Directories of all nodes, which know each other and serve.
     fn directories(&self, now: Instant) -> Vec<NodeDirectory> {
         let heartbeat = |index: usize| NodeHeartbeat {
@@ -123,13 +127,6 @@
     draws: StdRng,
 }
 
-/// Limit of a replica, and how long before its target a request counts as late.
-#[derive(Clone, Copy)]
-struct SlotLimits {
-    in_time_per_slot: f64,
-    lead: Duration,
-}
-
 /// Requests of each second of a play.
 pub struct LoadReport {
     /// Requests whose first event came in time.
@@ -141,7 +138,7 @@
 
 struct LoadPlay<'a> {
     spec: &'a LoadSpec,
-    limits: SlotLimits,
+    in_time_per_slot: f64,
     is_large: bool,
     queue: QueueId,
     nodes: Vec<NodeState>,
@@ -211,17 +208,10 @@
         seed: u64,
         start: Instant,
     ) -> Self {
-        let speed = ReplicaSpeed::new(&spec.engine, &spec.model);
         let is_large = directories[0].is_large();
-        let limits = match is_large {
-            true => SlotLimits {
-                in_time_per_slot: speed.in_time_per_slot(),
-                lead: speed.first_event_time(),
-            },
-            false => SlotLimits { in_time_per_slot: 1.0, lead: Duration::ZERO },
-        };
+        let in_time_per_slot = if is_large { spec.speed().in_time_per_slot() } else { 1.0 };
         let slots = spec.engine.slots;
-        let in_time_slots = (f64::from(slots) * limits.in_time_per_slot) as u32;
+        let in_time_slots = (f64::from(slots) * in_time_per_slot) as u32;
         let record = |index: usize| {
             let record = common::upstream(&format!("r{index}"), "d", start);
             Arc::new(UpstreamRecord { slots, ..record })
@@ -258,7 +248,7 @@
         };
         Self {
             spec,
-            limits,
+            in_time_per_slot,
             is_large,
             queue: (Arc::from("engines"), Some(Arc::from("model"))),
             nodes: directories.iter().enumerate().map(node).collect(),
@@ -275,7 +265,7 @@
             is_rerun: false,
             has_returned: false,
             account: None,
-            target_at: self.target_at(now),
+            target_at: self.late_at(now),
             start_by: now + MAX_WAIT,
         };
         let queue = &mut self.nodes[index].queue;
@@ -290,20 +280,24 @@
     }
 
     /// When a request that arrived at `arrived_at` counts as late.
-    fn target_at(&self, arrived_at: Instant) -> Instant {
-        arrived_at + self.spec.target - self.limits.lead
+    fn late_at(&self, arrived_at: Instant) -> Instant {
+        let target_at = arrived_at + self.spec.target;
+        match self.is_large {
+            true => self.spec.speed().late_at(target_at, arrived_at),
+            false => target_at,
+        }
     }
 
     /// Sends a request that arrived at `arrived_at` to a replica, if any takes it.
     fn start_request(&mut self, index: usize, arrived_at: Instant, now: Instant) -> bool {
-        let is_late = now >= self.target_at(arrived_at);
+        let is_late = now >= self.late_at(arrived_at);
         let node = &mut self.nodes[index];
         let part = match (is_late, node.queue.is_overloaded(&self.queue, now)) {
             (false, _) => 1.0,
             (true, false) => LATE_PART,
             (true, true) => OVERLOADED_LATE_PART,
         };
-        let max_per_slot = self.limits.in_time_per_slot * part;
+        let max_per_slot = self.in_time_per_slot * part;
         let constraints =
             PlacementConstraints { excluded: &[], max_per_slot, is_on_time: !is_late };
         // A large fleet draws only before its nodes have counts.
--- a/crates/eelgrassdeal_gateway/src/placing.rs
+++ b/crates/eelgrassdeal_gateway/src/placing.rs
@@ -146,15 +146,16 @@
 
 impl PlacementNeed {
     /// Takes the time until the first event off `target_at`, once, in a large fleet.
-    fn allow_for_first_event(&mut self, state: &GatewayState) {
+    fn allow_for_first_event(&mut self, state: &GatewayState, now: Instant) {
         if self.allows_for_first_event || state.directory.borrow().slot_share().is_none() {
             return;
         }
         self.allows_for_first_event = true;
-        let lead = self
-            .with_model(state, |engine, spec| ReplicaSpeed::new(engine, spec).first_event_time());
-        self.target_at =
-            self.target_at.checked_sub(lead.unwrap_or_default()).unwrap_or(self.target_at);
+        let target_at = self.target_at;
+        let late_at = self.with_model(state, |engine, spec| {
+            ReplicaSpeed::new(engine, spec).late_at(target_at, now)
+        });
+        self.target_at = late_at.unwrap_or(target_at);
     }
 
     /// Calls `read` with the engine and model that the request is for. Returns `None` for a service
@@ -288,7 +289,7 @@
     until: Instant,
 ) -> Result<Placement, PlacementFailure> {
     let now = Instant::now();
-    need.allow_for_first_event(state);
+    need.allow_for_first_event(state, now);
     let room = &state.waiting;
     let queue = need.queue_id(state);
     let request = need.waiting_request(queue.clone(), until);
