Nodes use slots of others by need instead of in equal parts

What callers saw: with requests at all of 295 nodes, three in ten requests for the model with fewer slots than nodes were late or rejected, while more than half of its slots were free. Cause: each node could use 1/295 of the free slots of each upstream for each message with counts, 0.02 slots, and only whole ones. Nodes without requests got the same part as those that ran out of slots. A node owns 0.9 slots of that model. Evidence: event=queue at 3 s: 50 nodes with waits, 17 of 20 own slots in use, an allowance of 6.3 a node in fractions below one, 105 of 286 slots in use. Why it works: nodes tell each other, along with the counts, how many of their requests need slots beyond their own. While half of the free slots of a queue cover the need of all nodes, each uses what it needs; otherwise each covers an equal part of its need. Fractions are summed over the upstreams of a queue. The sum of what all nodes use is bounded as before, by half of the free slots for each message.

--- a/crates/eelgrassdeal_dispatch/src/balance.rs
+++ b/crates/eelgrassdeal_dispatch/src/balance.rs
@@ -49,12 +49,12 @@
 }
 
 /// A fraction in 0..1 that differs from node to node and from upstream to upstream.
-pub(crate) fn staggered_fraction(node: usize, upstream: usize) -> f64 {
+fn staggered_fraction(node: usize, upstream: usize) -> f64 {
     fraction_of((node as u64) << 32 | upstream as u64)
 }
 
 /// A fraction in 0..1 that looks random, by SplitMix64.
-fn fraction_of(seed: u64) -> f64 {
+pub(crate) fn fraction_of(seed: u64) -> f64 {
     let mut bits = seed.wrapping_add(0x9E37_79B9_7F4A_7C15);
     bits = (bits ^ (bits >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
     bits = (bits ^ (bits >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
--- a/crates/eelgrassdeal_dispatch/src/counts.rs
+++ b/crates/eelgrassdeal_dispatch/src/counts.rs
@@ -1,9 +1,12 @@
-//! Numbers of requests in progress at each upstream, as other nodes report them.
+//! Numbers that other nodes report: of requests in progress at each upstream, and of requests in each queue
+//! that need slots of other nodes.
 
+use std::borrow::Borrow;
 use std::collections::HashMap;
+use std::hash::Hash;
 use std::time::{Duration, Instant};
 
-use eelgrassdeal_types::{NodeId, UpstreamId};
+use eelgrassdeal_types::NodeId;
 
 use crate::balance::MeanCount;
 use crate::directory::NodeRole;
@@ -46,25 +49,24 @@
 
 /// The counts in the last message of one peer.
 #[derive(Clone, Debug)]
-struct PeerCounts {
+struct PeerCounts<K> {
     scope: CountScope,
     received_at: Instant,
-    counts: Vec<(UpstreamId, u32)>,
+    counts: Vec<(K, u32)>,
 }
 
-impl PeerCounts {
+impl<K> PeerCounts<K> {
     fn is_fresh(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.received_at) < COUNT_LIFETIME
     }
 }
 
-/// Number of requests in progress of other nodes at each upstream, from the last message of each
-/// peer.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct CountTracker {
-    peers: HashMap<NodeId, PeerCounts>,
+/// Number of requests of other nodes by upstream or by queue, from the last message of each peer.
+#[derive(Clone, Debug)]
+pub(crate) struct CountTracker<K> {
+    peers: HashMap<NodeId, PeerCounts<K>>,
     /// Sums over all entries of `peers`.
-    sums: HashMap<UpstreamId, u32>,
+    sums: HashMap<K, u32>,
     /// When the oldest entry of `peers` was received. `sums` is valid until it expires.
     oldest: Option<Instant>,
     /// When the last message with counts of the whole fleet was received. `None` for a node that gets
@@ -73,16 +75,29 @@
     /// When the last message with counts that passed a hub was received.
     relayed_at: Option<Instant>,
     /// Mean counts of the whole fleet.
-    means: HashMap<UpstreamId, MeanCount>,
+    means: HashMap<K, MeanCount>,
+}
+
+impl<K> Default for CountTracker<K> {
+    fn default() -> Self {
+        Self {
+            peers: HashMap::new(),
+            sums: HashMap::new(),
+            oldest: None,
+            fleet_at: None,
+            relayed_at: None,
+            means: HashMap::new(),
+        }
+    }
 }
 
-impl CountTracker {
+impl<K: Clone + Eq + Hash> CountTracker<K> {
     /// Replaces the counts of a peer.
     pub(crate) fn set(
         &mut self,
         peer: &NodeId,
         scope: CountScope,
-        counts: Vec<(UpstreamId, u32)>,
+        counts: Vec<(K, u32)>,
         now: Instant,
     ) {
         // Counts of the whole fleet already include those of every hub and must not be added to
@@ -98,8 +113,8 @@
         });
         self.peers.insert(peer.clone(), PeerCounts { scope, received_at: now, counts });
         self.sums.clear();
-        for (upstream, count) in self.peers.values().flat_map(|entry| &entry.counts) {
-            let sum = self.sums.entry(upstream.clone()).or_default();
+        for (key, count) in self.peers.values().flat_map(|entry| &entry.counts) {
+            let sum = self.sums.entry(key.clone()).or_default();
             *sum = sum.saturating_add(*count);
         }
         self.oldest = self.peers.values().map(|entry| entry.received_at).min();
@@ -114,7 +129,7 @@
     }
 
     /// Updates the mean counts of the fleet from the counts just received and those of this node.
-    pub(crate) fn update_means(&mut self, own: impl Fn(&UpstreamId) -> u32, now: Instant) {
+    pub(crate) fn update_means(&mut self, own: impl Fn(&K) -> u32, now: Instant) {
         let since = self.fleet_at.replace(now);
         let elapsed = since.map_or(COUNT_LIFETIME, |at| now.saturating_duration_since(at));
         for upstream in self.sums.keys() {
@@ -137,37 +152,43 @@
         self.relayed_at.is_some_and(|at| now.saturating_duration_since(at) < COUNT_LIFETIME)
     }
 
-    /// Mean number of requests of all nodes at an upstream; 0 at a hub.
-    pub(crate) fn mean(&self, upstream: &str) -> f64 {
-        self.means.get(upstream).map_or(0.0, |mean| mean.get())
+    /// Mean number of requests of all nodes; 0 at a hub.
+    pub(crate) fn mean<Q: Eq + Hash + ?Sized>(&self, key: &Q) -> f64
+    where
+        K: Borrow<Q>,
+    {
+        self.means.get(key).map_or(0.0, |mean| mean.get())
     }
 
-    /// Number of requests in progress of other nodes at an upstream.
-    pub(crate) fn total(&self, upstream: &str, now: Instant) -> u32 {
+    /// Number of requests of other nodes.
+    pub(crate) fn total<Q: Eq + Hash + ?Sized>(&self, key: &Q, now: Instant) -> u32
+    where
+        K: Borrow<Q>,
+    {
         let is_current =
             self.oldest.is_none_or(|at| now.saturating_duration_since(at) < COUNT_LIFETIME);
         if is_current {
-            return self.sums.get(upstream).copied().unwrap_or(0);
+            return self.sums.get(key).copied().unwrap_or(0);
         }
         self.fresh(now)
             .flat_map(|(_, entry)| &entry.counts)
-            .filter(|(counted, _)| **counted == *upstream)
+            .filter(|(counted, _)| counted.borrow() == key)
             .fold(0, |sum, (_, count)| sum.saturating_add(*count))
     }
 
-    /// Counts in the messages that `is_included` selects by their sender and scope. An upstream
-    /// occurs once for each message that counts it.
+    /// Counts in the messages that `is_included` selects by their sender and scope. A key occurs once for
+    /// each message that counts it.
     pub(crate) fn collect(
         &self,
         is_included: impl Fn(&NodeId, CountScope) -> bool,
         now: Instant,
-    ) -> impl Iterator<Item = &(UpstreamId, u32)> {
+    ) -> impl Iterator<Item = &(K, u32)> {
         self.fresh(now)
             .filter(move |(node, entry)| is_included(node, entry.scope))
             .flat_map(|(_, entry)| &entry.counts)
     }
 
-    fn fresh(&self, now: Instant) -> impl Iterator<Item = (&NodeId, &PeerCounts)> {
+    fn fresh(&self, now: Instant) -> impl Iterator<Item = (&NodeId, &PeerCounts<K>)> {
         self.peers.iter().filter(move |(_, entry)| entry.is_fresh(now))
     }
 }
--- a/crates/eelgrassdeal_dispatch/src/placement.rs
+++ b/crates/eelgrassdeal_dispatch/src/placement.rs
@@ -1,15 +1,17 @@
 //! Selection of the upstream that runs a request.
 
 use std::collections::HashMap;
+use std::hash::Hash;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use eelgrassdeal_types::{NodeId, UpstreamId};
 
-use crate::balance::{LevelCandidate, NodePosition, lowest_level, staggered_fraction};
+use crate::balance::{LevelCandidate, NodePosition, fraction_of, lowest_level};
 use crate::counts::{CountScope, CountTracker};
 use crate::fleet::{Replica, UpstreamRecord};
-use crate::slot_share::SlotAllowance;
+use crate::queue::QueueId;
+use crate::slot_share::{SharedRoom, SlotBorrowing};
 
 /// Time for which an upstream that failed is selected only if there is no other.
 const AVOID_PERIOD: Duration = Duration::from_millis(1_000);
@@ -84,6 +86,10 @@
     pub excluded: &'a [UpstreamId],
     /// Maximum number of requests per slot at an upstream, over all nodes.
     pub max_per_slot: f64,
+    /// Queue of the request. The nodes share the free slots of its upstreams.
+    pub queue: &'a QueueId,
+    /// Requests of the queue that wait at this node, including this one.
+    pub waiting: u32,
     /// Whether the request may use the slots that belong to this node whatever the counts of the
     /// others say: it can still be in time, or an earlier attempt may have run.
     pub is_on_time: bool,
@@ -100,6 +106,8 @@
     pub own_requests: u32,
     /// Requests that this node may still send to slots of others.
     pub allowance: f64,
+    /// Requests of other nodes that need slots beyond those of their nodes.
+    pub others_need: u32,
     /// Requests of all nodes.
     pub known: u32,
     /// Slots at normal speed.
@@ -172,11 +180,13 @@
 pub struct LoadTracker {
     loads: HashMap<UpstreamId, UpstreamLoad>,
     /// Requests of other nodes.
-    others: CountTracker,
+    others: CountTracker<UpstreamId>,
+    /// Requests of other nodes that need slots beyond those of their nodes.
+    needs: CountTracker<QueueId>,
     /// Position of this node among all nodes; `None` until it is known.
     position: Option<NodePosition>,
-    /// Slots of other nodes that this node may use.
-    allowances: HashMap<UpstreamId, SlotAllowance>,
+    /// Use of slots of other nodes, by queue.
+    borrowings: HashMap<QueueId, SlotBorrowing>,
 }
 
 impl LoadTracker {
@@ -301,19 +311,8 @@
         recipient: Option<&NodeId>,
         now: Instant,
     ) -> Vec<(UpstreamId, u32)> {
-        let is_included = |node: &NodeId, reported_scope: CountScope| match scope {
-            CountScope::Node => false,
-            CountScope::Hub => reported_scope == CountScope::Node && Some(node) != recipient,
-            CountScope::Fleet => Some(node) != recipient,
-        };
-        let own = self.loads.iter().filter(|(_, load)| load.own_requests > 0);
-        let mut counts: HashMap<UpstreamId, u32> =
-            own.map(|(upstream, load)| (upstream.clone(), load.own_requests)).collect();
-        for (upstream, count) in self.others.collect(is_included, now) {
-            let sum = counts.entry(upstream.clone()).or_default();
-            *sum = sum.saturating_add(*count);
-        }
-        counts.into_iter().collect()
+        let own = self.loads.iter().map(|(upstream, load)| (upstream, load.own_requests));
+        sum_counts(own, &self.others, scope, recipient, now)
     }
 
     /// Number of requests in progress of all nodes at an upstream.
@@ -339,11 +338,14 @@
         (sum > 0.0).then(|| highest * slots / sum)
     }
 
-    /// Use of the slots of `targets`, for logs.
-    pub fn slot_use(&self, targets: &[PlacementTarget], now: Instant) -> SlotUse {
+    /// Use of the slots of `targets`, the upstreams of `queue`, for logs.
+    pub fn slot_use(&self, queue: &QueueId, targets: &[PlacementTarget], now: Instant) -> SlotUse {
         let counted_at = self.others.counted_at();
         let counts_age = counted_at.map(|at| now.saturating_duration_since(at));
-        let mut sum = SlotUse { counts_age, ..SlotUse::default() };
+        let borrowing = self.borrowings.get(queue);
+        let allowance = borrowing.map_or(0.0, SlotBorrowing::slots_left);
+        let others_need = self.needs.total(queue, now);
+        let mut sum = SlotUse { counts_age, allowance, others_need, ..SlotUse::default() };
         for target in targets {
             let upstream = &target.record.upstream;
             let own_requests = self.loads.get(upstream).map_or(0, |load| load.own_requests);
@@ -351,7 +353,6 @@
             sum.owned += owned;
             sum.own_in_use += owned.min(own_requests);
             sum.own_requests += own_requests;
-            sum.allowance += self.allowances.get(upstream).map_or(0.0, SlotAllowance::slots);
             sum.known += self.total_requests(upstream, now);
             sum.slots += target.slots;
         }
@@ -374,7 +375,7 @@
         draw: f64,
         now: Instant,
     ) -> Result<PlacementTarget, PlacementRefusal> {
-        self.refill_allowances(candidates, constraints.max_per_slot, now);
+        self.update_borrowing(candidates, constraints, now);
         let usable: Vec<_> = candidates
             .iter()
             .enumerate()
@@ -425,33 +426,70 @@
                 drawn.or(weighted.last()).map(|(_, target, _)| *target)
             }
         };
-        let chosen = chosen.ok_or(PlacementRefusal::AllFull)?;
-        if !self.has_own_slot(chosen) {
-            self.allowances.entry(chosen.record.upstream.clone()).or_default().take();
+        chosen.cloned().ok_or(PlacementRefusal::AllFull)
+    }
+
+    /// Records that a request of the queue is sent to a slot of another node.
+    pub fn record_borrowed(&mut self, queue: &QueueId) {
+        if let Some(borrowing) = self.borrowings.get_mut(queue) {
+            borrowing.take();
         }
-        Ok(chosen.clone())
     }
 
-    /// Adds this node's part of the free slots that the latest counts show to its allowances.
-    fn refill_allowances(
+    /// Updates how many slots of other nodes this node may use for requests of the queue.
+    fn update_borrowing(
         &mut self,
         candidates: &[PlacementTarget],
-        max_per_slot: f64,
+        constraints: PlacementConstraints<'_>,
         now: Instant,
     ) {
-        let Some(NodePosition { index, node_count }) = self.position else { return };
+        let Some(NodePosition { index, .. }) = self.position else { return };
+        let PlacementConstraints { queue, waiting, max_per_slot, .. } = constraints;
+        let room = self.shared_room(queue, candidates, max_per_slot, now);
         let counted_at = self.others.counted_at();
-        for (number, target) in candidates.iter().enumerate() {
-            if target.owned_slots.is_none() {
-                continue;
-            }
-            let upstream = &target.record.upstream;
-            let total = f64::from(self.total_requests(upstream, now));
-            let room = (max_per_slot * target.slots - total) / node_count.max(1) as f64;
-            let first = staggered_fraction(index, number);
-            let allowance = self.allowances.entry(upstream.clone());
-            allowance.or_insert_with(|| SlotAllowance::new(first)).refill(room, counted_at);
-        }
+        let borrowing = self.borrowings.entry(queue.clone());
+        let first = fraction_of(index as u64);
+        let borrowing = borrowing.or_insert_with(|| SlotBorrowing::new(first));
+        borrowing.update(waiting, room, counted_at, now);
+    }
+
+    /// Free slots of a queue's upstreams, and how many other nodes need.
+    fn shared_room(
+        &self,
+        queue: &QueueId,
+        targets: &[PlacementTarget],
+        max_per_slot: f64,
+        now: Instant,
+    ) -> SharedRoom {
+        let free = targets.iter().map(|target| {
+            let total = f64::from(self.total_requests(&target.record.upstream, now));
+            (max_per_slot * target.slots - total).max(0.0)
+        });
+        SharedRoom { slots: free.sum(), others_need: self.needs.total(queue, now) }
+    }
+
+    /// Replaces the numbers of requests that a peer reports as in need of slots beyond those of their nodes.
+    pub fn set_peer_needs(
+        &mut self,
+        peer: &NodeId,
+        scope: CountScope,
+        needs: Vec<(QueueId, u32)>,
+        now: Instant,
+    ) {
+        self.needs.set(peer, scope, needs, now);
+    }
+
+    /// Number of requests by queue that need slots beyond those of their nodes, for a message of the given
+    /// scope, as [`Self::counts_for`].
+    pub fn needs_for(
+        &self,
+        scope: CountScope,
+        recipient: Option<&NodeId>,
+        now: Instant,
+    ) -> Vec<(QueueId, u32)> {
+        let own =
+            self.borrowings.iter().map(|(queue, borrowing)| (queue, borrowing.reported_need(now)));
+        sum_counts(own, &self.needs, scope, recipient, now)
     }
 
     /// What decides the level of a target.
@@ -476,7 +514,6 @@
     /// removes all others.
     pub fn retain(&mut self, is_known: impl Fn(&UpstreamId) -> bool) {
         self.loads.retain(|upstream, load| load.own_requests > 0 || is_known(upstream));
-        self.allowances.retain(|upstream, _| is_known(upstream));
     }
 
     /// Free capacity of a target in requests, multiplied by a factor below 1 if the target is failing
@@ -511,11 +548,11 @@
         if target.owned_slots.is_none() {
             return limit - total;
         }
-        let allowance = self.allowances.get(upstream);
+        let borrowing = self.borrowings.get(constraints.queue);
         let is_free = match (self.has_own_slot(target), constraints.is_on_time) {
             (true, true) => total < OWN_SLOT_LIMIT * limit,
             (true, false) => total < limit,
-            (false, _) => total < limit && allowance.is_some_and(SlotAllowance::has_slot),
+            (false, _) => total < limit && borrowing.is_some_and(SlotBorrowing::has_slot),
         };
         if is_free { (limit - total).max(1.0) } else { 0.0 }
     }
@@ -532,3 +569,26 @@
         load.and_then(|load| load.avoid_until).is_some_and(|until| now < until)
     }
 }
+
+/// Sums of a node's own counts and those that others reported to it, for a message of the given scope to
+/// `recipient`. Without the counts that the recipient itself reported.
+fn sum_counts<'a, K: Clone + Eq + Hash + 'a>(
+    own: impl Iterator<Item = (&'a K, u32)>,
+    others: &CountTracker<K>,
+    scope: CountScope,
+    recipient: Option<&NodeId>,
+    now: Instant,
+) -> Vec<(K, u32)> {
+    let is_included = |node: &NodeId, reported_scope: CountScope| match scope {
+        CountScope::Node => false,
+        CountScope::Hub => reported_scope == CountScope::Node && Some(node) != recipient,
+        CountScope::Fleet => Some(node) != recipient,
+    };
+    let own = own.filter(|(_, count)| *count > 0);
+    let mut counts: HashMap<K, u32> = own.map(|(key, count)| (key.clone(), count)).collect();
+    for (key, count) in others.collect(is_included, now) {
+        let sum = counts.entry(key.clone()).or_default();
+        *sum = sum.saturating_add(*count);
+    }
+    counts.into_iter().collect()
+}
--- a/crates/eelgrassdeal_dispatch/src/queue.rs
+++ b/crates/eelgrassdeal_dispatch/src/queue.rs
@@ -343,6 +343,11 @@
         self.entries.len()
     }
 
+    /// Number of waiting requests of a queue.
+    pub fn count(&self, queue: &QueueId) -> usize {
+        self.entries.values().filter(|entry| entry.request.queue == *queue).count()
+    }
+
     /// Whether no request waits.
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
--- a/crates/eelgrassdeal_dispatch/src/slot_share.rs
+++ b/crates/eelgrassdeal_dispatch/src/slot_share.rs
@@ -2,14 +2,18 @@
 //!
 //! It answers the load of a fleet that is nearly full: the counts that nodes tell each other are as
 //! old as a request lasts, so that many nodes would send to the same free slot. Each slot belongs to
-//! one node, which may use it without knowing the counts. Of the slots that the counts show as free,
-//! a node may use its part beyond its own.
+//! one node, which may use it without knowing the counts. Beyond its own slots, a node uses those of
+//! others that the counts show as free. While all nodes together need more than are free, each covers an
+//! equal part of its need.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Part of the free slots that the nodes together use beyond their own for each message with counts. The
 /// counts do not show yet what was sent after the last one or two messages, which would use the rest.
-const ALLOWANCE_PART: f64 = 0.5;
+const BORROWED_PART: f64 = 0.5;
+/// A need that was not updated for this long is over: a node looks for a slot far more often while requests
+/// wait.
+const NEED_LIFETIME: Duration = Duration::from_millis(500);
 
 /// The part of all slots that belongs to one node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -41,40 +45,93 @@
     }
 }
 
-/// Slots of other nodes at one upstream that this node may use, as a number that grows with the free
-/// slots that counts show. At most one is saved.
+/// Free slots of a queue that the nodes share, as this node knows them.
 #[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct SlotAllowance {
-    slots: f64,
-    /// When the counts were received by which it last grew.
+pub(crate) struct SharedRoom {
+    /// Free slots over all upstreams of the queue.
+    pub(crate) slots: f64,
+    /// Requests at other nodes that need one.
+    pub(crate) others_need: u32,
+}
+
+impl SharedRoom {
+    /// Part of its need that each node may cover by slots of others, if this node needs `own`.
+    fn fraction(self, own: u32) -> f64 {
+        let need = f64::from(self.others_need.saturating_add(own));
+        let usable = BORROWED_PART * self.slots;
+        if usable >= need { 1.0 } else { usable.max(0.0) / need }
+    }
+}
+
+/// Requests of one queue at this node that find no slot of its own.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct SlotBorrowing {
+    /// Requests sent to slots of others since the last message with counts.
+    borrowed: u32,
+    /// Requests that waited when this node last looked for a slot.
+    waiting: u32,
+    /// Requests that needed a slot between the last two messages.
+    last_need: u32,
+    /// Slots that this node may use since the last message, including those that it has used.
+    granted: f64,
+    /// Part of a slot that was left of the grants before.
+    carried: f64,
+    /// When the last counts before the last update were received.
     counted_at: Option<Instant>,
+    updated_at: Option<Instant>,
 }
 
-impl SlotAllowance {
-    /// Creates an allowance. Different first values keep nodes from using free slots at the same
-    /// moment.
-    pub(crate) fn new(slots: f64) -> Self {
-        Self { slots, counted_at: None }
+impl SlotBorrowing {
+    /// Creates a state without requests. Different parts of a slot at the start keep nodes from using free
+    /// slots at the same moment.
+    pub(crate) fn new(granted: f64) -> Self {
+        Self { granted, ..Self::default() }
     }
 
-    /// Adds a part of `room`, the free slots for each node, once for each message with counts.
-    pub(crate) fn refill(&mut self, room: f64, counted_at: Option<Instant>) {
-        if counted_at.is_none() || self.counted_at == counted_at {
-            return;
-        }
-        self.counted_at = counted_at;
-        self.slots = (self.slots + ALLOWANCE_PART * room.max(0.0)).min(1.0);
+    /// Requests that need a slot now or had to use one of others since the last message.
+    pub(crate) fn need(&self) -> u32 {
+        self.borrowed + self.waiting
+    }
+
+    /// Need that this node reports to others. Shortly after a message the time before it tells more.
+    pub(crate) fn reported_need(&self, now: Instant) -> u32 {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < NEED_LIFETIME;
+        if self.updated_at.is_some_and(is_recent) { self.need().max(self.last_need) } else { 0 }
     }
 
-    pub(crate) fn slots(&self) -> f64 {
-        self.slots
+    /// Updates the grant, if `waiting` requests of the queue wait at this node. `counted_at` is when the last
+    /// message with counts was received.
+    pub(crate) fn update(
+        &mut self,
+        waiting: u32,
+        room: SharedRoom,
+        counted_at: Option<Instant>,
+        now: Instant,
+    ) {
+        self.updated_at = Some(now);
+        if self.counted_at != counted_at {
+            self.counted_at = counted_at;
+            self.carried = (self.granted - f64::from(self.borrowed)).clamp(0.0, 1.0);
+            self.last_need = self.need();
+            self.borrowed = 0;
+        }
+        self.waiting = waiting;
+        let need = self.need();
+        self.granted = self.carried + room.fraction(need) * f64::from(need);
     }
 
+    /// Whether the grant has a slot left.
     pub(crate) fn has_slot(&self) -> bool {
-        self.slots >= 1.0
+        self.slots_left() >= 1.0
+    }
+
+    pub(crate) fn slots_left(&self) -> f64 {
+        self.granted - f64::from(self.borrowed)
     }
 
+    /// Records that a request was sent to a slot of another node.
     pub(crate) fn take(&mut self) {
-        self.slots = (self.slots - 1.0).max(0.0);
+        self.borrowed += 1;
+        self.waiting = self.waiting.saturating_sub(1);
     }
 }
--- a/crates/eelgrassdeal_dispatch/tests/admission.rs
+++ b/crates/eelgrassdeal_dispatch/tests/admission.rs
@@ -39,6 +39,7 @@
         engine: engine(),
         model: model(),
         target: TARGET,
+        answer_tokens: engine().mean_answer_tokens,
         first_event_passes: 4.7,
         round: Duration::from_millis(350),
         count_age: Duration::from_millis(700),
--- a/crates/eelgrassdeal_emulator/examples/choose_cost.rs
+++ b/crates/eelgrassdeal_emulator/examples/choose_cost.rs
@@ -23,8 +23,14 @@
         for target in &targets {
             tracker.start_request(&target.record.upstream, now);
         }
-        let constraints =
-            PlacementConstraints { excluded: &[], max_per_slot: 1.3, is_on_time: true };
+        let queue = (Arc::from("engines"), None);
+        let constraints = PlacementConstraints {
+            excluded: &[],
+            queue: &queue,
+            waiting: 1,
+            max_per_slot: 1.3,
+            is_on_time: true,
+        };
         let started_at = Instant::now();
         for choice in 0..CHOICES {
             let draw = f64::from(choice) / f64::from(CHOICES);
--- a/crates/eelgrassdeal_emulator/src/placement.rs
+++ b/crates/eelgrassdeal_emulator/src/placement.rs
@@ -6,8 +6,8 @@
 use std::time::{Duration, Instant};
 
 use eelgrassdeal_dispatch::{
-    CountScope, LoadTracker, NodeRole, PlacementConstraints, PlacementTarget, UpstreamRecord,
-    UpstreamState,
+    CountScope, LoadTracker, NodeRole, PlacementConstraints, PlacementTarget, QueueId,
+    UpstreamRecord, UpstreamState,
 };
 use eelgrassdeal_types::{NodeId, UpstreamId};
 use rand::rngs::StdRng;
@@ -201,6 +201,7 @@
 struct Simulation<'a> {
     spec: &'a PlacementSpec,
     policy: PlacementPolicy,
+    queue: QueueId,
     random: StdRng,
     start: Instant,
     now: Instant,
@@ -262,6 +263,7 @@
         let mut simulation = Self {
             spec,
             policy,
+            queue: (Arc::from("engines"), None),
             random,
             start,
             now: start,
@@ -454,6 +456,8 @@
             PlacementPolicy::Gateway => {
                 let constraints = PlacementConstraints {
                     excluded: &[],
+                    queue: &self.queue,
+                    waiting: 1,
                     max_per_slot: self.spec.max_per_slot,
                     is_on_time: true,
                 };
--- a/crates/eelgrassdeal_gateway/src/peers/message.rs
+++ b/crates/eelgrassdeal_gateway/src/peers/message.rs
@@ -6,12 +6,12 @@
 
 use bytes::Bytes;
 use eelgrassdeal_dispatch::{
-    CountScope, NodeCondition, NodeHeartbeat, NodeRole, NodeStage, RowChange, SharedTable,
+    CountScope, NodeCondition, NodeHeartbeat, NodeRole, NodeStage, QueueId, RowChange, SharedTable,
     TableChanges, VersionGap,
 };
 use eelgrassdeal_schema::gateway::{
-    self, NodeHeartbeat as HeartbeatMessage, RowCopy, SilentUpstream, SyncMessage, TableCopy,
-    TableState, UpstreamCount,
+    self, NodeHeartbeat as HeartbeatMessage, QueueNeed, RowCopy, SilentUpstream, SyncMessage,
+    TableCopy, TableState, UpstreamCount,
 };
 use eelgrassdeal_types::NodeId;
 
@@ -145,9 +145,35 @@
             now,
         ),
         placements: encode_placements(state, directory.is_large(), scope, recipient_id, now),
+        needs: encode_needs(state, is_large, scope, recipient_id, now),
     }
 }
 
+/// Encodes the requests that need slots of other nodes for a message of this scope. Nodes of a small fleet
+/// own no slots.
+fn encode_needs(
+    state: &GatewayState,
+    is_large: bool,
+    scope: CountScope,
+    recipient: Option<&NodeId>,
+    now: Instant,
+) -> Vec<QueueNeed> {
+    if !is_large {
+        return Vec::new();
+    }
+    let needs = state.loads.borrow().needs_for(scope, recipient, now);
+    let encode = |((service, model), requests): (QueueId, u32)| QueueNeed {
+        service: service.to_string(),
+        model: model.map(|model| model.to_string()),
+        requests,
+    };
+    needs.into_iter().map(encode).collect()
+}
+
+fn decode_need(need: QueueNeed) -> (QueueId, u32) {
+    ((Arc::from(need.service), need.model.map(Arc::from)), need.requests)
+}
+
 /// Whether the link has room for a snapshot of this size, if one is to be sent.
 fn may_send_snapshot(state: &GatewayState, snapshot_bytes: Option<usize>, now: Instant) -> bool {
     let Some(bytes) = snapshot_bytes else { return true };
@@ -228,7 +254,12 @@
         directory.record_direct_message(&node, now);
         let (is_large, own_role) = (directory.is_large(), directory.role());
         let scope = CountScope::for_message(is_large, role, own_role, requested_at.is_some());
-        state.loads.borrow_mut().set_peer_counts(&node, scope, counts, now);
+        let needs = message.needs.into_iter().map(decode_need).collect();
+        {
+            let mut loads = state.loads.borrow_mut();
+            loads.set_peer_counts(&node, scope, counts, now);
+            loads.set_peer_needs(&node, scope, needs, now);
+        }
         let sender = (&node, scope);
         adopt_placements(state, directory.is_large(), sender, message.placements, now);
         state.waiting.notify();
--- a/crates/eelgrassdeal_gateway/src/placing.rs
+++ b/crates/eelgrassdeal_gateway/src/placing.rs
@@ -97,6 +97,9 @@
             (Some(_), true) => SlotOwnership::Own,
             (Some(_), false) => SlotOwnership::Borrowed,
         };
+        if ownership == SlotOwnership::Borrowed {
+            state.loads.borrow_mut().record_borrowed(queue);
+        }
         state.waiting.log.borrow_mut().record_placement(queue, ownership, is_on_time);
         let load = LoadGuard::new(state, &target.record.upstream);
         let limit_share = LimitShare::take(state, &target.record);
@@ -301,15 +304,18 @@
         return Err(failure);
     }
     let must_wait = room.queue.borrow().precedes(&request, now);
+    let waiting = room.queue.borrow().count(&queue) + 1;
     let refusal = match must_wait {
         true => PlacementRefusal::AllFull,
-        false => match choose_upstream(state, need, &queue, &candidates(state, &queue), now) {
-            Ok(target) => {
-                room.queue.borrow_mut().record_placement(&request, now);
-                return Ok(Placement::new(state, target, &queue, now < need.target_at));
+        false => {
+            match choose_upstream(state, need, (&queue, waiting), &candidates(state, &queue), now) {
+                Ok(target) => {
+                    room.queue.borrow_mut().record_placement(&request, now);
+                    return Ok(Placement::new(state, target, &queue, now < need.target_at));
+                }
+                Err(refusal) => refusal,
             }
-            Err(refusal) => refusal,
-        },
+        }
     };
     if refusal == PlacementRefusal::NoneServing && !is_replica_expected(&state.view(), &queue) {
         let reason = "no upstream is available for the request, and none is being prepared";
@@ -404,7 +410,8 @@
             if limit <= full_limit {
                 continue;
             }
-            let chosen = choose_upstream(state, &mut need, &queue, &candidates, now);
+            let waiting = state.waiting.queue.borrow().count(&queue);
+            let chosen = choose_upstream(state, &mut need, (&queue, waiting), &candidates, now);
             let Ok(target) = chosen else {
                 if need.excluded.is_empty() {
                     full_limit = limit;
@@ -424,11 +431,12 @@
     }
 }
 
-/// Chooses an upstream with free capacity that takes the request now.
+/// Chooses an upstream with free capacity that takes the request now. `waiting` is the number of requests
+/// that wait in the queue, including this one.
 fn choose_upstream(
     state: &GatewayState,
     need: &mut PlacementNeed,
-    queue: &QueueId,
+    (queue, waiting): (&QueueId, usize),
     candidates: &[PlacementTarget],
     now: Instant,
 ) -> Result<PlacementTarget, PlacementRefusal> {
@@ -442,6 +450,8 @@
     loop {
         let constraints = PlacementConstraints {
             excluded: &need.excluded,
+            queue,
+            waiting: waiting as u32,
             max_per_slot: need.max_per_slot(state, queue, now),
             is_on_time: need.is_rerun || now < need.target_at,
         };
--- a/crates/eelgrassdeal_gateway/src/queue_log.rs
+++ b/crates/eelgrassdeal_gateway/src/queue_log.rs
@@ -114,10 +114,18 @@
             continue;
         }
         let (service, model) = &queue;
-        let SlotUse { owned, own_in_use, own_requests, allowance, known, slots, counts_age } =
-            state.loads.borrow().slot_use(&targets(&queue), now);
+        let SlotUse {
+            owned,
+            own_in_use,
+            own_requests,
+            allowance,
+            others_need,
+            known,
+            slots,
+            counts_age,
+        } = state.loads.borrow().slot_use(&queue, &targets(&queue), now);
         log::info!(
-            "event=queue service={service} model={} arrived={} on_time={} own={} borrowed={} undivided={} waited={} refused={} owned={owned} own_in_use={own_in_use} own_requests={own_requests} allowance={allowance:.2} known={known} slots={slots:.0} counts_age_ms={} overloaded={}",
+            "event=queue service={service} model={} arrived={} on_time={} own={} borrowed={} undivided={} waited={} refused={} owned={owned} own_in_use={own_in_use} own_requests={own_requests} allowance={allowance:.2} others_need={others_need} known={known} slots={slots:.0} counts_age_ms={} overloaded={}",
             model.as_deref().unwrap_or("-"),
             activity.arrived,
             activity.on_time,
