The need for slots of others leaves out requests in own slots

Cause: a request that got a slot of its own node was counted as waiting until the next one. Nodes reported 65 to 140 requests in need, of which about 70 were such, and each could cover two fifths of its need. Evidence: event=queue, others_need of 98 to 140 from 16 to 23 s beside 103 to 161 requests known to be in progress, 146 arrivals a second. Test a_request_in_an_own_slot_is_no_need: one request reported before, none now. Why it works: the need is that of requests beyond own slots. As it is smaller now, the part of the free slots that is used for it falls with the room: all of it while two thirds are free, 0.15 when a tenth is. Near the limit the counts lack more than is free.

--- a/crates/eelgrassdeal_dispatch/src/placement.rs
+++ b/crates/eelgrassdeal_dispatch/src/placement.rs
@@ -403,7 +403,8 @@
         if weighted.iter().any(|(_, target, _)| !self.is_avoided(target, now)) {
             weighted.retain(|(_, target, _)| !self.is_avoided(target, now));
         }
-        if weighted.iter().any(|(_, target, _)| self.has_own_slot(target)) {
+        let has_own_slot = weighted.iter().any(|(_, target, _)| self.has_own_slot(target));
+        if has_own_slot {
             weighted.retain(|(_, target, _)| self.has_own_slot(target));
         }
         let chosen = match position {
@@ -426,7 +427,13 @@
                 drawn.or(weighted.last()).map(|(_, target, _)| *target)
             }
         };
-        chosen.cloned().ok_or(PlacementRefusal::AllFull)
+        let chosen = chosen.cloned().ok_or(PlacementRefusal::AllFull)?;
+        match self.borrowings.get_mut(constraints.queue) {
+            // A request in a slot of its own node needs none of another one.
+            Some(borrowing) if has_own_slot => borrowing.remove_waiting(),
+            _ => {}
+        }
+        Ok(chosen)
     }
 
     /// Records that a request of the queue is sent to a slot of another node.
@@ -465,7 +472,11 @@
             let total = f64::from(self.total_requests(&target.record.upstream, now));
             (max_per_slot * target.slots - total).max(0.0)
         });
-        SharedRoom { slots: free.sum(), others_need: self.needs.total(queue, now) }
+        SharedRoom {
+            slots: free.sum(),
+            limit: targets.iter().map(|target| max_per_slot * target.slots).sum(),
+            others_need: self.needs.total(queue, now),
+        }
     }
 
     /// Replaces the numbers of requests that a peer reports as in need of slots beyond those of their nodes.
--- a/crates/eelgrassdeal_dispatch/src/slot_share.rs
+++ b/crates/eelgrassdeal_dispatch/src/slot_share.rs
@@ -8,9 +8,10 @@
 
 use std::time::{Duration, Instant};
 
-/// Part of the free slots that the nodes together use beyond their own for each message with counts. The
-/// counts do not show yet what was sent after the last one or two messages, which would use the rest.
-const BORROWED_PART: f64 = 0.5;
+/// Factor on the free fraction of the limit, which gives the part of the free slots that all nodes together
+/// use beyond their own for each message with counts. The counts do not show yet what was sent after the
+/// last one or two messages, which matters more the fewer slots are free.
+const BORROWING_GAIN: f64 = 1.5;
 /// A need that was not updated for this long is over: a node looks for a slot far more often while requests
 /// wait.
 const NEED_LIFETIME: Duration = Duration::from_millis(500);
@@ -50,6 +51,8 @@
 pub(crate) struct SharedRoom {
     /// Free slots over all upstreams of the queue.
     pub(crate) slots: f64,
+    /// Requests that the upstreams take at once.
+    pub(crate) limit: f64,
     /// Requests at other nodes that need one.
     pub(crate) others_need: u32,
 }
@@ -58,8 +61,9 @@
     /// Part of its need that each node may cover by slots of others, if this node needs `own`.
     fn fraction(self, own: u32) -> f64 {
         let need = f64::from(self.others_need.saturating_add(own));
-        let usable = BORROWED_PART * self.slots;
-        if usable >= need { 1.0 } else { usable.max(0.0) / need }
+        let part = (BORROWING_GAIN * self.slots / self.limit.max(1.0)).min(1.0);
+        let usable = part * self.slots;
+        if usable >= need { 1.0 } else { usable / need }
     }
 }
 
@@ -78,6 +82,7 @@
     carried: f64,
     /// When the last counts before the last update were received.
     counted_at: Option<Instant>,
+    /// When this node last looked for a slot.
     updated_at: Option<Instant>,
 }
 
@@ -132,6 +137,11 @@
     /// Records that a request was sent to a slot of another node.
     pub(crate) fn take(&mut self) {
         self.borrowed += 1;
+        self.remove_waiting();
+    }
+
+    /// Records that a request was given a slot.
+    pub(crate) fn remove_waiting(&mut self) {
         self.waiting = self.waiting.saturating_sub(1);
     }
 }
--- a/crates/eelgrassdeal_dispatch/tests/placement.rs
+++ b/crates/eelgrassdeal_dispatch/tests/placement.rs
@@ -429,3 +429,14 @@
     assert_eq!(sum(CountScope::Fleet, Some(&leaves[0])), [(QUEUE.clone(), 3)]);
     assert_eq!(sum(CountScope::Node, None), []);
 }
+
+/// Guards against a need that grows with the requests which have a slot of their own node.
+#[test]
+fn a_request_in_an_own_slot_is_no_need() {
+    let now = Instant::now();
+    let (mut tracker, targets) = borrower(0, 10, 0, now);
+    let owned: Vec<_> = targets.into_iter().map(|target| target.with_owned_slots(1)).collect();
+    let target = tracker.choose(&owned, no_exclusions(), 0.5, now).expect("an own slot is free");
+    tracker.start_request(&target.record.upstream, now);
+    assert_eq!(tracker.needs_for(CountScope::Node, None, now), []);
+}
