--- a/crates/eelgrassdeal_dispatch/tests/admission.rs
+++ b/crates/eelgrassdeal_dispatch/tests/admission.rs
@@ -7,25 +7,10 @@
 
 use eelgrassdeal_dispatch::{EngineSpec, ModelSpec, ReplicaSpeed};
 
-use crate::load_play::{CallerChoice, LoadReport, LoadSpec, play};
+use crate::load_play::{CallerChoice, LoadReport, LoadSpec, five_step_engine as engine, play};
 
 const TARGET: Duration = Duration::from_millis(250);
 
-/// An engine whose batch has a pass of five steps, as on the deployment whose load the limit answers.
-fn engine() -> EngineSpec {
-    EngineSpec {
-        slots: 48,
-        step_time: Duration::from_micros(6_450),
-        per_sequence_ms: 0.0967,
-        per_context_ms: 0.0029,
-        prompt_tokens_per_s: 56_100.0,
-        steps_per_pass: 5,
-        mean_prompt_tokens: 912.0,
-        mean_answer_tokens: 138.0,
-        ..common::engine()
-    }
-}
-
 fn model() -> ModelSpec {
     ModelSpec { time_factor: 0.6, ..common::engine().models[0].clone() }
 }
--- a/crates/eelgrassdeal_dispatch/tests/load_play/mod.rs
+++ b/crates/eelgrassdeal_dispatch/tests/load_play/mod.rs
@@ -56,6 +56,21 @@
     pub count_age: Duration,
 }
 
+/// An engine whose batch has a pass of five steps, as on the deployments whose overload the limit answers.
+pub fn five_step_engine() -> EngineSpec {
+    EngineSpec {
+        slots: 48,
+        step_time: Duration::from_micros(6_450),
+        per_sequence_ms: 0.0967,
+        per_context_ms: 0.0029,
+        prompt_tokens_per_s: 56_100.0,
+        steps_per_pass: 5,
+        mean_prompt_tokens: 912.0,
+        mean_answer_tokens: 138.0,
+        ..common::engine()
+    }
+}
+
 impl LoadSpec {
     /// Duration of a pass with `running` requests, of which each reads its prompt once in its passes.
     fn pass_seconds(&self, running: usize) -> f64 {
@@ -175,8 +190,6 @@
         })
         .collect();
     let mut play = LoadPlay::new(spec, &directories, loads.len(), seed, start);
-    let scope = if play.is_large { CountScope::Fleet } else { CountScope::Node };
-    let round_ticks = spec.round.as_millis() as usize / 5;
     let mut history: VecDeque<Vec<NodeReport>> = VecDeque::new();
     for tick in 0..loads.len() * TICKS_PER_SECOND {
         let now = start + TICK * tick as u32;
@@ -185,22 +198,7 @@
         if history.len() > spec.count_age.as_millis() as usize / 5 {
             history.pop_front();
         }
-        let sums: Vec<u32> = (0..spec.replicas)
-            .map(|replica| history[0].iter().map(|report| report.counts[replica]).sum())
-            .collect();
-        let need: u32 = history[0].iter().map(|report| report.need).sum();
-        for (index, node) in play.nodes.iter_mut().enumerate() {
-            if (tick + index * 7) % round_ticks == 0 {
-                let upstreams = node.targets.iter().map(|target| target.record.upstream.clone());
-                let reported = &history[0][index];
-                let others = sums.iter().zip(&reported.counts).map(|(sum, own)| sum - own);
-                let counts = upstreams.zip(others).collect();
-                let hub = Arc::from("hub");
-                node.loads.set_peer_counts(&hub, scope, counts, now);
-                let needs = vec![(play.queue.clone(), need - reported.need)];
-                node.loads.set_peer_needs(&hub, scope, needs, now);
-            }
-        }
+        play.send_reports(&history[0], tick, now);
         let expected = loads[second] * TICK.as_secs_f64();
         let arrivals = expected as usize + usize::from(random.random::<f64>() < expected.fract());
         for _ in 0..arrivals {
@@ -277,6 +275,28 @@
         }
     }
 
+    /// Sends old reports of all nodes to those whose message is due in this tick.
+    fn send_reports(&mut self, reports: &[NodeReport], tick: usize, now: Instant) {
+        let scope = if self.is_large { CountScope::Fleet } else { CountScope::Node };
+        let sums: Vec<u32> = (0..self.spec.replicas)
+            .map(|replica| reports.iter().map(|report| report.counts[replica]).sum())
+            .collect();
+        let need: u32 = reports.iter().map(|report| report.need).sum();
+        let round_ticks = self.spec.round.as_millis() as usize / 5;
+        let hub = Arc::from("hub");
+        for (node, reported) in self.nodes.iter_mut().zip(reports) {
+            // Not all nodes at once.
+            if !(tick + node.index * 7).is_multiple_of(round_ticks) {
+                continue;
+            }
+            let upstreams = node.targets.iter().map(|target| target.record.upstream.clone());
+            let others = sums.iter().zip(&reported.counts).map(|(sum, own)| sum - own);
+            node.loads.set_peer_counts(&hub, scope, upstreams.zip(others).collect(), now);
+            let needs = vec![(self.queue.clone(), need - reported.need)];
+            node.loads.set_peer_needs(&hub, scope, needs, now);
+        }
+    }
+
     /// A request arrives at a node, which sends it to a replica or lets it wait.
     fn receive(&mut self, index: usize, now: Instant) {
         let request = WaitingRequest {
@@ -312,11 +332,10 @@
     fn start_request(&mut self, index: usize, arrived_at: Instant, now: Instant) -> bool {
         let is_late = now >= self.late_at(arrived_at);
         let node = &mut self.nodes[index];
-        let is_overloaded = || node.queue.is_overloaded(&self.queue, now);
-        let part = match is_late {
-            false => 1.0,
-            true if is_overloaded() => OVERLOADED_LATE_PART,
-            true => LATE_PART,
+        let part = match (is_late, node.queue.is_overloaded(&self.queue, now)) {
+            (false, _) => 1.0,
+            (true, false) => LATE_PART,
+            (true, true) => OVERLOADED_LATE_PART,
         };
         let waiting = (node.waiting.len() + usize::from(arrived_at == now)) as u32;
         let max_per_slot = self.in_time_per_slot * part;
--- a/crates/eelgrassdeal_dispatch/tests/ordinary_load.rs
+++ b/crates/eelgrassdeal_dispatch/tests/ordinary_load.rs
@@ -7,7 +7,7 @@
 
 use eelgrassdeal_dispatch::{EngineSpec, ModelSpec};
 
-use crate::load_play::{CallerChoice, LoadReport, LoadSpec, play};
+use crate::load_play::{CallerChoice, LoadReport, LoadSpec, five_step_engine, play};
 
 /// Target: nine in ten requests are in time.
 const MIN_IN_TIME: f64 = 0.9;
@@ -48,17 +48,7 @@
 fn grown_fleet() -> LoadSpec {
     LoadSpec {
         nodes: 80,
-        engine: EngineSpec {
-            slots: 48,
-            step_time: Duration::from_micros(6_450),
-            per_sequence_ms: 0.0967,
-            per_context_ms: 0.0029,
-            prompt_tokens_per_s: 56_100.0,
-            steps_per_pass: 5,
-            mean_prompt_tokens: 912.0,
-            mean_answer_tokens: 138.0,
-            ..common::engine()
-        },
+        engine: five_step_engine(),
         answer_tokens: 138.0,
         round: Duration::from_millis(350),
         count_age: Duration::from_millis(700),
