A reset during an upload is not taken for the end of a response

What callers saw: a worker answered a long upload with a 200 without a length, sent a part of the body and reset the connection. The caller got the part as a complete response, and so did requests that must not be repeated; the node stored it as the result of the call's key. A stream that was cut between two events ended there as complete.

Cause: the system reports a reset to one call only. While the sockets are full, the write of the upload waits; it gets the reset, and the next read returns 0 bytes, as at the end of a body without a length. hyper reads before it learns of the failed write. It is hardly a race: if the worker pauses for 20 ms before it answers, so that the client's writes have come to a stop, most uploads are affected.

BoundedSocket::new_client, which the pool and the node's upstream client use, reports the end of the input only when the system has taken all output, and as a reset if a write has failed. An upstream that answers early, closes its sending half and reads the upload to its end still gets its answer through, as its client's writes succeed. Sockets of servers are unchanged.

--- a/crates/eelgrassdeal_gateway/tests/common/mod.rs
+++ b/crates/eelgrassdeal_gateway/tests/common/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code, reason = "no test file uses all helpers")]
 #![allow(unreachable_pub, reason = "shared by several test files")]
 
+pub mod odd_answers;
 pub mod scripted_worker;
 
 use std::cell::RefCell;
--- a/crates/eelgrassdeal_gateway/tests/common/scripted_worker.rs
+++ b/crates/eelgrassdeal_gateway/tests/common/scripted_worker.rs
@@ -27,6 +27,24 @@
     pub earlier_requests: u32,
 }
 
+impl ScriptedRequest {
+    /// Reads what the head of a request says.
+    pub fn from_head(head: &str) -> Self {
+        Self {
+            id: field_value(head, "x-eelgrassdeal-request-id").unwrap_or_default().to_owned(),
+            path: head.split(' ').nth(1).unwrap_or_default().to_owned(),
+            last_event: field_value(head, "last-event-id").and_then(|value| value.parse().ok()),
+            ..Self::default()
+        }
+    }
+}
+
+/// Value of a field in the head of a request.
+fn field_value<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    let mut fields = head.lines().filter_map(|line| line.split_once(": "));
+    fields.find(|(field, _)| field.eq_ignore_ascii_case(name)).map(|(_, value)| value)
+}
+
 /// What follows the bytes of an answer on the connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AnswerEnd {
@@ -62,6 +80,16 @@
 
 type AnswerScript = dyn Fn(&ScriptedRequest) -> ScriptedAnswer;
 
+/// Row of the store for a worker of the plain service.
+pub fn worker_row(address: &str) -> serde_json::Value {
+    worker_row_of(PLAIN_SERVICE, address)
+}
+
+fn worker_row_of(service: &str, address: &str) -> serde_json::Value {
+    serde_json::json!({ "service": service, "address": address, "zone": "zone-a", "version": "1",
+        "slots": 6, "state": "ready", "cold_left_ms": 0, "seq": 1, "born": 1 })
+}
+
 /// Starts a worker of the plain service that answers as `script` says.
 pub async fn start_scripted_worker(
     store: &MetadataStoreFake,
@@ -80,9 +108,7 @@
 ) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("a bound address");
-    let row = serde_json::json!({ "service": service, "address": address.to_string(),
-        "zone": "zone-a", "version": "1", "slots": 6, "state": "ready", "cold_left_ms": 0,
-        "seq": 1, "born": 1 });
+    let row = worker_row_of(service, &address.to_string());
     store.put("servers", id, row.to_string().as_bytes());
     let (script, id): (Rc<AnswerScript>, _) = (Rc::new(script), id.to_owned());
     compio::runtime::spawn(async move {
@@ -141,21 +167,12 @@
         let head_end = received.windows(HEAD_END.len()).position(|bytes| bytes == HEAD_END);
         if let Some(head_end) = head_end {
             let head = String::from_utf8_lossy(&received[..head_end]).into_owned();
-            let value = |name: &str| {
-                let mut fields = head.lines().filter_map(|line| line.split_once(": "));
-                fields.find(|(field, _)| field.eq_ignore_ascii_case(name)).map(|(_, value)| value)
-            };
-            let length =
-                value("content-length").map_or(0, |value| value.parse().expect("a number"));
+            let length = field_value(&head, "content-length");
+            let length: usize = length.map_or(0, |value| value.parse().expect("a number"));
             let request_end = head_end + HEAD_END.len() + length;
             if received.len() >= request_end {
                 received.drain(..request_end);
-                return Some(ScriptedRequest {
-                    id: value("x-eelgrassdeal-request-id").unwrap_or_default().to_owned(),
-                    path: head.split(' ').nth(1).unwrap_or_default().to_owned(),
-                    last_event: value("last-event-id").and_then(|value| value.parse().ok()),
-                    ..ScriptedRequest::default()
-                });
+                return Some(ScriptedRequest::from_head(&head));
             }
         }
         let BufResult(count, buffer) = stream.read(Vec::with_capacity(8 * 1024)).await;
--- a/crates/eelgrassdeal_http/src/pool.rs
+++ b/crates/eelgrassdeal_http/src/pool.rs
@@ -515,7 +515,7 @@
         // Requests are small, and Nagle's algorithm would delay them.
         let _ = stream.set_nodelay(true);
         let is_busy = Rc::new(Cell::new(false));
-        let socket = BoundedSocket::new_plain(stream.clone(), WRITE_TIMEOUT)
+        let socket = BoundedSocket::new_client(stream.clone(), WRITE_TIMEOUT)
             .with_reset_flag(is_busy.clone());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(CLIENT_BUFFER_BYTES)
--- a/crates/eelgrassdeal_node/src/upstream_client.rs
+++ b/crates/eelgrassdeal_node/src/upstream_client.rs
@@ -51,7 +51,7 @@
     let _ = stream.set_nodelay(true);
     let (mut sender, connection) = http1::Builder::new()
         .max_buf_size(CLIENT_BUFFER_BYTES)
-        .handshake(BoundedSocket::new_plain(stream, WRITE_TIMEOUT))
+        .handshake(BoundedSocket::new_client(stream, WRITE_TIMEOUT))
         .await
         .map_err(|_| SendFailure::NotSent)?;
     compio::runtime::spawn(async move {
--- a/crates/eelgrassdeal_standins/src/lib.rs
+++ b/crates/eelgrassdeal_standins/src/lib.rs
@@ -11,8 +11,11 @@
 //! store, VM list, engines and plain services also accept them in JSON by `POST /faults`. The JSON
 //! for engines differs from that for the others. The protocols are those that `docs/operators.md`
 //! specifies for the real systems.
+//!
+//! [`start_early_peer`] starts a peer that writes any bytes before it has read a request.
 
 mod certificates;
+mod early_answer;
 mod engine;
 mod fault;
 mod gateway_platform;
@@ -24,6 +27,7 @@
 mod weights;
 
 pub use certificates::CertificateAuthority;
+pub use early_answer::{EarlyAnswer, EarlyEnd, start_early_peer};
 pub use engine::{EngineFake, EngineOptions, EngineRun, StreamFault, answer_text, answer_token};
 pub use fault::{FaultInjector, FaultPlan, FaultRates};
 pub use gateway_platform::{
