--- a/crates/eelgrassdeal_node/tests/common/mod.rs
+++ b/crates/eelgrassdeal_node/tests/common/mod.rs
@@ -3,6 +3,8 @@
 #![allow(dead_code, reason = "no test file uses all helpers")]
 #![allow(unreachable_pub, reason = "shared by several test files")]
 
+pub mod odd_answers;
+
 use std::time::Duration;
 
 use eelgrassdeal_schema::config::Upstream;
