Tests: answers whose heads have lines that are no fields

Nothing in the repository held what becomes of an answer in which the name of a field has a blank or a control byte. malformed_answers has 126 of them: 18 lines (blanks and control bytes within the name, blanks before the colon, also of content-length and transfer-encoding, lines that begin with a blank, without a name or a colon), each at the start and the end of a head, in HTTP/1.0, without other framing, with a body in chunks, in a 103 before a sound 200, and in trailers.

Nothing else is changed.

--- /dev/null
+++ b/crates/eelgrassdeal_node/tests/response_fields.rs
@@ -0,0 +1,37 @@
+//! Upstreams whose answers have lines that are no fields: names with a blank or a control byte, blanks before
+//! the colon, lines without a name or a colon.
+
+mod common;
+
+use common::READY_STATUS;
+use common::odd_answers::{
+    OddAnswer, assert_calls_survive, assert_chats_survive, assert_probes_fail,
+};
+use eelgrassdeal_standins::{MalformedAnswer, malformed_answers};
+
+/// Of the answers, one in this number is sent to chats. It has no factor in common with the number of malformed
+/// lines, so that each of them is sent.
+const CHAT_STEP: usize = 5;
+
+fn odd_answers(body: &str) -> Vec<OddAnswer> {
+    let answers = malformed_answers("content-type: application/json\r\n", body).into_iter();
+    answers.map(|MalformedAnswer { label, bytes }| OddAnswer { label, bytes }).collect()
+}
+
+/// Guards against passing on, or storing as the result of a call, an answer whose framing is in doubt.
+#[compio::test]
+async fn malformed_answer_to_a_call_is_repeated_or_answered_502() {
+    assert_calls_survive(&odd_answers("{}")).await;
+}
+
+#[compio::test]
+async fn chat_with_a_malformed_answer_is_sent_to_another_replica() {
+    let answers = odd_answers("data: [DONE]\n\n").into_iter().step_by(CHAT_STEP);
+    assert_chats_survive(&answers.collect::<Vec<_>>()).await;
+}
+
+/// Guards against counting an upstream as ready because of an answer whose framing is in doubt.
+#[compio::test]
+async fn malformed_answer_to_a_probe_does_not_make_an_upstream_ready() {
+    assert_probes_fail(&odd_answers(READY_STATUS)).await;
+}
--- a/crates/eelgrassdeal_standins/src/lib.rs
+++ b/crates/eelgrassdeal_standins/src/lib.rs
@@ -12,13 +12,15 @@
 //! for engines differs from that for the others. The protocols are those that `docs/operators.md`
 //! specifies for the real systems.
 //!
-//! [`start_early_peer`] starts a peer that writes any bytes before it has read a request.
+//! [`start_early_peer`] starts a peer that writes any bytes before it has read a request, and
+//! [`malformed_answers`] are answers that no client may accept.
 
 mod certificates;
 mod early_answer;
 mod engine;
 mod fault;
 mod gateway_platform;
+mod malformed_answer;
 mod object;
 mod server;
 mod service;
@@ -34,6 +36,7 @@
     CloudCall, CloudFake, CloudFault, MetadataStoreFake, StoreStats, WorkerArrival, WorkerFake,
     WorkerFault, WorkerOptions, WorkerRun,
 };
+pub use malformed_answer::{MalformedAnswer, malformed_answers};
 pub use object::ObjectFake;
 pub use server::{Reply, ReplyBody, ServerHandle, empty_reply, json_reply, serve_http};
 pub use service::{ServiceFake, ServiceRun};
