Tests: end of a reused connection during an upload

A request on a connection that had served others is sent again if the connection ended before the head of a response.

--- a/crates/eelgrassdeal_http/tests/early_answers.rs
+++ b/crates/eelgrassdeal_http/tests/early_answers.rs
@@ -32,12 +32,19 @@
     address.to_string().into()
 }
 
-/// Sends `body`; returns the status and the body of the answer.
+/// Sends `body` on a new connection; returns the status and the body of the answer.
 async fn upload(address: &Arc<str>, body: &Bytes) -> Result<(u16, String), SendFailure> {
+    upload_with(&ConnectionPool::new(), address, body).await
+}
+
+async fn upload_with(
+    pool: &ConnectionPool,
+    address: &Arc<str>,
+    body: &Bytes,
+) -> Result<(u16, String), SendFailure> {
     let request = Request::post("/upload").header("host", "peer").body(Full::new(body.clone()));
     let request = request.expect("a request");
     let options = SendOptions::default();
-    let pool = ConnectionPool::new();
     let answer = pool.call(address, request, options, TIMEOUT, MAX_ANSWER_BYTES).await?;
     Ok((answer.status, String::from_utf8_lossy(&answer.body).into_owned()))
 }
@@ -117,3 +124,28 @@
         }
     }
 }
+
+/// A request that may have met the end of an idle connection is sent again, so that this end has to be told
+/// from others also when a write learns of it.
+#[compio::test]
+async fn end_of_a_reused_connection_during_the_upload_is_told_from_that_of_a_new_one() {
+    let body = Bytes::from(vec![b'u'; UPLOAD_BYTES]);
+    for end in [EarlyEnd::Reset, EarlyEnd::CloseUnread, EarlyEnd::ReadToEnd] {
+        for pause in PAUSES {
+            let script = move |head: &str| match head.contains("content-length: ") {
+                true => EarlyAnswer::new("", end).with_read_bytes(100_000).with_pause(pause),
+                false => EarlyAnswer::new("HTTP/1.1 204 No Content\r\n\r\n", EarlyEnd::KeepOpen),
+            };
+            let address = start_early_peer(script).expect("a free port").to_string().into();
+            for _ in 0..ATTEMPTS {
+                assert_eq!(upload(&address, &body).await, Err(SendFailure::MaybeSent), "{end:?}");
+                let pool = ConnectionPool::new();
+                let first = upload_with(&pool, &address, &Bytes::new()).await;
+                assert_eq!(first, Ok((204, String::new())));
+                let second = upload_with(&pool, &address, &body).await;
+                assert_eq!(second, Err(SendFailure::ReusedEnded), "{end:?} after {pause:?}");
+                assert_eq!(pool.opened_count(), 1);
+            }
+        }
+    }
+}
