Fix the choice of free addresses in tests beside starting processes

A gateway ended at its first start because its peer address, which free_address had just returned, was "already in use"; nobody else has an address of that test's process.

Cause: free_address binds a socket to see whether the address is free. A child process has copies of all sockets until it executes its program. If another test of the process starts a gateway at that moment, the copy keeps the address in use until the child's exec, which comes late when all processors are busy.

Fix: processes aren't started while free_address holds its sockets. Command::spawn returns after the child's exec, and all tests start their processes by ChildProcess, so that no copy remains.

--- a/crates/eelgrassdeal_testkit/src/fleet.rs
+++ b/crates/eelgrassdeal_testkit/src/fleet.rs
@@ -4,6 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::sync::PoisonError;
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
@@ -27,7 +28,7 @@
 use sha2::{Digest, Sha256};
 
 use crate::node_thread::NodeThread;
-use crate::process::ChildProcess;
+use crate::process::{ChildProcess, SPAWN_LOCK};
 
 /// Id of the model that every test fleet serves.
 pub const MODEL: &str = "appraiser";
@@ -561,7 +562,7 @@
 /// The IP address is derived from the process id, so that no other test process uses it, and the
 /// port is below the range from which the kernel assigns ports to outgoing connections. A port in
 /// that range could be taken by an outgoing connection of another test before the node listens on
-/// it.
+/// it. The address is free on return even if other threads start child processes meanwhile.
 ///
 /// # Panics
 ///
@@ -582,6 +583,8 @@
         let port = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
         assert!(port < LAST_PORT, "no port is free");
         let address = SocketAddr::from((ip, port));
+        // A child process that starts now would keep copies of the two sockets below.
+        let _guard = SPAWN_LOCK.write().unwrap_or_else(PoisonError::into_inner);
         if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
             return address;
         }
--- a/crates/eelgrassdeal_testkit/src/process.rs
+++ b/crates/eelgrassdeal_testkit/src/process.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::{PoisonError, RwLock};
 use std::time::{Duration, Instant};
 
 use rustix::process::{Pid, Signal, kill_process};
@@ -12,6 +13,10 @@
 /// Clock ticks per second in `/proc/PID/stat`; always 100 in user space on Linux.
 const TICKS_PER_SECOND: u64 = 100;
 
+/// Held for reading while a child process starts. Until the child executes its own program it has
+/// copies of all sockets of its parent, so that one that the parent closes meanwhile stays open.
+pub(crate) static SPAWN_LOCK: RwLock<()> = RwLock::new(());
+
 /// A child process that is killed when it is dropped.
 #[derive(Debug)]
 pub struct ChildProcess {
@@ -37,6 +42,8 @@
             }
             None => (Stdio::null(), Stdio::null()),
         };
+        // `Command::spawn` returns once the child has executed its program.
+        let _guard = SPAWN_LOCK.read().unwrap_or_else(PoisonError::into_inner);
         let child = Command::new(binary)
             .args(arguments)
             .stdin(Stdio::null())
