--- a/crates/eelgrassdeal_node/tests/common/odd_answers.rs
+++ b/crates/eelgrassdeal_node/tests/common/odd_answers.rs
@@ -9,7 +9,7 @@
 
 use eelgrassdeal_schema::config::Vm;
 use eelgrassdeal_schema::config::config_entry::Body;
-use eelgrassdeal_standins::{EarlyAnswer, EarlyEnd, answer_text, start_early_peer};
+use eelgrassdeal_standins::{EarlyAnswer, EarlyEnd, RawAnswer, answer_text, start_early_peer};
 use eelgrassdeal_testkit::{FleetSpec, TestCaller, TestFleet, chat_request, wait_until};
 
 use super::{READY_STATUS, WAIT_TIMEOUT, serving_upstreams, start_fleet, start_serving_fleet};
@@ -22,13 +22,6 @@
 const CHAT_PATH: &str = "POST /v1/chat/completions ";
 const HEAD_END: &[u8] = b"\r\n\r\n";
 
-/// An answer that no client may accept, with its name in the message of a failed test.
-#[derive(Clone, Debug)]
-pub struct OddAnswer {
-    pub label: String,
-    pub bytes: Vec<u8>,
-}
-
 /// The answer to the first attempt of the current request, and the number of its attempts.
 #[derive(Debug, Default)]
 struct CurrentRequest {
@@ -46,7 +39,7 @@
 
 type SharedRequest = Arc<Mutex<CurrentRequest>>;
 
-fn begin_request(current: &SharedRequest, answer: &OddAnswer) {
+fn begin_request(current: &SharedRequest, answer: &RawAnswer) {
     let request = CurrentRequest { answer: answer.bytes.clone(), attempts: 0 };
     *current.lock().expect("no panic") = request;
 }
@@ -90,7 +83,7 @@
 
 /// Calls a service whose upstreams answer the first attempt of each call with one of `answers`. A call that
 /// may be repeated must run elsewhere, another one must be answered 502.
-pub async fn assert_calls_survive(answers: &[OddAnswer]) {
+pub async fn assert_calls_survive(answers: &[RawAnswer]) {
     let current = SharedRequest::default();
     let ready = answer_with_status("200 OK", READY_STATUS);
     let addresses = (0..3).map(|_| start_upstream(ready.clone(), &current).address).collect();
@@ -114,7 +107,7 @@
 
 /// Upstreams that answer probes with one of `answers` each must not become ready, beside a sound one that
 /// does.
-pub async fn assert_probes_fail(answers: &[OddAnswer]) {
+pub async fn assert_probes_fail(answers: &[RawAnswer]) {
     let current = SharedRequest::default();
     let probe_answers = answers.iter().map(|answer| answer.bytes.clone());
     let probe_answers = probe_answers.chain([answer_with_status("200 OK", READY_STATUS)]);
@@ -175,7 +168,7 @@
 
 /// Sends chats of which the first attempt is answered with one of `answers`. Their callers must get the whole
 /// text from another replica.
-pub async fn assert_chats_survive(answers: &[OddAnswer]) {
+pub async fn assert_chats_survive(answers: &[RawAnswer]) {
     let current = SharedRequest::default();
     let fleet = TestFleet::start_serving(FleetSpec::default()).await;
     let config = fleet.config().await;
@@ -184,7 +177,7 @@
     fleet.apply(vms.map(proxied).map(Body::Vm).collect()).await;
     let caller = TestCaller::new(&fleet.node_addresses).with_timeout(CHAT_TIMEOUT);
     let request = chat_request("a prompt", CHAT_TOKENS);
-    let busy = OddAnswer { label: "busy".to_owned(), bytes: answer_with_status("503 Busy", "{}") };
+    let busy = RawAnswer { label: "busy".to_owned(), bytes: answer_with_status("503 Busy", "{}") };
     let is_proxied = async || {
         begin_request(&current, &busy);
         caller.chat_without_retry(fleet.node_addresses[0], &request).await;
--- a/crates/eelgrassdeal_node/tests/response_fields.rs
+++ b/crates/eelgrassdeal_node/tests/response_fields.rs
@@ -4,18 +4,15 @@
 mod common;
 
 use common::READY_STATUS;
-use common::odd_answers::{
-    OddAnswer, assert_calls_survive, assert_chats_survive, assert_probes_fail,
-};
-use eelgrassdeal_standins::{MalformedAnswer, malformed_answers};
+use common::odd_answers::{assert_calls_survive, assert_chats_survive, assert_probes_fail};
+use eelgrassdeal_standins::{RawAnswer, malformed_answers};
 
 /// Of the answers, one in this number is sent to chats. It has no factor in common with the number of malformed
 /// lines, so that each of them is sent.
 const CHAT_STEP: usize = 5;
 
-fn odd_answers(body: &str) -> Vec<OddAnswer> {
-    let answers = malformed_answers("content-type: application/json\r\n", body).into_iter();
-    answers.map(|MalformedAnswer { label, bytes }| OddAnswer { label, bytes }).collect()
+fn odd_answers(body: &str) -> Vec<RawAnswer> {
+    malformed_answers("content-type: application/json\r\n", body)
 }
 
 /// Guards against passing on, or storing as the result of a call, an answer whose framing is in doubt.
--- a/crates/eelgrassdeal_node/tests/response_statuses.rs
+++ b/crates/eelgrassdeal_node/tests/response_statuses.rs
@@ -4,8 +4,9 @@
 
 use common::READY_STATUS;
 use common::odd_answers::{
-    OddAnswer, answer_with_status, assert_calls_survive, assert_chats_survive, assert_probes_fail,
+    answer_with_status, assert_calls_survive, assert_chats_survive, assert_probes_fail,
 };
+use eelgrassdeal_standins::RawAnswer;
 
 /// What stands in the status line after the version.
 const STATUSES: [&str; 14] = [
@@ -25,8 +26,8 @@
     "None",
 ];
 
-fn odd_answers(body: &str) -> Vec<OddAnswer> {
-    let odd_answer = |status: &str| OddAnswer {
+fn odd_answers(body: &str) -> Vec<RawAnswer> {
+    let odd_answer = |status: &str| RawAnswer {
         label: status.to_owned(),
         bytes: answer_with_status(status, body),
     };
--- a/crates/eelgrassdeal_standins/src/lib.rs
+++ b/crates/eelgrassdeal_standins/src/lib.rs
@@ -20,8 +20,8 @@
 mod engine;
 mod fault;
 mod gateway_platform;
-mod malformed_answer;
 mod object;
+mod raw_answer;
 mod server;
 mod service;
 mod table;
@@ -36,8 +36,8 @@
     CloudCall, CloudFake, CloudFault, MetadataStoreFake, StoreStats, WorkerArrival, WorkerFake,
     WorkerFault, WorkerOptions, WorkerRun,
 };
-pub use malformed_answer::{MalformedAnswer, malformed_answers};
 pub use object::ObjectFake;
+pub use raw_answer::{RawAnswer, malformed_answers};
 pub use server::{Reply, ReplyBody, ServerHandle, empty_reply, json_reply, serve_http};
 pub use service::{ServiceFake, ServiceRun};
 pub use table::{AppliedPut, TableFake, TableStats};
--- a/crates/eelgrassdeal_standins/src/malformed_answer.rs
+++ b/crates/eelgrassdeal_standins/src/raw_answer.rs
@@ -1,4 +1,4 @@
-//! Answers with lines that are no fields.
+//! Answers that are given byte by byte, and those that have a line that is no field.
 
 /// Lines of a head whose name isn't a token, or that have none.
 const MALFORMED_LINES: [&[u8]; 18] = [
@@ -22,10 +22,10 @@
     b"x-bad",
 ];
 
-/// An answer that no client may accept.
+/// An answer byte by byte, sound or not.
 #[derive(Clone, Debug)]
-pub struct MalformedAnswer {
-    /// Where the malformed line stands, and the line, for messages of tests.
+pub struct RawAnswer {
+    /// What is special about the answer, for messages of tests.
     pub label: String,
     /// The answer as it is sent.
     pub bytes: Vec<u8>,
@@ -34,7 +34,7 @@
 /// Answers with status 200, the lines `fields`, each with its end, and `body`, which are sound but for one line.
 /// It stands at the start or the end of the head, in a head without other framing, in the head of an
 /// informational response, or in the trailers.
-pub fn malformed_answers(fields: &str, body: &str) -> Vec<MalformedAnswer> {
+pub fn malformed_answers(fields: &str, body: &str) -> Vec<RawAnswer> {
     let length = body.len();
     let framed = format!("{fields}content-length: {length}\r\n");
     let chunk = format!("{length:x}\r\n{body}\r\n");
@@ -52,7 +52,7 @@
             "\r\n".to_owned(),
         ),
     ];
-    let answer = |(place, before, after): &(&str, String, String), line: &[u8]| MalformedAnswer {
+    let answer = |(place, before, after): &(&str, String, String), line: &[u8]| RawAnswer {
         label: format!("{place}, {}", line.escape_ascii()),
         bytes: [before.as_bytes(), line, b"\r\n", after.as_bytes()].concat(),
     };
