Tests: answers that are broken off, and broken answers of nodes to the command line

How probes, orders, duties, the store and the node's calls and probes take an answer that is cut or reset was known from reading the code only, as was what the command line makes of any broken answer. broken_off_answers of the stand-ins gives eight of them: four that are cut (in the head, a body with a length, a chunk, before the last chunk) and four that are reset.

The tests of malformed answers of the platform and the node are the same but for the list of answers, so that each list is a part of theirs, now in broken_answers.

--- a/crates/eelgrassdeal_cli/tests/commands.rs
+++ b/crates/eelgrassdeal_cli/tests/commands.rs
@@ -9,7 +9,10 @@
 use eelgrassdeal_schema::config::config_entry::Body;
 use eelgrassdeal_schema::config::{ConfigChange, ConfigEntry, VmLoss};
 use eelgrassdeal_schema::decode_message;
-use eelgrassdeal_standins::{ServerHandle, TableFake, empty_reply, json_reply, serve_http};
+use eelgrassdeal_standins::{
+    RawAnswer, ServerHandle, TableFake, broken_off_answers, empty_reply, json_reply,
+    malformed_answers, serve_http, start_early_peer,
+};
 use expect_test::expect;
 use gumdrop::Options;
 use http_body_util::BodyExt;
@@ -286,6 +289,45 @@
     assert!(report.text.ends_with("active on 1 nodes\n"));
 }
 
+/// Broken answers of a node that has the newest revision.
+fn broken_answers() -> Vec<RawAnswer> {
+    let status = json!({ "node": "entry", "revision": 9, "state": "serving" }).to_string();
+    let with_status_line = |status_line: &str| {
+        let head = format!("HTTP/1.1 {status_line}\r\ncontent-length: {}\r\n", status.len());
+        RawAnswer::new(status_line, format!("{head}\r\n{status}"))
+    };
+    let without_status = ["000 None", "199 None", "600 None", "20 OK", "None"];
+    let malformed = malformed_answers("", &status).into_iter();
+    let broken_off = broken_off_answers("", &status);
+    malformed.chain(without_status.map(with_status_line)).chain(broken_off).collect()
+}
+
+/// Guards against reporting a change as active because of an answer that is not whole or not sound.
+#[compio::test]
+async fn nodes_with_broken_answers_lack_the_change() {
+    let fixture = CommandFixture::new("broken").await;
+    let start_node = |answer: RawAnswer| {
+        let (label, answer) = (answer.label.clone(), answer.after_request());
+        let address = start_early_peer(move |_| answer.clone()).expect("a free port");
+        (label, address)
+    };
+    let nodes: Vec<_> = broken_answers().into_iter().map(start_node).collect();
+    let sound_node = NodeFake::new(true).await;
+    let mut options = vec![sound_node.option(), "--wait=1".to_owned()];
+    options.push(format!("--admin-token-file={}", fixture.path("token")));
+    options.extend(nodes.iter().map(|(_, address)| format!("--node={address}")));
+    let options: Vec<&str> = options.iter().map(String::as_str).collect();
+    let report = fixture.run("apply", &options).await;
+    assert_status(&report, ExitStatus::NotActive);
+    for (label, address) in &nodes {
+        for failure in ["push failed", "not active"] {
+            let line = format!("node {address}: {failure}: ");
+            assert!(report.text.contains(&line), "{label}: {failure} isn't reported");
+        }
+    }
+    assert!(!report.text.contains(&sound_node.handle.address().to_string()), "{}", report.text);
+}
+
 /// Guards against `--wait` without a token for the nodes, against ignoring that a token file is
 /// missing, and against changes by a command whose options are invalid.
 #[compio::test]
--- a/crates/eelgrassdeal_http/tests/response_fields.rs
+++ b/crates/eelgrassdeal_http/tests/response_fields.rs
@@ -36,7 +36,7 @@
 #[compio::test]
 async fn response_with_a_malformed_line_is_no_response() {
     let mut failures = Vec::new();
-    for RawAnswer { label, bytes } in malformed_answers("server: peer\r\n", BODY) {
+    for RawAnswer { label, bytes, .. } in malformed_answers("server: peer\r\n", BODY) {
         let address = start_peer(move |_| bytes.clone());
         let pool = ConnectionPool::new();
         let result = call(&pool, &address, "/look").await;
@@ -50,7 +50,7 @@
 /// Guards against reading a later response on a connection whose framing is in doubt.
 #[compio::test]
 async fn connection_is_not_used_after_a_response_with_a_malformed_line() {
-    for RawAnswer { label, bytes } in malformed_answers("server: peer\r\n", BODY) {
+    for RawAnswer { label, bytes, .. } in malformed_answers("server: peer\r\n", BODY) {
         let address = start_peer(move |head| match head.starts_with("GET /sound ") {
             true => SOUND.into(),
             false => bytes.clone(),
--- a/crates/eelgrassdeal_node/tests/common/odd_answers.rs
+++ b/crates/eelgrassdeal_node/tests/common/odd_answers.rs
@@ -9,7 +9,7 @@
 
 use eelgrassdeal_schema::config::Vm;
 use eelgrassdeal_schema::config::config_entry::Body;
-use eelgrassdeal_standins::{EarlyAnswer, EarlyEnd, RawAnswer, answer_text, start_early_peer};
+use eelgrassdeal_standins::{RawAnswer, answer_text, start_early_peer};
 use eelgrassdeal_testkit::{FleetSpec, TestCaller, TestFleet, chat_request, wait_until};
 
 use super::{READY_STATUS, WAIT_TIMEOUT, serving_upstreams, start_fleet, start_serving_fleet};
@@ -25,22 +25,22 @@
 /// The answer to the first attempt of the current request, and the number of its attempts.
 #[derive(Debug, Default)]
 struct CurrentRequest {
-    answer: Vec<u8>,
+    answer: Option<RawAnswer>,
     attempts: usize,
 }
 
 impl CurrentRequest {
     /// Records an attempt; returns the answer to the first one.
-    fn begin_attempt(&mut self) -> Option<Vec<u8>> {
+    fn begin_attempt(&mut self) -> Option<RawAnswer> {
         self.attempts += 1;
-        (self.attempts == 1).then(|| self.answer.clone())
+        self.answer.take()
     }
 }
 
 type SharedRequest = Arc<Mutex<CurrentRequest>>;
 
 fn begin_request(current: &SharedRequest, answer: &RawAnswer) {
-    let request = CurrentRequest { answer: answer.bytes.clone(), attempts: 0 };
+    let request = CurrentRequest { answer: Some(answer.clone()), attempts: 0 };
     *current.lock().expect("no panic") = request;
 }
 
@@ -55,6 +55,10 @@
     format!("HTTP/1.1 {status}\r\n{fields}\r\n{body}").into_bytes()
 }
 
+fn sound_answer(body: &str) -> RawAnswer {
+    RawAnswer::new("sound", answer_with_status("200 OK", body))
+}
+
 /// An upstream and the number of probes that it got.
 struct OddUpstream {
     address: String,
@@ -62,21 +66,21 @@
 }
 
 /// Starts an upstream that answers probes with `probe_answer`, and calls as `current` says.
-fn start_upstream(probe_answer: Vec<u8>, current: &SharedRequest) -> OddUpstream {
+fn start_upstream(probe_answer: RawAnswer, current: &SharedRequest) -> OddUpstream {
     let probes = Arc::new(AtomicUsize::new(0));
     let (current, probe_count) = (current.clone(), probes.clone());
     let address = start_early_peer(move |head| {
-        let bytes = match head.starts_with("GET /status ") {
+        let answer = match head.starts_with("GET /status ") {
             true => {
                 probe_count.fetch_add(1, Ordering::Relaxed);
                 probe_answer.clone()
             }
             false => {
                 let answer = current.lock().expect("no panic").begin_attempt();
-                answer.unwrap_or_else(|| answer_with_status("200 OK", "{}"))
+                answer.unwrap_or_else(|| sound_answer("{}"))
             }
         };
-        EarlyAnswer::new(bytes, EarlyEnd::KeepOpen).with_read_bytes(usize::MAX)
+        answer.after_request()
     });
     OddUpstream { address: address.expect("a free port").to_string(), probes }
 }
@@ -85,7 +89,7 @@
 /// may be repeated must run elsewhere, another one must be answered 502.
 pub async fn assert_calls_survive(answers: &[RawAnswer]) {
     let current = SharedRequest::default();
-    let ready = answer_with_status("200 OK", READY_STATUS);
+    let ready = sound_answer(READY_STATUS);
     let addresses = (0..3).map(|_| start_upstream(ready.clone(), &current).address).collect();
     let fleet = start_serving_fleet(FleetSpec::default(), addresses).await;
     let caller = TestCaller::new(&fleet.node_addresses).with_timeout(CALL_TIMEOUT);
@@ -109,8 +113,7 @@
 /// does.
 pub async fn assert_probes_fail(answers: &[RawAnswer]) {
     let current = SharedRequest::default();
-    let probe_answers = answers.iter().map(|answer| answer.bytes.clone());
-    let probe_answers = probe_answers.chain([answer_with_status("200 OK", READY_STATUS)]);
+    let probe_answers = answers.iter().cloned().chain([sound_answer(READY_STATUS)]);
     let upstreams: Vec<_> = probe_answers.map(|answer| start_upstream(answer, &current)).collect();
     let addresses = upstreams.iter().map(|upstream| upstream.address.clone()).collect();
     let fleet = start_fleet(FleetSpec::default(), addresses).await;
@@ -150,7 +153,7 @@
     let is_chat = head.starts_with(CHAT_PATH.as_bytes());
     let answer = is_chat.then(|| current.lock().expect("no panic").begin_attempt()).flatten();
     if let Some(answer) = answer {
-        client.write_all(&answer)?;
+        client.write_all(&answer.bytes)?;
         // Keeps the connection open until the client closes it.
         return io::copy(&mut client, &mut io::sink()).map(|_| ());
     }
@@ -177,7 +180,7 @@
     fleet.apply(vms.map(proxied).map(Body::Vm).collect()).await;
     let caller = TestCaller::new(&fleet.node_addresses).with_timeout(CHAT_TIMEOUT);
     let request = chat_request("a prompt", CHAT_TOKENS);
-    let busy = RawAnswer { label: "busy".to_owned(), bytes: answer_with_status("503 Busy", "{}") };
+    let busy = RawAnswer::new("busy", answer_with_status("503 Busy", "{}"));
     let is_proxied = async || {
         begin_request(&current, &busy);
         caller.chat_without_retry(fleet.node_addresses[0], &request).await;
--- a/crates/eelgrassdeal_node/tests/response_statuses.rs
+++ b/crates/eelgrassdeal_node/tests/response_statuses.rs
@@ -27,10 +27,7 @@
 ];
 
 fn odd_answers(body: &str) -> Vec<RawAnswer> {
-    let odd_answer = |status: &str| RawAnswer {
-        label: status.to_owned(),
-        bytes: answer_with_status(status, body),
-    };
+    let odd_answer = |status: &str| RawAnswer::new(status, answer_with_status(status, body));
     STATUSES.into_iter().map(odd_answer).collect()
 }
 
--- a/crates/eelgrassdeal_standins/src/lib.rs
+++ b/crates/eelgrassdeal_standins/src/lib.rs
@@ -37,7 +37,7 @@
     WorkerFault, WorkerOptions, WorkerRun,
 };
 pub use object::ObjectFake;
-pub use raw_answer::{RawAnswer, malformed_answers};
+pub use raw_answer::{RawAnswer, broken_off_answers, malformed_answers};
 pub use server::{Reply, ReplyBody, ServerHandle, empty_reply, json_reply, serve_http};
 pub use service::{ServiceFake, ServiceRun};
 pub use table::{AppliedPut, TableFake, TableStats};
--- a/crates/eelgrassdeal_standins/src/raw_answer.rs
+++ b/crates/eelgrassdeal_standins/src/raw_answer.rs
@@ -1,4 +1,6 @@
-//! Answers that are given byte by byte, and those that have a line that is no field.
+//! Answers that are given byte by byte: those with a line that is no field, and those that are broken off.
+
+use crate::early_answer::{EarlyAnswer, EarlyEnd};
 
 /// Lines of a head whose name isn't a token, or that have none.
 const MALFORMED_LINES: [&[u8]; 18] = [
@@ -29,6 +31,26 @@
     pub label: String,
     /// The answer as it is sent.
     pub bytes: Vec<u8>,
+    /// What follows on the connection.
+    pub end: EarlyEnd,
+}
+
+impl RawAnswer {
+    /// Creates an answer after which the connection stays open.
+    pub fn new(label: impl Into<String>, bytes: impl Into<Vec<u8>>) -> Self {
+        Self { label: label.into(), bytes: bytes.into(), end: EarlyEnd::KeepOpen }
+    }
+
+    /// Sets what follows on the connection.
+    pub fn with_end(mut self, end: EarlyEnd) -> Self {
+        self.end = end;
+        self
+    }
+
+    /// The answer, sent when the request has been read to its end.
+    pub fn after_request(&self) -> EarlyAnswer {
+        EarlyAnswer::new(self.bytes.clone(), self.end).with_read_bytes(usize::MAX)
+    }
 }
 
 /// Answers with status 200, the lines `fields`, each with its end, and `body`, which are sound but for one line.
@@ -52,10 +74,37 @@
             "\r\n".to_owned(),
         ),
     ];
-    let answer = |(place, before, after): &(&str, String, String), line: &[u8]| RawAnswer {
-        label: format!("{place}, {}", line.escape_ascii()),
-        bytes: [before.as_bytes(), line, b"\r\n", after.as_bytes()].concat(),
+    let answer = |(place, before, after): &(&str, String, String), line: &[u8]| {
+        let bytes = [before.as_bytes(), line, b"\r\n", after.as_bytes()].concat();
+        RawAnswer::new(format!("{place}, {}", line.escape_ascii()), bytes)
     };
     let answers = |place| MALFORMED_LINES.map(|line| answer(place, line));
     places.iter().flat_map(answers).collect()
 }
+
+/// Answers with status 200, the lines `fields`, each with its end, and `body`, whose connection is closed before
+/// their end or reset.
+pub fn broken_off_answers(fields: &str, body: &str) -> Vec<RawAnswer> {
+    let head = format!("HTTP/1.1 200 OK\r\n{fields}");
+    let length = body.len();
+    let long = format!("{head}content-length: {}\r\n\r\n{body}", length + 1);
+    let chunked = format!("{head}transfer-encoding: chunked\r\n\r\n");
+    let long_chunk = format!("{chunked}{:x}\r\n{body}", length + 1);
+    let chunk = format!("{chunked}{length:x}\r\n{body}\r\n");
+    let cut = [
+        ("cut in the head", head.clone()),
+        ("cut in a body with a length", long.clone()),
+        ("cut in a chunk", long_chunk),
+        ("cut before the last chunk", chunk.clone()),
+    ];
+    let reset = [
+        ("reset after the head", format!("{head}content-length: {length}\r\n\r\n")),
+        ("reset in a body with a length", long),
+        ("reset before the last chunk", chunk),
+        ("reset after a body without a length", format!("{head}\r\n{body}")),
+    ];
+    let answers = |answers: [(&'static str, String); 4], end| {
+        answers.map(|(label, bytes)| RawAnswer::new(label, bytes).with_end(end))
+    };
+    [answers(cut, EarlyEnd::ReadToEnd), answers(reset, EarlyEnd::Reset)].concat()
+}
--- a/crates/eelgrassdeal_store/tests/early_answers.rs
+++ b/crates/eelgrassdeal_store/tests/early_answers.rs
@@ -6,7 +6,9 @@
 
 use bytes::Bytes;
 use common::new_client;
-use eelgrassdeal_standins::{EarlyAnswer, EarlyEnd, malformed_answers, start_early_peer};
+use eelgrassdeal_standins::{
+    EarlyAnswer, EarlyEnd, RawAnswer, broken_off_answers, malformed_answers, start_early_peer,
+};
 use eelgrassdeal_store::{
     HttpObjectStore, HttpTableStore, HttpVmList, ObjectStore, RowCondition, RowKey, RowRange,
     RowWrite, StoreError, StoreResult, TableName, TableStore, VmList,
@@ -36,11 +38,6 @@
     EarlyAnswer::new(answer, end).with_read_bytes(100_000).with_pause(PAUSE)
 }
 
-/// An answer to a call that was read to its end.
-fn late_answer(bytes: Vec<u8>) -> EarlyAnswer {
-    EarlyAnswer::new(bytes, EarlyEnd::KeepOpen).with_read_bytes(usize::MAX)
-}
-
 fn outcome<T>(result: StoreResult<T>) -> Result<T, StoreError> {
     result.map_err(|report| report.current_context().clone())
 }
@@ -117,34 +114,37 @@
     }
 }
 
-/// Answers that no client may accept, to a read of a list and to a write.
-fn odd_answers(body: &str) -> Vec<(String, Vec<u8>)> {
+/// Answers with `body` that are broken off, or whose head or trailers no client may accept.
+fn broken_answers(body: &str) -> Vec<RawAnswer> {
     let with_status = |status: &str| {
         let length = body.len();
-        let answer = format!("HTTP/1.1 {status}\r\ncontent-length: {length}\r\n\r\n{body}");
-        (status.to_owned(), answer.into_bytes())
+        RawAnswer::new(
+            status,
+            format!("HTTP/1.1 {status}\r\ncontent-length: {length}\r\n\r\n{body}"),
+        )
     };
     let malformed = malformed_answers("server: service\r\n", body).into_iter();
-    let malformed = malformed.map(|answer| (answer.label, answer.bytes));
-    STATUSES.into_iter().map(with_status).chain(malformed).collect()
+    let broken_off = broken_off_answers("server: service\r\n", body);
+    malformed.chain(STATUSES.map(with_status)).chain(broken_off).collect()
 }
 
 /// Guards against taking such an answer for a list, or for the refusal of a write that may have run.
 #[compio::test]
-async fn answer_without_a_sound_head_is_no_answer() {
+async fn broken_answer_is_no_answer() {
     let mut failures = Vec::new();
     for (index, list) in [VM_LIST, ROWS].into_iter().enumerate() {
-        for (label, bytes) in odd_answers(list) {
-            let read = read_lists(late_answer(bytes)).await;
+        for answer in broken_answers(list) {
+            let read = read_lists(answer.after_request()).await;
             if read[index] != Err(StoreError::OutcomeUnknown) {
-                failures.push(format!("list {index}, {label}: {:?}", read[index]));
+                failures.push(format!("list {index}, {}: {:?}", answer.label, read[index]));
             }
         }
     }
-    for (label, bytes) in odd_answers("{}") {
-        let written = put_row(&start_service(late_answer(bytes)), Bytes::from_static(b"row")).await;
+    for answer in broken_answers("{}") {
+        let url = start_service(answer.after_request());
+        let written = put_row(&url, Bytes::from_static(b"row")).await;
         if written != Err(StoreError::OutcomeUnknown) {
-            failures.push(format!("write, {label}: {written:?}"));
+            failures.push(format!("write, {}: {written:?}", answer.label));
         }
     }
     assert!(failures.is_empty(), "{}", failures.join("\n"));
